--- /dev/null
+++ b/elderscale/config.py
@@ -0,0 +1,229 @@
+"""What a node is told at its start: BALANCER_CONFIG, read into settings, limits, names and the known list."""
+
+from __future__ import annotations
+
+import json
+import math
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from lynxrouter.interface import ListKind, Server, ServerList, Settings, State
+from lynxrouter.wiresettings import parse_settings
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
+# The words of load reports on sockets, by the words that the settings use.
+REPORT_WORDS = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "qps",
+    "fail_rate": "eps",
+}
+# Memory that the interpreter and the open connections need beside large bodies.
+BASE_MEMORY_MB = 112
+# No body is longer than the page allows; one of this size must always find room.
+MAX_BODY = 32 << 20
+
+
+class ConfigError(Exception):
+    """The configuration is missing, unreadable or senseless; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """A list of servers as discovery gives it, with the address of each."""
+
+    servers: ServerList
+    addresses: Mapping[str, tuple[str, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Numbers of the names that stand on the wire."""
+
+    classes: Mapping[str, int]
+    tenants: Mapping[str, int]
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+    report: tuple[str, ...]
+
+    def listing(self, data: object, cached: bool = False) -> Listing:
+        """A list in discovery's form; anything malformed is a ValueError, so that nothing is half taken."""
+        try:
+            return self._listing(data, cached)
+        except (KeyError, TypeError, AttributeError, OverflowError) as error:
+            raise ValueError(f"malformed list: {error!r}") from None
+
+    def _listing(self, data: Any, cached: bool) -> Listing:
+        version = data["version"]
+        if not isinstance(version, int) or version < 0 or not isinstance(data["full"], bool):
+            raise ValueError("version or full")
+        servers = []
+        addresses = {}
+        for line in data["servers"]:
+            name = line["id"]
+            if not isinstance(name, str):
+                raise ValueError("id is no text")
+            state = STATES[line["state"]]
+            weight = float(line.get("weight", 1.0))
+            started = float(line.get("started_ms", 0))
+            if not math.isfinite(weight) or not math.isfinite(started):
+                raise ValueError(f"{name}: weight or started_ms")
+            addresses[name] = address(line["addr"])
+            servers.append(
+                Server(
+                    id=name,
+                    # Names that the settings do not hold: a zone like no other, a kind that has no number.
+                    zone=self.zones.get(line.get("zone"), len(self.zones)),
+                    kind=self.kinds.get(line.get("kind"), len(self.kinds)),
+                    cell=int(line.get("cell", 0)),
+                    state=state,
+                    weight=weight,
+                    up_since=max(1, int(started * MS) - WALL_AHEAD) if started > 0 else 0,
+                )
+            )
+        kind = ListKind.CACHED if cached else ListKind.FULL if data["full"] else ListKind.CHANGES
+        return Listing(ServerList(kind, tuple(servers), version), addresses)
+
+    def load_report(self, text: str) -> tuple[float, ...]:
+        """The values of a load report in the order of the settings; () where it is malformed."""
+        form, _, rest = text.strip().partition(" ")
+        if form.upper() != "TEXT":
+            return ()
+        values = {}
+        for part in rest.split(","):
+            word, _, number = part.partition("=")
+            try:
+                values[word.strip()] = float(number)
+            except ValueError:
+                return ()
+        report = tuple(values.get(word, math.nan) for word in self.report)
+        return report if all(map(math.isfinite, report)) else ()
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """The configuration of one node."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    body_budget: int
+    settings: Settings
+    names: Names
+    known: Listing | None
+
+
+# Read once: were the difference of the clocks read at each list, a server's start would wander with it and
+# an old process would seem to be a new one.
+WALL_AHEAD = time.time_ns() - time.monotonic_ns()
+
+
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT in figures."""
+    host, sep, port = text.rpartition(":")
+    if not sep or not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host.strip("[]"), int(port)
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that BALANCER_CONFIG names; ConfigError names the field that does not hold."""
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            data = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"BALANCER_CONFIG: {error}") from None
+    if not isinstance(data, dict):
+        raise ConfigError("BALANCER_CONFIG: no JSON object")
+
+    def address_of(field: str) -> tuple[str, int]:
+        text = data.get(field, environ.get(f"BALANCER_{field.upper()}"))
+        try:
+            return address(text)
+        except (ValueError, AttributeError):
+            raise ConfigError(f"{field}: {text!r} is no address") from None
+
+    settings = data.get("settings")
+    if not isinstance(settings, dict):
+        raise ConfigError("settings: missing, or no object")
+    try:
+        parsed = parse_settings("\n".join(f"{path}={value}" for path, value in _flat("", settings)))
+    except ValueError as error:
+        raise ConfigError(f"settings: {error}") from None
+    names = Names(
+        classes={c.name: n for n, c in enumerate(parsed.classes)},
+        tenants={t.name: n for n, t in enumerate(parsed.tenants)},
+        zones=_numbers(settings.get("zones")),
+        kinds=_numbers(settings.get("kinds")),
+        report=tuple(REPORT_WORDS.get(field, field) for field in _report_fields(settings)),
+    )
+    limits = data.get("limits", {})
+    memory = _whole(limits, "memory_mb", 2048)
+    known = None
+    if data.get("known") is not None:
+        try:
+            known = names.listing(data["known"], cached=True)
+        except ValueError as error:
+            raise ConfigError(f"known: {error}") from None
+    try:
+        seed = int(str(data.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError(f"seed: {data['seed']!r} is no hexadecimal number") from None
+    return Config(
+        name=str(data.get("name", environ.get("BALANCER_NAME", ""))),
+        listen=address_of("listen"),
+        discovery=address_of("discovery"),
+        seed=seed,
+        sockets=_whole(limits, "sockets", 1024, least=192),
+        body_budget=max(MAX_BODY, (memory - BASE_MEMORY_MB) << 20),
+        settings=parsed,
+        names=names,
+        known=known,
+    )
+
+
+def _flat(path: str, value: object) -> list[tuple[str, str]]:
+    """The settings as the simulator's path=value lines, which lynxrouter reads."""
+    if isinstance(value, dict):
+        at = path + "." if path else ""
+        return [line for key, item in value.items() for line in _flat(f"{at}{key}", item)]
+    if isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        lines = [(f"{path}.count", str(len(value)))]
+        return lines + [line for n, item in enumerate(value) for line in _flat(f"{path}.{n}", item)]
+    if isinstance(value, list):
+        return [(path, ",".join(_text(item).replace(",", "_") for item in value))]
+    return [(path, _text(value))]
+
+
+def _text(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "" if value is None else str(value)
+
+
+def _numbers(names: object) -> dict[str, int]:
+    return {str(name): n for n, name in enumerate(names)} if isinstance(names, list) else {}
+
+
+def _report_fields(settings: dict[str, Any]) -> list[str]:
+    report = settings.get("report")
+    fields = report.get("fields") if isinstance(report, dict) else None
+    return [str(field) for field in fields] if isinstance(fields, list) else []
+
+
+def _whole(limits: object, key: str, default: int, least: int = 1) -> int:
+    value = limits.get(key, default) if isinstance(limits, dict) else None
+    if not isinstance(value, int) or isinstance(value, bool) or value < least:
+        raise ConfigError(f"limits.{key}: {value!r} is no whole number of at least {least}")
+    return value
--- /dev/null
+++ b/elderscale/discovery.py
@@ -0,0 +1,174 @@
+"""The list of servers: a watch that goes on, whole answers only."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from .config import Listing, Names
+from .messages import MAX_HEAD, READ_SIZE
+
+if TYPE_CHECKING:
+    from .node import Node
+
+log = logging.getLogger("elderscale")
+
+# How long one watch may wait, in milliseconds. Short, as a watch that has fallen silent shows only by its
+# being overdue; where discovery is one service for all nodes, each call is work for it.
+WATCH_MS = 2_000
+WATCH_ASKED_MS = 10_000
+# An answer that waits for nothing takes no longer than this, and an overdue one no longer beyond its wait.
+CALL_LIMIT = 3.0
+OVERDUE = 0.7
+# Pause before the next call after a failure, doubled up to the longest.
+BACKOFF_FIRST, BACKOFF_MOST = 0.05, 1.0
+# A list of a large fleet takes about 150 bytes a server.
+MAX_LIST = 16 << 20
+
+
+class CallFailed(Exception):
+    """A call brought no whole, sound list."""
+
+
+class Discovery:
+    """Keeps the node's list fresh: by itself where lists are pushed, else as the module asks."""
+
+    def __init__(self, address: tuple[str, int], names: Names, node: Node, asked: bool, version: int) -> None:
+        self.address = address
+        self.names = names
+        self.node = node
+        self.asked = asked
+        self.version = version
+        self.heard = asyncio.Event()
+        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+        self._watching: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Begin; where the module must ask, it will."""
+        if not self.asked:
+            self._watching = self._spawn(self._follow())
+
+    def watch(self, active: bool) -> None:
+        """The module subscribes, or no longer."""
+        if not self.asked:
+            return
+        if self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+        if active:
+            self._watching = self._spawn(self._subscribe())
+
+    def fetch(self) -> None:
+        """The module asks for the whole list once."""
+        self._spawn(self._fetch())
+
+    async def close(self) -> None:
+        """Stop all calls."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _follow(self) -> None:
+        """Watch for ever. A failure costs a pause; the list that is held stays in force meanwhile."""
+        pause = BACKOFF_FIRST
+        while True:
+            try:
+                if self.version < 0:
+                    await self._call("/registry/instances", CALL_LIMIT)
+                else:
+                    await self._call(self._watch_path(WATCH_MS), WATCH_MS / 1000 + OVERDUE)
+                pause = BACKOFF_FIRST
+            except CallFailed as error:
+                log.info("discovery: %s", error)
+                await asyncio.sleep(pause)
+                pause = min(2 * pause, BACKOFF_MOST)
+
+    async def _subscribe(self) -> None:
+        """Watch until a call fails, which the module is told: it decides when to ask again."""
+        # The first call answers what the module waits for, so it does not wait itself.
+        path = self._watch_path(0) if self.version >= 0 else "/registry/instances"
+        limit = CALL_LIMIT
+        try:
+            while True:
+                await self._call(path, limit)
+                path, limit = self._watch_path(WATCH_ASKED_MS), WATCH_ASKED_MS / 1000 + OVERDUE
+        except CallFailed as error:
+            log.info("discovery: %s", error)
+            self.node.asking_failed()
+
+    async def _fetch(self) -> None:
+        try:
+            await self._call("/registry/instances", CALL_LIMIT, shared=False)
+        except CallFailed as error:
+            log.info("discovery: %s", error)
+            self.node.asking_failed()
+
+    def _watch_path(self, wait: int) -> str:
+        return f"/registry/instances?index={self.version}&wait={wait}"
+
+    async def _call(self, path: str, limit: float, shared: bool = True) -> None:
+        """One call; its list goes to the node, whole or not at all."""
+        streams = self._streams if shared else None
+        if shared:
+            self._streams = None
+        try:
+            try:
+                async with asyncio.timeout(limit):
+                    if streams is None or streams[0].at_eof() or streams[1].is_closing():
+                        if streams is not None:
+                            streams[1].close()
+                        streams = await asyncio.open_connection(*self.address, limit=READ_SIZE)
+                    body, kept = await _get(streams, self.address[0], path)
+                listing = self.names.listing(json.loads(body))
+            except (OSError, TimeoutError, ValueError, RecursionError, h11.RemoteProtocolError) as error:
+                raise CallFailed(f"{path}: {type(error).__name__} {error}") from None
+            if kept and shared:
+                self._streams, streams = streams, None
+        finally:
+            if streams is not None:
+                streams[1].transport.abort()
+        self._take(listing)
+
+    def _take(self, listing: Listing) -> None:
+        self.version = listing.servers.version
+        self.heard.set()
+        if listing.servers.servers or listing.servers.kind or self.asked:
+            self.node.listing(listing)
+
+
+async def _get(
+    streams: tuple[asyncio.StreamReader, asyncio.StreamWriter], host: str, path: str
+) -> tuple[bytes, bool]:
+    """The body of a 200 answer, and whether the connection can be used again."""
+    reader, writer = streams
+    http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+    writer.write(http.send(h11.Request(method="GET", target=path, headers=[("Host", host)])) or b"")
+    http.send(h11.EndOfMessage())
+    body = bytearray()
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await reader.read(READ_SIZE))
+        elif isinstance(event, h11.Response):
+            if event.status_code != 200:
+                raise ValueError(f"status {event.status_code}")
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_LIST:
+                raise ValueError("the list is too long")
+        elif isinstance(event, h11.EndOfMessage):
+            return bytes(body), http.their_state is h11.DONE and not http.trailing_data[0]
+        elif not isinstance(event, h11.InformationalResponse):
+            raise ValueError("the connection ended")
--- /dev/null
+++ b/elderscale/node.py
@@ -0,0 +1,318 @@
+"""Hosts the decision module: hands it events, carries out its actions, and sees to one final answer each."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from lynxrouter import Balancer
+from lynxrouter import interface as api
+
+from .config import MS, Listing
+from .messages import Answer, Message
+from .servers import Attempt, Servers
+
+log = logging.getLogger("elderscale")
+
+# A final answer leaves this long before the client's deadline, so that it is there in time.
+ANSWER_EARLY = 4 * MS
+
+
+class Client(Protocol):
+    """Where answers go. Exactly one of answer, refuse, fail, or start with finish or cut is called."""
+
+    def answer(self, answer: Answer) -> None: ...
+    def refuse(self, retry_after: int) -> None: ...
+    def fail(self, status: int) -> None: ...
+    def start(self, answer: Answer, attempt: Attempt) -> None: ...
+    def write(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def cut(self) -> None: ...
+
+
+class Lists(Protocol):
+    """Discovery, as the module asks for it."""
+
+    def watch(self, active: bool) -> None: ...
+    def fetch(self) -> None: ...
+
+
+class Open:
+    """A request that is owed an answer, or whose attempts are still out."""
+
+    __slots__ = ("attempts", "client", "cls", "deadline", "done", "id", "message", "out", "stream", "timer")
+
+    def __init__(self, rid: int, client: Client, message: Message, cls: int, deadline: int) -> None:
+        self.id = rid
+        self.client = client
+        self.message: Message | None = message
+        self.cls = cls
+        self.deadline = deadline
+        self.attempts: list[Attempt | None] = []
+        self.out = 0
+        self.done = False
+        self.stream: Attempt | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Node:
+    """One instance of the module on the monotonic clock."""
+
+    def __init__(self, settings: api.Settings, seed: int, servers: Servers) -> None:
+        self.settings = settings
+        self.servers = servers
+        self.lists: Lists | None = None
+        self.loop = asyncio.get_running_loop()
+        self.balancer = Balancer(settings, seed, time.monotonic_ns())
+        self.requests: dict[int, Open] = {}
+        self.owed = 0  # requests without a final answer
+        self.timers: set[asyncio.TimerHandle] = set()
+        self._next_id = 1
+        self._events: deque[tuple[int, api.Event]] = deque()
+        self._feeding = False
+
+    # Events
+
+    def feed(self, event: api.Event, at: int = 0) -> None:
+        """Hand over an event, after those that wait; its actions are carried out before the next."""
+        self._events.append((at, event))
+        if self._feeding:
+            return
+        self._feeding = True
+        try:
+            while self._events:
+                at, event = self._events.popleft()
+                self._handle(max(at, time.monotonic_ns()), event)
+        finally:
+            self._feeding = False
+
+    def _handle(self, now: int, event: api.Event) -> None:
+        # An exception costs the request that it struck, never the process and with it all the others.
+        try:
+            for action in self.balancer.handle(now, event):
+                self._do(action)
+        except Exception:
+            log.exception("the module failed on %s", type(event).__name__)
+            rid = getattr(event, "id", None)
+            request = self.requests.get(rid) if rid is not None else None
+            if request is not None and not request.out:
+                self._fail(request)
+
+    def listing(self, listing: Listing) -> None:
+        """A list of servers has come."""
+        self.servers.apply(listing)
+        self.feed(listing.servers)
+
+    def asking_failed(self) -> None:
+        """A watch or a call that the module asked for has failed."""
+        self.feed(api.ServerList(api.ListKind.FAILED))
+
+    def submit(
+        self,
+        client: Client,
+        message: Message,
+        cls: int,
+        time_left: int,
+        tenant: int = 0,
+        key: int = 0,
+        cost: int = 0,
+        repeat: bool = False,
+    ) -> int:
+        """A whole request has come; its number."""
+        rid = self._next_id
+        self._next_id += 1
+        time_left = max(1, time_left - ANSWER_EARLY)
+        request = Open(rid, client, message, cls, time.monotonic_ns() + time_left)
+        self.requests[rid] = request
+        self.owed += 1
+        request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
+        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat))
+        return rid
+
+    def gone(self, rid: int) -> None:
+        """The client has left."""
+        request = self.requests.get(rid)
+        if request is None or request.done:
+            return
+        self._conclude(request)
+        if request.stream is not None:
+            request.stream.cancel()
+        self.feed(api.Gone(rid))
+
+    def end_all(self) -> None:
+        """The node is about to exit: whatever is owed gets its final answer now."""
+        for request in list(self.requests.values()):
+            if not request.done:
+                if request.stream is not None:
+                    request.stream.end(api.Result.TIMEOUT)
+                else:
+                    self._expire(request)
+
+    # Actions
+
+    def _do(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            self._send(action)
+        elif isinstance(action, api.SetTimer):
+            self._set_timer(action.delay, action.token)
+        elif isinstance(action, api.Refuse):
+            self._answer(action.id, lambda client: client.refuse(action.retry_after))
+        elif isinstance(action, api.Fail):
+            self._answer(action.id, lambda client: client.fail(502))
+        elif isinstance(action, api.Cancel):
+            self._cancel(action)
+        elif isinstance(action, api.CloseIdle):
+            self.servers.close_idle(action.server)
+        elif isinstance(action, api.Probe):
+            self.servers.probe(action.server, self.feed)
+        elif isinstance(action, api.Watch):
+            if self.lists is not None:
+                self.lists.watch(action.active)
+        elif isinstance(action, api.FetchList):
+            if self.lists is not None:
+                self.lists.fetch()
+        elif isinstance(action, api.Log):
+            log.info("%s", action.text)
+
+    def _send(self, action: api.Send) -> None:
+        request = self.requests.get(action.id)
+        if request is None:
+            log.error("the module sent a request that is over")
+            return
+        number = len(request.attempts)
+        if request.done or request.stream or request.message is None or number >= self.settings.max_attempts:
+            request.attempts.append(None)
+            self.feed(
+                api.Outcome(action.id, number, action.server, api.Result.NOT_SENT, 0, final=request.done)
+            )
+            return
+        cls = self.settings.classes[request.cls]
+        attempt = Attempt(
+            request.message,
+            action.server,
+            min(request.deadline, time.monotonic_ns() + action.timeout)
+            if action.timeout
+            else request.deadline,
+            listener=self,
+            repeatable=cls.effect == api.Effect.SAFE,
+            streamed=cls.streamed,
+            owner=request,
+            number=number,
+        )
+        request.attempts.append(attempt)
+        request.out += 1
+        if action.timeout:
+            attempt.timer = self.loop.call_later(action.timeout / 1e9, attempt.end, api.Result.TIMEOUT)
+        self.servers.send(attempt)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        request = self.requests.get(action.id)
+        if request is None or action.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[action.attempt]
+        # A stream that has begun belongs to the client, as long as there is one.
+        if attempt is not None and (attempt is not request.stream or request.done):
+            attempt.cancel()
+
+    def _set_timer(self, delay: int, token: int) -> None:
+        due = time.monotonic_ns() + delay
+
+        def fire() -> None:
+            self.timers.discard(handle)
+            # The loop may call a hair early; the module would take a timer that is not yet due for none.
+            self.feed(api.Timer(token), due)
+
+        handle = self.loop.call_later(delay / 1e9, fire)
+        self.timers.add(handle)
+
+    # Final answers
+
+    def _answer(self, rid: int, give: Callable[[Client], None]) -> None:
+        request = self.requests.get(rid)
+        if request is None or request.done or request.stream is not None:
+            return
+        self._conclude(request)
+        give(request.client)
+
+    def _fail(self, request: Open) -> None:
+        """The module did not answer in time, or cannot: the node does, and tells it so."""
+        if request.done:
+            return
+        self._answer(request.id, lambda client: client.fail(504))
+        self.feed(api.Gone(request.id))
+
+    def _expire(self, request: Open) -> None:
+        """The time is up: the attempts end, and what the module answers to that is still in time."""
+        for attempt in request.attempts:
+            if attempt is not None and attempt is not request.stream:
+                attempt.end(api.Result.TIMEOUT)
+        if request.stream is None:
+            self._fail(request)
+
+    def _conclude(self, request: Open) -> None:
+        request.done = True
+        request.message = None
+        self.owed -= 1
+        self._forget(request)
+
+    def _forget(self, request: Open) -> None:
+        """Drop a request that is over; while attempts are out its timer bounds them."""
+        if request.done and not request.out:
+            self._stop_timer(request)
+            self.requests.pop(request.id, None)
+
+    @staticmethod
+    def _stop_timer(request: Open) -> None:
+        if request.timer is not None:
+            request.timer.cancel()
+            request.timer = None
+
+    # Attempts
+
+    def started(self, attempt: Attempt, answer: Answer) -> Client | None:
+        """A long answer has begun to come; where it goes."""
+        request: Open = attempt.owner
+        if request.done or request.stream is not None:
+            return None
+        request.stream = attempt
+        self._stop_timer(request)
+        self.feed(api.Started(request.id, attempt.number, attempt.server, time.monotonic_ns() - attempt.sent))
+        # The request is tied to this answer now: what another attempt brings could not be used.
+        for other in request.attempts:
+            if other is not None and other is not attempt:
+                other.cancel()
+        request.client.start(answer, attempt)
+        return request.client
+
+    def ended(self, attempt: Attempt, answer: Answer | None) -> None:
+        request: Open = attempt.owner
+        result = attempt.result
+        assert result is not None
+        request.out -= 1
+        if not request.done:
+            client = request.client
+            if request.stream is attempt:
+                self._conclude(request)
+                if result == api.Result.OK:
+                    client.finish()
+                else:
+                    client.cut()
+            elif result == api.Result.OK and answer is not None:
+                self._conclude(request)
+                client.answer(answer)
+        self._forget(request)
+        self.feed(
+            api.Outcome(
+                request.id,
+                attempt.number,
+                attempt.server,
+                result,
+                time.monotonic_ns() - attempt.sent,
+                request.done,
+                attempt.report,
+            )
+        )
--- /dev/null
+++ b/elderscale/servers.py
@@ -0,0 +1,539 @@
+"""Connections to servers: a pool for each, the attempts on them, and what sockets do as a Result."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+import h11
+
+from lynxrouter import interface as api
+
+from .config import MS, SECOND, Listing, Names
+from .messages import MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
+
+if TYPE_CHECKING:
+    from .node import Client
+
+log = logging.getLogger("elderscale")
+
+# How long the last byte of a request that must not be repeated freely is held back: about a round trip and
+# the peer's waking up. A connection that is already dead, or reset by its first byte, breaks within it, while
+# it is still certain that nothing ran.
+HOLD_LAST_BYTE = 0.003
+# Part of the idle limit after which the node closes a connection itself: the rest is for clocks and the wire.
+IDLE_PART = 0.8
+# Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
+GRACE_PART = 0.75
+# An answer of no told length is passed on after this long, as it may be a long one.
+UNKNOWN_LENGTH_HOLD = 0.25
+# A stream that brings nothing for this long is taken for left unfinished.
+STREAM_STALL = 8.0
+PROBE_TIME = SECOND
+TCP_ESTABLISHED = 1
+
+
+class Listener(Protocol):
+    """Who is told how attempts go."""
+
+    def started(self, attempt: Attempt, answer: Answer) -> Client | None:
+        """A long answer has begun to come; where it goes, None to give the attempt up."""
+
+    def ended(self, attempt: Attempt, answer: Answer | None) -> None:
+        """An attempt has its result, and its answer where that was held until it was whole."""
+
+
+class Attempt:
+    """One attempt at a request. Ends exactly once, with a result."""
+
+    __slots__ = (
+        "backend", "conn", "connecting", "deadline", "listener", "message", "number", "owner", "repeatable",
+        "report", "result", "sent", "server", "streamed", "timer", "written",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        message: Message,
+        server: api.ServerId,
+        deadline: int,
+        listener: Listener,
+        repeatable: bool = True,
+        streamed: bool = False,
+        owner: Any = None,
+        number: int = 0,
+    ) -> None:
+        self.message: Message | None = message
+        self.server = server
+        self.deadline = deadline
+        self.listener = listener
+        self.repeatable = repeatable
+        self.streamed = streamed
+        self.owner = owner
+        self.number = number
+        self.sent = time.monotonic_ns()
+        self.written = False  # the kernel has taken the last byte: from here on it may have run
+        self.result: api.Result | None = None
+        self.report: tuple[float, ...] = ()
+        self.conn: ServerConnection | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.backend: _Backend | None = None
+
+    def cancel(self) -> None:
+        """Stop waiting; the connection is closed."""
+        self.end(api.Result.CANCELLED)
+
+    def broke(self) -> None:
+        """The connection is gone, or what came on it is no answer."""
+        self.end(api.Result.RESET if self.written else api.Result.CONNECT_FAILED)
+
+    def read_on(self, reading: bool) -> None:
+        """Back-pressure of the client that the answer is passed on to."""
+        if self.conn is not None:
+            self.conn.read_on(reading)
+
+    def end(self, result: api.Result, answer: Answer | None = None) -> None:
+        """The result, told once; a connection still held is closed."""
+        if self.result is not None:
+            return
+        if result == api.Result.TIMEOUT and not self.written:
+            result = api.Result.CONNECT_FAILED  # a server begins a request when its last byte has come
+        self.result = result
+        self.message = None
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.conn is not None:
+            self.conn.attempt = None
+            self.conn.close()
+            self.conn = None
+        if self.backend is not None:
+            self.backend.unsent.discard(self)
+        self.listener.ended(self, answer)
+
+
+class _Backend:
+    """A server of the list."""
+
+    __slots__ = ("address", "draining", "id", "idle", "unsent")
+
+    def __init__(self, server: api.ServerId, address: tuple[str, int]) -> None:
+        self.id = server
+        self.address = address
+        self.draining: asyncio.TimerHandle | None = None
+        self.idle: list[ServerConnection] = []  # the last one rested shortest and is taken first
+        self.unsent: set[Attempt] = set()
+
+
+class ServerConnection(Peer):
+    """One connection to a server; it carries one attempt at a time."""
+
+    def __init__(self, servers: Servers, backend: _Backend) -> None:
+        super().__init__()
+        self.servers = servers
+        self.backend = backend
+        self.attempt: Attempt | None = None
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+        self.pieces: list[bytes] = []
+        self.timer: asyncio.TimerHandle | None = None
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.servers.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        self.stop_timer()
+        self.servers.dropped(self)
+        if self.attempt is not None:
+            self._broke()
+
+    def alive(self) -> bool:
+        """Whether the kernel still knows the connection as whole: a close may have come that was not read."""
+        if self.lost or self.transport.is_closing():
+            return False
+        sock = self.transport.get_extra_info("socket")
+        return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_ESTABLISHED)
+
+    def close(self) -> None:
+        """Close at once; what is unsent is dropped."""
+        self.stop_timer()
+        self.servers.unpool(self)
+        if not self.lost:
+            self.transport.abort()
+
+    def stop_timer(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def after(self, delay: float, call: Callable[[], None]) -> None:
+        self.stop_timer()
+        self.timer = self.servers.loop.call_later(delay, call)
+
+    # Writing
+
+    def begin(self, attempt: Attempt) -> None:
+        """Write a request, all but its last piece; see _last."""
+        message = attempt.message
+        assert message is not None
+        self.attempt = attempt
+        attempt.conn = self
+        self.head: Answer | None = None
+        self.verdict: api.Result | None = None
+        self.body: list[bytes] = []
+        self.size = 0
+        self.client: Client | None = None
+        self.moved = self.servers.loop.time()
+        left = max(1, (attempt.deadline - time.monotonic_ns()) // MS)
+        headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
+        if message.method != b"GET" or message.size:
+            headers.append((b"content-length", b"%d" % message.size))
+        try:
+            parts = [
+                self.http.send(h11.Request(method=message.method, target=message.target, headers=headers))
+            ]
+            parts += [self.http.send(h11.Data(data=part)) for part in message.body]
+            self.http.send(h11.EndOfMessage())
+        except h11.LocalProtocolError as error:
+            log.error("a request cannot be written: %s", error)
+            attempt.end(api.Result.CONNECT_FAILED)
+            return
+        pieces: list[bytes] = [part for part in parts if part]
+        if message.size <= SMALL_BODY:
+            pieces = [b"".join(pieces)]
+        if not attempt.repeatable:
+            tail = pieces.pop()
+            pieces += [tail[:-1], tail[-1:]]
+        pieces.reverse()
+        self.pieces = pieces
+        self._write()
+
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._write()
+
+    def _write(self) -> None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        while len(self.pieces) > 1 and not self.unsent and not self.transport.is_closing():
+            self.transport.write(self.pieces.pop())
+        if self.unsent or self.timer is not None:
+            return
+        if len(self.pieces) == 1:
+            if attempt.repeatable:
+                self._last()
+            else:
+                self.after(HOLD_LAST_BYTE, self._last)
+        elif not self.pieces:
+            self._written()
+
+    def _last(self) -> None:
+        """Write the piece with the last byte. Until the kernel has taken it, the request has not run."""
+        self.stop_timer()
+        if not self.alive():
+            self._broke()
+            return
+        self.transport.write(self.pieces.pop())
+        if self.transport.is_closing():
+            self._broke()
+        elif not self.unsent:
+            self._written()
+
+    def _written(self) -> None:
+        if self.attempt is not None and not self.attempt.written and not self.transport.is_closing():
+            self.attempt.written = True
+            self.backend.unsent.discard(self.attempt)
+
+    # Reading
+
+    def received(self, data: memoryview) -> None:
+        if self.attempt is None:
+            self.close()  # nothing was asked: what comes could only be taken for an answer to the next one
+            return
+        self.moved = self.servers.loop.time()
+        self.http.receive_data(data)
+        self._events()
+
+    def eof_received(self) -> None:
+        if self.attempt is not None:
+            self.http.receive_data(b"")
+            self._events()
+            if self.attempt is not None:
+                self._broke()
+        else:
+            self.close()
+
+    def _events(self) -> None:
+        try:
+            while self.attempt is not None:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    break
+                if isinstance(event, h11.Response):
+                    self._head(self.attempt, event)
+                elif isinstance(event, h11.Data):
+                    self._data(self.attempt, bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    self._end(self.attempt)
+                elif isinstance(event, h11.ConnectionClosed):
+                    self._broke()
+        except h11.RemoteProtocolError:
+            self._broke()
+        if self.attempt is not None and self.verdict is not None:
+            self.attempt.end(self.verdict)  # the head said all; the rest of its body is not worth waiting for
+
+    def _head(self, attempt: Attempt, event: h11.Response) -> None:
+        length = None
+        for name, value in event.headers:
+            if name == b"content-length":
+                length = int(value)
+            elif name == self.servers.load_header:
+                attempt.report = self.servers.names.load_report(value.decode("latin-1"))
+        if event.status_code != 200:
+            unprocessed = event.status_code in (503, 504) and any(
+                name == b"x-unprocessed" and value.strip() == b"1" for name, value in event.headers
+            )
+            self.verdict = api.Result.REJECTED if unprocessed else api.Result.ERROR
+            return
+        if not attempt.written:
+            # Nothing was asked in full yet, so no server can have made this for it.
+            raise h11.RemoteProtocolError("an answer before the request")
+        self.head = Answer(
+            200, end_to_end(event.headers, (self.servers.load_header, b"x-unprocessed")), None, length
+        )
+        if attempt.streamed:
+            self._start(attempt)
+        elif length is None:
+            self.after(UNKNOWN_LENGTH_HOLD, self._hold_over)
+
+    def _hold_over(self) -> None:
+        self.stop_timer()
+        if self.attempt is not None and self.client is None:
+            if self.body:
+                self._start(self.attempt)
+            else:
+                self.after(UNKNOWN_LENGTH_HOLD, self._hold_over)
+
+    def _data(self, attempt: Attempt, data: bytes) -> None:
+        if self.verdict is not None:
+            return
+        if self.client is not None:
+            self.client.write(data)
+            return
+        self.body.append(data)
+        self.size += len(data)
+        assert self.head is not None
+        if max(self.size, self.head.length or 0) > SMALL_BODY:
+            self._start(attempt)
+
+    def _start(self, attempt: Attempt) -> None:
+        """Pass the answer on from here."""
+        assert self.head is not None
+        self.after(STREAM_STALL, self._stalled)
+        self.client = attempt.listener.started(attempt, self.head)
+        if self.client is None:
+            attempt.cancel()
+            return
+        if self.body:
+            self.client.write(b"".join(self.body))
+            self.body = []
+
+    def _stalled(self) -> None:
+        """A stream that its server leaves unfinished would hold the client and both sockets for ever."""
+        idle = self.servers.loop.time() - self.moved
+        if self.attempt is not None and self.reading and idle >= STREAM_STALL:
+            self._broke()
+        else:
+            if not self.reading:
+                self.moved = self.servers.loop.time()
+            self.after(max(0.1, STREAM_STALL - (self.servers.loop.time() - self.moved)), self._stalled)
+
+    def _end(self, attempt: Attempt) -> None:
+        self.stop_timer()
+        reusable = (
+            attempt.written
+            and self.http.our_state is h11.DONE
+            and self.http.their_state is h11.DONE
+            and not self.http.trailing_data[0]
+        )
+        answer = None
+        if self.head is not None and self.client is None:
+            answer = Answer(200, self.head.headers, self.body)
+        self.body = []
+        self.attempt = attempt.conn = None
+        if reusable:
+            self.http.start_next_cycle()
+            self.servers.pool(self)
+        else:
+            self.close()
+        attempt.end(self.verdict or api.Result.OK, answer)
+
+    def _broke(self) -> None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        if self.verdict is not None:
+            attempt.end(self.verdict)  # the head was whole, and proves what it says
+        else:
+            attempt.broke()
+
+
+class Servers:
+    """All servers that the lists named, and the connections to them."""
+
+    def __init__(self, settings: api.Settings, names: Names, limit: int) -> None:
+        self.settings = settings
+        self.names = names
+        self.limit = limit
+        self.load_header = b"x-backend-load"
+        self.loop = asyncio.get_running_loop()
+        self.backends: dict[api.ServerId, _Backend] = {}
+        self.connections: set[ServerConnection] = set()
+        self.resting: OrderedDict[ServerConnection, None] = OrderedDict()  # idle ones, longest rest first
+        self.connecting = 0
+
+    def apply(self, listing: Listing) -> None:
+        """Take a list over: addresses, and no rest for connections to what drains or is gone."""
+        if listing.servers.kind != api.ListKind.CHANGES:
+            for server in [s for s in self.backends if s not in listing.addresses]:
+                self._drain(self.backends.pop(server))
+        for line in listing.servers.servers:
+            address = listing.addresses[str(line.id)]
+            backend = self.backends.get(line.id)
+            if backend is not None and backend.address != address:
+                self._drain(self.backends.pop(line.id))
+                backend = None
+            if line.state == api.State.GONE:
+                if backend is not None:
+                    self._drain(self.backends.pop(line.id))
+                continue
+            if backend is None:
+                backend = self.backends[line.id] = _Backend(line.id, address)
+            if line.state == api.State.DRAINING:
+                self._drain(backend)
+            elif backend.draining is not None:
+                backend.draining.cancel()
+                backend.draining = None
+
+    def _drain(self, backend: _Backend) -> None:
+        for conn in list(backend.idle):
+            conn.close()
+        if backend.draining is None:
+            grace = GRACE_PART * self.settings.drain_grace / SECOND
+            backend.draining = self.loop.call_later(grace, self._withdraw, backend)
+
+    def _withdraw(self, backend: _Backend) -> None:
+        # A request that is still being written when the grace is over would reach a server that drains.
+        for attempt in list(backend.unsent):
+            attempt.end(api.Result.CONNECT_FAILED)
+
+    def send(self, attempt: Attempt) -> None:
+        """Start an attempt."""
+        backend = self.backends.get(attempt.server)
+        if backend is None:
+            attempt.end(api.Result.NOT_SENT)
+            return
+        attempt.backend = backend
+        backend.unsent.add(attempt)
+        while backend.idle:
+            conn = backend.idle[-1]
+            if conn.alive():
+                self.unpool(conn)
+                conn.stop_timer()
+                conn.begin(attempt)
+                return
+            conn.close()
+        if len(self.connections) + self.connecting >= self.limit:
+            if not self.resting:
+                log.warning("no descriptor left for a connection to a server")
+                attempt.end(api.Result.CONNECT_FAILED)
+                return
+            next(iter(self.resting)).close()
+        self.connecting += 1
+        attempt.connecting = self.loop.create_task(self._connect(backend, attempt))
+        # Not in a finally of the task: one that is cancelled before its first step runs none.
+        attempt.connecting.add_done_callback(self._connected)
+
+    def _connected(self, task: asyncio.Task[None]) -> None:
+        self.connecting -= 1
+
+    async def _connect(self, backend: _Backend, attempt: Attempt) -> None:
+        try:
+            async with asyncio.timeout(self.settings.connect_timeout / SECOND):
+                _, conn = await self.loop.create_connection(
+                    lambda: ServerConnection(self, backend), *backend.address
+                )
+        except (OSError, TimeoutError):
+            attempt.connecting = None
+            attempt.end(api.Result.CONNECT_FAILED)
+            return
+        attempt.connecting = None
+        if conn.lost:
+            attempt.end(api.Result.CONNECT_FAILED)
+        else:
+            conn.begin(attempt)
+
+    def pool(self, conn: ServerConnection) -> None:
+        """Keep a connection for the next request to its server."""
+        if conn.backend.draining is not None or not conn.alive():
+            conn.close()
+            return
+        conn.read_on(True)
+        conn.backend.idle.append(conn)
+        self.resting[conn] = None
+        conn.after(IDLE_PART * self.settings.idle_timeout / SECOND, conn.close)
+
+    def unpool(self, conn: ServerConnection) -> None:
+        """Take a connection out of the pool, if it is there."""
+        if conn in self.resting:
+            del self.resting[conn]
+            conn.backend.idle.remove(conn)
+
+    def dropped(self, conn: ServerConnection) -> None:
+        """A connection is gone."""
+        self.unpool(conn)
+        self.connections.discard(conn)
+
+    def close_idle(self, server: api.ServerId) -> None:
+        """Close what rests at one server."""
+        backend = self.backends.get(server)
+        for conn in list(backend.idle) if backend is not None else ():
+            conn.close()
+
+    def probe(self, server: api.ServerId, feed: Callable[[api.Event], None]) -> None:
+        """Ask a server for its health, with its load where reports come that way."""
+        pulled = self.settings.report_mode == api.ReportMode.PROBES
+        backend = self.backends.get(server)
+        host = backend.address[0].encode() if backend is not None else b""
+        message = Message(b"GET", b"/stats" if pulled else b"/health/live", [(b"host", host)], (), 0)
+        attempt = Attempt(message, server, time.monotonic_ns() + PROBE_TIME, _Probe(self.names, feed))
+        attempt.timer = self.loop.call_later(PROBE_TIME / SECOND, attempt.end, api.Result.TIMEOUT)
+        self.send(attempt)
+
+
+class _Probe:
+    """Listens to a probe, which is an attempt that no client waits for."""
+
+    def __init__(self, names: Names, feed: Callable[[api.Event], None]) -> None:
+        self.names = names
+        self.feed = feed
+
+    def started(self, attempt: Attempt, answer: Answer) -> None:
+        return None
+
+    def ended(self, attempt: Attempt, answer: Answer | None) -> None:
+        assert attempt.result is not None
+        report = attempt.report
+        if answer is not None and answer.body and not report:
+            report = self.names.load_report(b"".join(answer.body).decode("latin-1"))
+        rtt = time.monotonic_ns() - attempt.sent
+        self.feed(api.ProbeResult(attempt.server, attempt.result, rtt, report))
--- /dev/null
+++ b/lynxrouter/brain.py
@@ -0,0 +1,893 @@
+"""The decisions of one node. The whole interface is in interface.py.
+
+Ordinary path (SA-JIQ): a uniformly random idle server of the fastest speed class that has one; with none
+idle, a draw by estimated capacity. A node sees only its own part of the traffic, so "idle" is corrected:
+each server is on the idle lists of few nodes only, which then know what it has in hand (see _index).
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_right
+from heapq import heapify, heappop, heappush
+from math import exp, isfinite, log
+from zlib import crc32
+
+from .interface import (  # fmt: skip
+    NEVER_RAN, Action, Cancel, Effect, Event, Fail, Gone, Group, ListKind, Outcome, PeerMessage,
+    ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerId, ServerList, SetTimer, Settings,
+    Started, State, Timer, Watch, Weights,
+)  # fmt: skip
+
+__all__ = ["Balancer", "may_refuse", "resend_scope"]
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+# How often estimates, gaps and draw tables are renewed: often against seconds-long troubles, rarely against
+# CPU.
+REVIEW = 500 * MS
+# Speeds within this ratio make one class: less is within the noise of the estimates.
+CLASS_RATIO = 1.25
+# Further copies per request: enough for rare stragglers, too few to make a storm.
+COPY_BUDGET = 0.1
+# No copies while more than this share of attempts miss their aim.
+COPY_MISSING = 0.1
+# First pause after a server failed, doubled up to the longest.
+PAUSE_FIRST, PAUSE_MOST = SECOND, 8 * SECOND
+# A failure's weight in the running share of failures, and the share at which a server is paused.
+FAIL_WEIGHT, FAIL_LIMIT = 0.3, 0.45
+# Resends per request on average, and the most that may be saved up.
+RESEND_BUDGET, RESEND_SAVED = 0.5, 50.0
+# First pause before the list is asked for again, doubled up to half of what the rules allow.
+ASK_FIRST = SECOND // 2
+# Nodes of a zone on whose idle lists a server is, on average: with one, chance leaves a third of the servers
+# on none, with three a twentieth; with many, none of them knows what the others do there.
+OWNERS = 3.0
+# Points on the ring of warm keys for a server of mean size; more spread keys more evenly, fewer build faster.
+RING_POINTS = 24
+# Homes of a key that are tried in turn.
+HOMES = 3
+# A home that holds this many times the mean counts as busy.
+HOME_LOAD = 2.0
+# Zones are one where a crossing costs less than this: a warm key saves more.
+CHEAP_CROSSING = 0.05
+# Weight of one answer in what is learned of its kind of machine.
+KIND_WEIGHT = 0.005
+# Time-outs in a row, with no answer between, after which a server is taken for silent.
+SILENT_LIMIT = 3
+# A server is paused only if it fails this many times as often as the fleet: a shared cause is not its fault.
+FAIL_EXCESS = 2.0
+# A response counts as twice its aim at most, so that one straggler does not decide.
+LATE_MOST = 2.0
+# Crossing zones starts when near answers take this share of their aim, and this much more than far ones.
+SPILL_FROM, SPILL_MARGIN = 0.35, 0.1
+# Gains of that: per review, and at once.
+SPILL_SLOW, SPILL_FAST = 0.1, 0.7
+# Shedding starts when attempts lose this share of their worth, being late or turned away.
+SHED_FROM, SHED_MOST = 0.15, 0.98
+# How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
+# shrink.
+SHED_DRAIN = 1.0
+# Part of the cold budget that all nodes together plan to use: the rest is slack for chance and uneven
+# traffic.
+COLD_PART = 0.5
+# Draws by capacity before one takes a server that this node keeps busy already.
+DRAWS = 4
+# Part of its capacity that is offered to a server on trial after a pause.
+TRIAL_PART = 0.1
+# Above this share of paused capacity a shared cause is likelier than bad servers: nobody is paused any more.
+PAUSED_MOST = 0.5
+
+TOKEN_WAKE = 1
+
+
+class _Server:
+    """What this node knows of a server."""
+
+    __slots__ = (
+        "answered", "cap", "cell", "cold_at", "cold_gap", "fails", "free_at", "group", "held", "id",
+        "kind", "listed", "load", "lot", "nominal", "pause", "paused_until", "pos", "silent", "since",
+        "size", "slow", "state", "trial", "warmth", "weight", "zone",
+    )  # fmt: skip
+
+    def __init__(self, sid: ServerId) -> None:
+        self.id = sid
+        self.zone = self.kind = self.cell = 0
+        self.state = State.READY
+        self.weight = 1.0
+        self.since = 0  # start of its process, 0: long ago
+        self.nominal = 1.0  # size as the list has it
+        self.size = 1.0  # estimated capacity when warm and well, relative to others
+        self.cap = 1.0  # estimated present capacity
+        self.lot = 0.0  # this node's lot for it, evenly drawn from 0 to 1
+        self.listed = True  # whether it may join this node's idle lists
+        self.warmth = 1.0  # share of its capacity that it has at its age, at the least
+        self.free_at = 0  # from when this node may take it for idle again
+        self.cold_gap = 0  # time that the cold budget sets between this node's sends while the server is cold
+        self.cold_at = -1  # from when the cold budget allows the next
+        self.held = 0  # this node's attempts out there
+        self.pos = -1  # place in its class's idle list, -1: not in it
+        self.group: _SpeedClass | None = None
+        self.load = 0.0  # requests held for each core, where the list tells
+        self.slow = 1.0  # response time relative to what its size promises
+        self.fails = 0.0  # running share of failures
+        self.silent = 0  # time-outs since the last answer
+        self.answered = 0  # last answer of any kind
+        self.paused_until = 0
+        self.pause = PAUSE_FIRST
+        self.trial = False  # one attempt is out to see whether it is well again
+
+
+class _SpeedClass:
+    """Servers of about one speed, near or far, with an indexed list of the idle ones."""
+
+    __slots__ = ("idle", "waking")
+
+    def __init__(self) -> None:
+        self.idle: list[_Server] = []
+        self.waking: list[tuple[int, int, _Server]] = []  # heap of (free_at, tie-break, server)
+
+
+class _Request:
+    """A request this node owes an answer, or whose attempts are still out."""
+
+    __slots__ = (
+        "cls", "cost", "deadline", "done", "id", "key", "out", "streaming", "tries",
+        "waiting",
+    )  # fmt: skip
+
+    def __init__(self, event: Request, now: int) -> None:
+        self.id = event.id
+        self.cls = event.cls
+        self.key = event.key
+        self.cost = event.cost
+        self.deadline = now + event.time_left
+        self.tries: list[_Try] = []
+        self.out = 0
+        self.done = False
+        self.waiting = False
+        self.streaming = False
+
+
+class _Try:
+    """One attempt; result None: still out."""
+
+    __slots__ = ("cell", "result", "sent", "server", "zone")
+
+    def __init__(self, server: _Server, sent: int) -> None:
+        self.server = server
+        self.zone = server.zone
+        self.cell = server.cell
+        self.sent = sent
+        self.result: Result | None = None
+
+
+class Scope:
+    """Where a further attempt may go: anywhere, or within one zone or cell."""
+
+    __slots__ = ("cell", "zone")
+
+    def __init__(self, zone: int = -1, cell: int = -1) -> None:
+        self.zone = zone
+        self.cell = cell
+
+    def allows(self, server: _Server) -> bool:
+        return (self.zone < 0 or server.zone == self.zone) and (self.cell < 0 or server.cell == self.cell)
+
+
+ANYWHERE = Scope()
+
+
+def resend_scope(
+    cls: RequestClass, tries: list[_Try], now: int, copies_allowed: bool, most: int, slack: int = 0
+) -> Scope | None:
+    """The guard of every further attempt: where it may go, or None. Against effects that happen twice."""
+    if len(tries) >= most:
+        return None
+    first: _Try | None = None
+    for t in tries:
+        if t.result is None and not copies_allowed:
+            return None
+        if first is None and t.result not in NEVER_RAN:
+            first = t
+    if first is None or cls.effect == Effect.SAFE:
+        return ANYWHERE
+    if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:
+        return None
+    if cls.group == Group.CELL:
+        return Scope(cell=first.cell)
+    if cls.group == Group.ZONE:
+        return Scope(zone=first.zone)
+    return ANYWHERE
+
+
+def may_refuse(cls: RequestClass, tries: list[_Try]) -> bool:
+    """The guard of every refusal, which tells the client that trying again is harmless."""
+    if cls.effect == Effect.SAFE:
+        return True
+    if cls.effect == Effect.KEYED and cls.group == Group.ALL:
+        return True
+    return all(t.result in NEVER_RAN for t in tries)
+
+
+class Balancer:
+    """Decides for one node. handle() takes one event and returns what to do, in order."""
+
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.now = now
+        self.actions: list[Action] = []
+        self.servers: dict[ServerId, _Server] = {}
+        self.requests: dict[int, _Request] = {}
+        self.near: list[_SpeedClass] = []
+        self.far: list[_SpeedClass] = []
+        self.near_draw: tuple[list[float], list[_Server]] = ([], [])
+        self.far_draw: tuple[list[float], list[_Server]] = ([], [])
+        self.started = False
+        self.wakes: list[tuple[int, int, int, int]] = []  # (due, tie-break, what, request id)
+        self.ties = 0
+        self.armed = 0  # the earliest time a timer is set for, 0: none
+        self.reviewed = now
+        self.arrived = 0  # requests since the last review
+        self.rate = 0.0  # requests a second, smoothed
+        self.near_part = -1.0  # share of requests that need not cross, negative: not known yet
+        self.stale = False
+        self.crossed = now
+        self.spill = 0.0  # share of requests sent to far zones
+        self.near_late = 0.0  # mean response time as a share of the aim, near and far
+        self.far_late = 0.0
+        self.near_load = self.far_load = 0.0
+        self.listed = now  # the last list, and the usual time between two
+        self.list_every = float(SECOND)
+        self.failing = 0.0  # share of attempts that fail, over all servers
+        self.shed = 0.0  # share of the work that is refused
+        self.shed_class = [0.0] * len(settings.classes)
+        self.count = [0.0] * len(settings.classes)
+        self.done = [0.0] * len(settings.classes)
+        self.worth_lost = self.worth_asked = 0.0  # worth of late and failed attempts, and of all
+        self.missing = 0.0  # the first as a share of the second
+        self.cost = 0.0  # mean cost hint
+        self.copies = 0.0
+        self.resends = RESEND_SAVED / 5
+        self.ratio = 1.0  # mean of response times relative to their class's mean
+        self.size_of_kind = [0.0] * settings.kinds
+        self.slow_of_kind = [
+            1.0
+        ] * settings.kinds  # response time of a kind relative to what its listed size promises
+        self.base: list[float] = [0.0] * len(
+            settings.classes
+        )  # mean response time x size (x 1/cost hint), by class
+        self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
+        self.ask_after = ASK_FIRST
+        self.longest_aim = max(c.aim for c in settings.classes)
+        self.ring: tuple[list[int], list[_Server]] = ([], [])
+        self.ring_of: list[tuple[ServerId, float]] = []
+
+    # Events
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        """Take one event; the actions that answer it."""
+        self.now = now
+        self.actions = []
+        if type(event) is Outcome:
+            self._outcome(event)
+        elif type(event) is Request:
+            self._request(event)
+        elif type(event) is Timer:
+            self._timer()
+        elif type(event) is ServerList:
+            self._server_list(event)
+        elif type(event) is Gone:
+            self._gone(event)
+        elif type(event) is Started:
+            self._started(event)
+        elif type(event) is ProbeResult or type(event) is PeerMessage:
+            pass
+        if self.wakes and (not self.armed or self.wakes[0][0] < self.armed):
+            self.armed = max(self.wakes[0][0], now + 1)
+            self.actions.append(SetTimer(self.armed - now, TOKEN_WAKE))
+        return self.actions
+
+    def _wake(self, due: int, what: int, rid: int) -> None:
+        self.ties += 1
+        heappush(self.wakes, (due, self.ties, what, rid))
+
+    def _timer(self) -> None:
+        if self.armed and self.armed <= self.now:
+            self.armed = 0
+        while self.wakes and self.wakes[0][0] <= self.now:
+            _, _, what, rid = heappop(self.wakes)
+            if what == 0:
+                self._review()
+                self._wake(self.now + REVIEW, 0, 0)
+            elif what == 1:
+                request = self.requests.get(rid)
+                if request is not None and not request.done:
+                    self._copy(request)
+            elif what == 2:
+                request = self.requests.get(rid)
+                if request is not None and not request.done and request.waiting:
+                    self._retry_waiting(request)
+            elif what == 3:
+                self.actions.append(Watch(True))
+
+    def _server_list(self, event: ServerList) -> None:
+        now = self.now
+        if not self.started:
+            self.started = True
+            self._wake(now + REVIEW, 0, 0)
+            if self.settings.must_ask:
+                self.actions.append(Watch(True))
+        if event.kind == ListKind.FAILED:
+            # All nodes lose the list at once: they ask again later and later, and apart from each other.
+            self._wake(now + int(self.ask_after * (0.5 + self.random.random())), 3, 0)
+            self.ask_after = min(2 * self.ask_after, max(SECOND, self.settings.must_ask_within // 2))
+            return
+        if event.kind != ListKind.CACHED:
+            self.ask_after = ASK_FIRST
+        seen = set()
+        self.list_every += 0.2 * (min(now - self.listed, 2 * SECOND) - self.list_every)
+        self.listed = now
+        live = self.settings.weights == Weights.LIVE
+        for line in event.servers:
+            s = self.servers.get(line.id)
+            fresh = s is None
+            if s is None:
+                if line.state == State.GONE:
+                    continue
+                s = self.servers[line.id] = _Server(line.id)
+                s.lot = crc32(b"%d " % self.settings.node + repr(line.id).encode()) / 2**32
+            seen.add(line.id)
+            if line.up_since and line.up_since > s.since:
+                # A new process: what was known of the old one no longer holds.
+                s.slow, s.fails, s.paused_until, s.pause, s.trial = 1.0, 0.0, 0, PAUSE_FIRST, False
+                s.since = line.up_since
+                if line.up_since + self.settings.warm_up > now:
+                    s.cold_at = -1
+            s.zone = line.zone
+            s.cell = line.cell
+            s.kind = line.kind if line.kind < self.settings.kinds else 0
+            s.state = line.state
+            if line.weight > 0.0 and isfinite(line.weight) and self.settings.weights != Weights.NONE:
+                s.weight = line.weight
+                if live:
+                    if line.weight > self.size_of_kind[s.kind]:
+                        self.size_of_kind[s.kind] = line.weight
+                else:
+                    s.nominal = line.weight
+            if fresh and not live:
+                s.slow = 1.0
+        if event.kind in (ListKind.FULL, ListKind.CACHED):
+            for s in self.servers.values():
+                if s.id not in seen:
+                    s.state = State.GONE
+        gone = [s.id for s in self.servers.values() if s.state == State.GONE and not s.held]
+        for sid in gone:
+            del self.servers[sid]
+        self._rebuild()
+        self._cross()
+
+    # Estimates
+
+    def _review(self) -> None:
+        span = self.now - self.reviewed
+        if span > 0:
+            measured = self.arrived * SECOND / span
+            self.rate = measured if self.rate == 0.0 else 0.5 * (self.rate + measured)
+            self.arrived = 0
+            self.reviewed = self.now
+            self._cross()
+            self._steer()
+        self._rebuild()
+
+    def _cross(self) -> None:
+        """Renew the share that crosses zones: when loads are told and at every review."""
+        if self.near_part < 0.0:
+            return
+        price = self.settings.prices.crossing
+        error = 0.0
+        if self.settings.weights == Weights.LIVE and not self.stale:
+            error = log((1.0 + self.near_load) / max((1.0 + self.far_load) * CLASS_RATIO, 2.0 + 10.0 * price))
+        late = log(max(self.near_late, 0.01) / max(self.far_late + SPILL_MARGIN + price, SPILL_FROM))
+        # Proportional and integral: the first answers a queue that grows, the second holds what has to
+        # cross for long.
+        error = max(-1.0, min(1.0, late if error == 0.0 else 0.5 * (error + late)))
+        span = min(REVIEW, self.now - self.crossed) / REVIEW
+        self.crossed = self.now
+        self.near_part = min(1.0, max(0.1, self.near_part * exp(-SPILL_SLOW * span * error)))
+        self.far_late += 0.1 * span * (0.5 * self.near_late - self.far_late)
+        self.spill = max(0.0, 1.0 - self.near_part * min(1.0, exp(-SPILL_FAST * error))) if self.far else 0.0
+
+    def _steer(self) -> None:
+        """Renew the share that is shed."""
+        # While answers are late the servers are never without work: what they finish is what they can do.
+        offered = sum(n * b for n, b in zip(self.count, self.base, strict=True))
+        done = sum(n * b for n, b in zip(self.done, self.base, strict=True))
+        if self.missing > SHED_FROM and offered > 0.0:
+            drain = 1.0 - SHED_DRAIN * min(0.5, self.missing - SHED_FROM)
+            self.shed += 0.7 * (min(SHED_MOST, max(0.0, 1.0 - drain * done / offered)) - self.shed)
+        else:
+            self.shed = 0.7 * self.shed if self.shed > 0.01 else 0.0
+        # The least worth for each unit of work goes first.
+        classes = self.settings.classes
+        work = [n * b for n, b in zip(self.count, self.base, strict=True)]
+        left = self.shed * sum(work)
+        by_worth = sorted(range(len(classes)), key=lambda c: classes[c].worth / max(self.base[c], 1.0))
+        for c in by_worth:
+            self.shed_class[c] = min(1.0, left / work[c]) if work[c] > 0.0 else 0.0
+            left = max(0.0, left - work[c])
+            self.count[c] *= 0.7
+            self.done[c] *= 0.7
+
+    def _warmth(self, s: _Server) -> float:
+        """Least share of its capacity that a server can do at its age."""
+        warm_up = self.settings.warm_up
+        age = self.now - s.since
+        if not s.since or age >= warm_up:
+            return 1.0
+        cold = self.settings.cold_share
+        return cold + (1.0 - cold) * max(0, age) / warm_up
+
+    def _rebuild(self) -> None:
+        """Renew capacities, offers, classes and draw tables. Once per review or list."""
+        now = self.now
+        # Loads told by a list fade once it is overdue: while the list is out of reach they would steer for
+        # long.
+        overdue = max(0.0, now - self.listed - 2.0 * self.list_every) / self.list_every
+        live = self.settings.weights == Weights.LIVE
+        fresh = 0.5**overdue
+        self.stale = overdue > 1.0
+        ready: list[_Server] = []
+        total = paused = 0.0
+        held = {True: 0.0, False: 0.0}
+        for s in self.servers.values():
+            s.pos = -1
+            s.group = None
+            if s.state != State.READY:
+                continue
+            if live:
+                s.nominal = self.size_of_kind[s.kind] or 1.0
+                s.load = max(0.0, s.nominal / s.weight - 1.0) * fresh
+            s.size = s.nominal / self.slow_of_kind[s.kind]
+            ready.append(s)
+            held[self.warm_zones or s.zone == self.settings.zone] += s.load * s.size
+            total += s.size
+            if s.paused_until > now:
+                paused += s.size
+        ejecting = paused <= PAUSED_MOST * total
+        zones: dict[bool, list[_Server]] = {True: [], False: []}
+        for s in ready:
+            if ejecting and s.paused_until > now:
+                continue
+            zones[self.warm_zones or s.zone == self.settings.zone].append(s)
+        if not zones[True]:
+            zones = {True: zones[False], False: []}
+            held = {True: held[False], False: 0.0}
+        if self.near_part < 0.0 and ready:
+            # Until loads are seen: as if every zone had the same traffic.
+            here = sum(s.size for s in zones[True])
+            self.near_part = min(1.0, self.settings.zones * here / total)
+            self.spill = 1.0 - self.near_part
+        self.near, self.near_draw, self.near_load = self._index(zones[True], held[True])
+        self.far, self.far_draw, self.far_load = self._index(zones[False], held[False])
+
+        if self.settings.warm_keys:
+            self._build_ring(zones[True])
+
+    def _build_ring(self, servers: list[_Server]) -> None:
+        """The homes of keys: the same at every node that sees the same servers, moved little by a change."""
+        of = [(s.id, s.nominal) for s in servers if not s.trial]
+        if of == self.ring_of or not of:
+            return
+        self.ring_of = of
+        mean = sum(size for _, size in of) / len(of)
+        points: list[tuple[int, int, _Server]] = []
+        for s in servers:
+            name = repr(s.id).encode()
+            for n in range(max(1, round(RING_POINTS * s.nominal / mean))):
+                points.append((crc32(b"%d " % n + name), len(points), s))
+        points.sort()
+        self.ring = ([p[0] for p in points], [p[2] for p in points])
+
+    def _home(self, key: int) -> _Server | None:
+        """The first of a key's homes that is idle. Acts where keys lately met cost less work."""
+        points, servers = self.ring
+        if not points:
+            return None
+        at = bisect_right(points, crc32(key.to_bytes(8, "little")))
+        homes: list[_Server] = []
+        for n in range(len(points)):
+            s = servers[(at + n) % len(points)]
+            if s in homes:
+                continue
+            homes.append(s)
+            if (
+                s.group is not None
+                and not s.held
+                and not s.trial
+                and s.warmth >= 1.0
+                and s.load <= HOME_LOAD * (1.0 + self.near_load)
+                and s.free_at <= self.now
+            ):
+                return s
+            if len(homes) >= HOMES:
+                break
+        return None
+
+    def _index(
+        self, servers: list[_Server], held: float
+    ) -> tuple[list[_SpeedClass], tuple[list[float], list[_Server]], float]:
+        now = self.now
+        if not servers:
+            return [], ([], []), 0.0
+        size = sum(s.size for s in servers)
+        load = sum(s.load * s.size for s in servers) / size
+        slow = sum(s.slow * s.size for s in servers) / size
+        lives = self.settings.weights == Weights.LIVE
+        # Requests that a server takes while a list is on its way, were all nodes like this one.
+        turn = max(
+            1.0, self.settings.nodes * self.rate / len(self.servers) * (SECOND + self.list_every) / SECOND
+        )
+        for s in servers:
+            # What a server holds above the mean is worked off over the time until lists tell of it; more
+            # would swing.
+            tilt = max(0.1, min(2.0, 1.0 + (load - s.load) / turn))
+            if self.stale or not lives:
+                tilt *= (slow / s.slow) ** 0.5
+            s.warmth = self._warmth(s)
+            s.cap = s.size * s.warmth * tilt * (1.0 - s.fails)
+            if s.trial:
+                s.cap *= TRIAL_PART
+        mean = self._mean_time()
+        # In the paper idle servers are known to one dispatcher; in JIQ with several, each idle server joins
+        # the list of one of them. Nodes cannot talk, so the lot decides: a server is on the idle lists of
+        # about OWNERS nodes of a zone, whose own work there then tells whether it is idle.
+        listed = OWNERS * self.settings.zones / self.settings.nodes
+        classes: dict[int, _SpeedClass] = {}
+        bounds: list[float] = []
+        drawn: list[_Server] = []
+        reach = 0.0
+        scale = log(CLASS_RATIO)
+        for s in servers:
+            speed = round(log(s.size) / scale)
+            group = classes.get(speed)
+            if group is None:
+                group = classes[speed] = _SpeedClass()
+            s.group = group
+            s.listed = s.lot < listed or s.trial
+            if s.warmth < 1.0:
+                # The cold budget: this node's part of what a starting server stands, whatever the traffic.
+                budget = COLD_PART * self.settings.fall_multiple * s.warmth / self.settings.nodes
+                s.cold_gap = int(mean / s.size / budget)
+                if s.cold_at < 0:
+                    s.cold_at = now + int(self.random.random() * s.cold_gap)
+            if s.listed and not s.held:
+                if s.warmth < 1.0:
+                    s.free_at = max(s.free_at, s.cold_at)
+                if s.free_at <= now:
+                    s.pos = len(group.idle)
+                    group.idle.append(s)
+                else:
+                    self.ties += 1
+                    group.waking.append((s.free_at, self.ties, s))
+            if not s.trial:
+                reach += s.cap
+                bounds.append(reach)
+                drawn.append(s)
+        for group in classes.values():
+            heapify(group.waking)
+        return (
+            [classes[speed] for speed in sorted(classes, reverse=True)],
+            (bounds, drawn),
+            held / sum(s.size * s.warmth for s in servers),
+        )
+
+    def _mean_time(self) -> float:
+        """Mean response time of a server of size 1, over the classes seen."""
+        total = sum(self.count)
+        if total <= 0.0:
+            return float(max(c.aim for c in self.settings.classes))
+        return sum(n * b for n, b in zip(self.count, self.base, strict=True)) / total * max(self.cost, 1.0)
+
+    # Choice
+
+    def _idle_of(self, classes: list[_SpeedClass]) -> _Server | None:
+        now = self.now
+        for group in classes:
+            waking = group.waking
+            idle = group.idle
+            while waking and waking[0][0] <= now:
+                s = heappop(waking)[2]
+                if s.pos < 0 and not s.held and s.free_at <= now and s.group is group:
+                    s.pos = len(idle)
+                    idle.append(s)
+            if idle:
+                return idle[int(self.random.random() * len(idle))]
+        return None
+
+    def _drawn_from(self, table: tuple[list[float], list[_Server]]) -> _Server | None:
+        """A draw by capacity, repeated a few times for a server with nothing of this node's."""
+        bounds, servers = table
+        if not servers:
+            return None
+        for _ in range(DRAWS):
+            at = bisect_right(bounds, self.random.random() * bounds[-1])
+            s = servers[min(at, len(servers) - 1)]
+            if not s.held and (s.warmth >= 1.0 or s.cold_at <= self.now):
+                return s
+        return s if s.warmth >= 1.0 or s.cold_at <= self.now else None
+
+    def _pick(self, request: _Request) -> _Server | None:
+        tried = request.tries
+        if request.key and not tried and self.settings.warm_keys:
+            s = self._home(request.key)
+            if s is not None:
+                return s
+        for _ in range(4 if tried else 1):
+            s = None
+            if self.spill > 0.0 and self.random.random() < self.spill:
+                s = self._idle_of(self.far) or self._drawn_from(self.far_draw)
+            if s is None:
+                s = self._idle_of(self.near) or self._drawn_from(self.near_draw)
+            if s is None:
+                s = self._idle_of(self.far)
+            if s is None:
+                s = self._drawn_from(self.far_draw)
+            if s is None or not any(t.server is s for t in tried):
+                return s
+        return s
+
+    def _pick_within(self, request: _Request, scope: Scope) -> _Server | None:
+        """A server of one cell or zone that has not been tried: keyed repeats are rare, so a scan is fine."""
+        best: _Server | None = None
+        for s in self.servers.values():
+            if (
+                s.group is None
+                or s.trial
+                or s.warmth < 1.0
+                or not scope.allows(s)
+                or any(t.server is s for t in request.tries)
+            ):
+                continue
+            if best is None or (s.held, -s.cap) < (best.held, -best.cap):
+                best = s
+        return best
+
+    # Requests
+
+    def _request(self, event: Request) -> None:
+        self.arrived += 1
+        self.copies = min(self.copies + COPY_BUDGET, 10.0)
+        self.resends = min(self.resends + RESEND_BUDGET, RESEND_SAVED)
+        request = self.requests[event.id] = _Request(event, self.now)
+        if event.cls >= len(self.settings.classes):
+            self._end(request, Fail(event.id))
+            return
+        self.count[event.cls] += 1.0
+        if event.cost:
+            self.cost += 0.05 * (event.cost - self.cost)
+        shed = self.shed_class[event.cls]
+        if shed > 0.0 and self.random.random() < shed:
+            self._end(request, Refuse(event.id, self.settings.max_retry_after))
+            return
+        s = self._pick(request)
+        if s is None:
+            self._wait(request)
+            return
+        self._send(request, s)
+        cls = self.settings.classes[event.cls]
+        if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
+            self._wake(self.now + cls.aim // 2, 1, event.id)
+
+    def _send(self, request: _Request, s: _Server) -> None:
+        now = self.now
+        request.tries.append(_Try(s, now))
+        request.out += 1
+        s.held += 1
+        self._unidle(s)
+        if s.warmth < 1.0:
+            s.cold_at = max(s.cold_at, now) + s.cold_gap
+            s.free_at = max(s.free_at, s.cold_at)
+        self.actions.append(Send(request.id, s.id, 0))
+
+    def _unidle(self, s: _Server) -> None:
+        if s.pos >= 0 and s.group is not None:
+            idle = s.group.idle
+            last = idle.pop()
+            if last is not s:
+                idle[s.pos] = last
+                last.pos = s.pos
+            s.pos = -1
+
+    def _wait(self, request: _Request) -> None:
+        """No server may be used now: hold the request while there is time, then refuse it."""
+        request.waiting = True
+        left = request.deadline - self.now
+        step = max(4 * self.settings.tick, 20 * MS)
+        if left <= 2 * step:
+            self._give_up(request)
+            return
+        self._wake(self.now + step, 2, request.id)
+
+    def _retry_waiting(self, request: _Request) -> None:
+        request.waiting = False
+        self._again(request)
+
+    def _again(self, request: _Request) -> None:
+        """A request with nothing out: another attempt where the guard allows it, else the final answer."""
+        cls = self.settings.classes[request.cls]
+        scope = resend_scope(
+            cls,
+            request.tries,
+            self.now,
+            self.settings.copies_allowed,
+            self.settings.max_attempts,
+            self.settings.tick,
+        )
+        if scope is None or request.deadline - self.now <= 2 * self.settings.tick:
+            self._give_up(request)
+            return
+        # While shedding, a server that is full is no reason to try the next: all are, and it would feed the
+        # jam.
+        if request.tries and (
+            self.resends < 1.0 or (self.shed > SHED_FROM and may_refuse(cls, request.tries))
+        ):
+            self._give_up(request)
+            return
+        s = self._pick(request) if scope is ANYWHERE else self._pick_within(request, scope)
+        if s is None:
+            if request.tries and scope is not ANYWHERE:
+                self._give_up(request)
+            else:
+                self._wait(request)
+            return
+        if request.tries:
+            self.resends -= 1.0
+        self._send(request, s)
+
+    def _copy(self, request: _Request) -> None:
+        """A second copy of a request that takes long, where the guard and the budget allow it."""
+        cls = self.settings.classes[request.cls]
+        if request.out != 1 or request.streaming or self.copies < 1.0:
+            return
+        # Slow answers everywhere mean overload, and copies would feed it; a server that answers others is
+        # not silent.
+        last = request.tries[-1]
+        if self.missing > COPY_MISSING or last.server.answered > last.sent:
+            return
+        scope = resend_scope(
+            cls, request.tries, self.now, True, self.settings.max_attempts, self.settings.tick
+        )
+        if scope is None:
+            return
+        s = self._idle_of(self.near) if scope is ANYWHERE else self._pick_within(request, scope)
+        if s is None or s.held or any(t.server is s for t in request.tries):
+            return
+        self.copies -= 1.0
+        self._send(request, s)
+
+    def _give_up(self, request: _Request) -> None:
+        cls = self.settings.classes[request.cls]
+        if may_refuse(cls, request.tries):
+            self._end(request, Refuse(request.id, 0))
+        else:
+            self._end(request, Fail(request.id))
+
+    def _end(self, request: _Request, action: Action | None) -> None:
+        request.done = True
+        if action is not None:
+            self.actions.append(action)
+        if request.out and self.settings.cancel_allowed:
+            for n, t in enumerate(request.tries):
+                if t.result is None:
+                    self.actions.append(Cancel(request.id, n))
+        if not request.out:
+            self.requests.pop(request.id, None)
+
+    def _gone(self, event: Gone) -> None:
+        request = self.requests.get(event.id)
+        if request is not None and not request.done:
+            self._end(request, None)
+
+    def _started(self, event: Started) -> None:
+        request = self.requests.get(event.id)
+        if request is not None:
+            request.streaming = True
+
+    # Outcomes
+
+    def _outcome(self, event: Outcome) -> None:
+        request = self.requests.get(event.id)
+        s = self.servers.get(event.server)
+        if (
+            request is None
+            or event.attempt >= len(request.tries)
+            or request.tries[event.attempt].result is not None
+        ):
+            return
+        request.tries[event.attempt].result = event.result
+        request.out -= 1
+        if s is not None:
+            s.held = max(0, s.held - 1)
+            self._learn(s, request, event)
+            if s.state == State.GONE and not s.held:
+                del self.servers[s.id]
+            elif not s.held and s.group is not None and s.pos < 0 and s.listed:
+                self.ties += 1
+                heappush(s.group.waking, (s.free_at, self.ties, s))
+        if request.done:
+            if not request.out:
+                self.requests.pop(request.id, None)
+            return
+        if event.final:
+            self._end(request, None)
+        elif not request.out:
+            self._again(request)
+
+    def _learn(self, s: _Server, request: _Request, event: Outcome) -> None:
+        result = event.result
+        if result == Result.CANCELLED or result == Result.NOT_SENT:
+            return
+        late = event.rtt / self.settings.classes[request.cls].aim
+        late = LATE_MOST if result == Result.REJECTED or late > LATE_MOST else late
+        cls = self.settings.classes[request.cls]
+        lost = 1.0 if result != Result.OK else 1.0 - cls.late_worth if late > 1.0 else 0.0
+        self.worth_lost += 0.02 * (cls.worth * lost - self.worth_lost)
+        self.worth_asked += 0.02 * (cls.worth - self.worth_asked)
+        self.missing = self.worth_lost / self.worth_asked if self.worth_asked > 0.0 else 0.0
+        if s.zone == self.settings.zone:
+            self.near_late += 0.02 * (late - self.near_late)
+        else:
+            self.far_late += 0.05 * (late - self.far_late)
+        if result == Result.OK:
+            self.failing *= 0.99
+            self.done[request.cls] += 1.0
+            s.fails *= 1.0 - FAIL_WEIGHT
+            s.pause = PAUSE_FIRST
+            s.trial = False
+            s.silent = 0
+            s.answered = self.now
+            sample = event.rtt * s.size / (request.cost or 1)
+            base = self.base[request.cls]
+            if base <= 0.0:
+                self.base[request.cls] = sample
+            else:
+                self.base[request.cls] = base + 0.01 * (sample - base)
+                ratio = min(sample / base, 8.0)
+                s.slow += 0.15 * (ratio - s.slow)
+                # By kind there are answers enough to correct the size that the list gives.
+                kind = self.slow_of_kind[s.kind]
+                self.slow_of_kind[s.kind] = kind * (1.0 + KIND_WEIGHT * (ratio / self.ratio - 1.0))
+                self.ratio += KIND_WEIGHT * (ratio - self.ratio)
+            return
+        if result != Result.TIMEOUT and result != Result.CONNECT_FAILED:
+            s.answered = self.now
+        # A failing server clears its count quickly and must not look idle for it.
+        s.free_at = max(s.free_at, self.now + REVIEW)
+        if result == Result.REJECTED:
+            s.slow = min(8.0, 1.3 * s.slow)
+            return
+        if result == Result.TIMEOUT:
+            # An overloaded server still answers some; a silent one none. Only the latter is paused.
+            base = self.base[request.cls]
+            if base > 0.0:
+                s.slow += 0.15 * (
+                    min(max(event.rtt * s.size / (request.cost or 1) / base, s.slow), 8.0) - s.slow
+                )
+            s.silent += 1
+            if (s.silent < SILENT_LIMIT or self.now - s.answered < self.longest_aim) and not s.trial:
+                return
+        self.failing += 0.01 * (1.0 - self.failing)
+        s.fails += FAIL_WEIGHT * (1.0 - s.fails)
+        if (
+            s.trial
+            or s.silent >= SILENT_LIMIT
+            or (s.fails >= FAIL_LIMIT and s.fails > FAIL_EXCESS * self.failing)
+        ):
+            s.paused_until = self.now + s.pause
+            s.pause = min(2 * s.pause, PAUSE_MOST)
+            s.trial = True
+            self._unidle(s)
+            s.group = None
--- /dev/null
+++ b/lynxrouter/interface.py
@@ -0,0 +1,358 @@
+"""The whole interface of the decision module: settings, events in, actions out.
+
+Times are integer nanoseconds on the caller's monotonic clock, durations likewise. Server ids are any hashable
+value and are handed back unaltered. Request classes, tenants, zones and machine kinds are numbers from 0.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+ServerId = Hashable
+Report = tuple[float, ...]
+
+
+class Effect(IntEnum):
+    """May a request of this class run more than once?"""
+
+    SAFE = 0
+    KEYED = 1
+    UNSAFE = 2
+
+
+class Group(IntEnum):
+    """Which servers drop the repeat of a keyed request: any, those of one zone, those of one cell."""
+
+    ALL = 0
+    ZONE = 1
+    CELL = 2
+
+
+class Weights(IntEnum):
+    """What a weight says: nothing, the size, the size roughly, or size / (1 + requests held per core)."""
+
+    NONE = 0
+    NOMINAL = 1
+    ROUGH = 2
+    LIVE = 3
+
+
+class ReportMode(IntEnum):
+    """Where load reports come from."""
+
+    NONE = 0
+    ANSWERS = 1
+    PROBES = 2
+
+
+class State(IntEnum):
+    """State of a server in the list."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListKind(IntEnum):
+    """Changed entries, the whole list, a possibly outdated whole, or the news that asking failed."""
+
+    CHANGES = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+class Result(IntEnum):
+    """How an attempt ended."""
+
+    OK = 0
+    ERROR = 1
+    REJECTED = 2
+    TIMEOUT = 3
+    CONNECT_FAILED = 4
+    RESET = 5
+    CANCELLED = 6
+    NOT_SENT = 7
+
+
+# Outcomes that prove that the attempt had no effect; after any other it may have run.
+NEVER_RAN = frozenset({Result.REJECTED, Result.CONNECT_FAILED, Result.NOT_SENT})
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A kind of request: what an answer is worth, by when, and whether it may be repeated."""
+
+    name: str
+    effect: Effect
+    worth: float
+    aim: int
+    deadline: int
+    late_worth: float = 0.0
+    group: Group = Group.ALL
+    window: int = 0
+    streamed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer sharing the service; the allowance is requests a second over all nodes (0: not known)."""
+
+    name: str
+    share: float
+    allowance: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Prices:
+    """Service lost: per crossing, handshake or probe a request, per 100 connections a server, by waste."""
+
+    crossing: float = 0.0
+    handshake: float = 0.0
+    connection: float = 0.0
+    waste: float = 0.0
+    late_failure: float = 0.0
+    probe: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Everything a node is told at its start."""
+
+    classes: tuple[RequestClass, ...]
+    tenants: tuple[Tenant, ...] = ()
+    zones: int = 1
+    kinds: int = 1
+    zone: int = 0
+    node: int = 0
+    nodes: int = 1
+    tick: int = 1_000_000
+    weights: Weights = Weights.NONE
+    report_mode: ReportMode = ReportMode.NONE
+    report_fields: tuple[str, ...] = ()
+    must_ask: bool = False
+    max_attempts: int = 3
+    copies_allowed: bool = False
+    cancel_allowed: bool = True
+    probes_allowed: bool = False
+    warm_keys: bool = False
+    over_share_worth: float = 1.0
+    worth_by_work: bool = False
+    connect_timeout: int = 250_000_000
+    idle_timeout: int = 15_000_000_000
+    streams: int = 1
+    max_retry_after: int = 0
+    answer_grace: int = 0
+    drain_grace: int = 0
+    cold_share: float = 1.0
+    warm_up: int = 0
+    fall_multiple: float = 4.0
+    fall_span: int = 2_000_000_000
+    must_ask_within: int = 0
+    prices: Prices = field(default_factory=Prices)
+
+    def __post_init__(self) -> None:
+        if not self.classes:
+            raise ValueError("classes: at least one request class is needed")
+        for name in (
+            "zones",
+            "kinds",
+            "nodes",
+            "tick",
+            "max_attempts",
+            "streams",
+            "connect_timeout",
+            "fall_span",
+        ):
+            if getattr(self, name) < 1:
+                raise ValueError(f"{name}: must be at least 1, is {getattr(self, name)}")
+        if not 0 <= self.node < self.nodes:
+            raise ValueError(f"node: {self.node} is not among {self.nodes} nodes")
+        if not 0 <= self.zone < self.zones:
+            raise ValueError(f"zone: {self.zone} is not among {self.zones} zones")
+        if not 0.0 < self.cold_share <= 1.0:
+            raise ValueError(f"cold_share: must be above 0 and at most 1, is {self.cold_share}")
+        if not self.fall_multiple > 0.0:
+            raise ValueError(f"fall_multiple: must be above 0, is {self.fall_multiple}")
+        for c in self.classes:
+            if c.aim < 1 or c.deadline < 1:
+                raise ValueError(f"classes.{c.name}: aim and deadline must be at least 1 ns")
+            if not c.worth >= 0.0:
+                raise ValueError(f"classes.{c.name}: worth must not be negative")
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One line of the server list."""
+
+    id: ServerId
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    state: State = State.READY
+    weight: float = 1.0
+    up_since: int = 0
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """What is told of the servers."""
+
+    kind: ListKind
+    servers: tuple[Server, ...] = ()
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's request; the node owes it one final answer within time_left."""
+
+    id: int
+    cls: int
+    time_left: int
+    tenant: int = 0
+    key: int = 0
+    cost: int = 0
+    repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    """A streamed answer has begun on this attempt; its deadline no longer runs."""
+
+    id: int
+    attempt: int
+    server: ServerId
+    rtt: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an attempt ended; final: the request is over and nothing is owed for it."""
+
+    id: int
+    attempt: int
+    server: ServerId
+    result: Result
+    rtt: int
+    final: bool = False
+    report: Report = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The client has left: the request is over."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Timer:
+    """A timer set earlier is due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """The answer to a probe."""
+
+    server: ServerId
+    result: Result
+    rtt: int
+    report: Report = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message from another node."""
+
+    sender: int
+    data: bytes
+
+
+Event = ServerList | Request | Started | Outcome | Gone | Timer | ProbeResult | PeerMessage
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt, numbered 0, 1, ... in the order sent. timeout 0: until the deadline."""
+
+    id: int
+    server: ServerId
+    timeout: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: not done, trying again is harmless."""
+
+    id: int
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed, nothing promised."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    id: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a server for its report."""
+
+    server: ServerId
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close this node's idle connections to a server."""
+
+    server: ServerId
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a Timer event after a delay."""
+
+    delay: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Subscribe to changes of the server list, or no longer."""
+
+    active: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FetchList:
+    """Ask for the whole server list once."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for the log."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | SetTimer | Watch | FetchList | Log
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,293 @@
+"""The ordinary path and each departure from it, without a bench."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from lynxrouter import interface as api
+
+from .world import MS, SECOND, Node, fleet, make_settings
+
+ONE = (api.RequestClass("w", api.Effect.SAFE, 1.0, SECOND, 3 * SECOND),)
+
+
+def servers(sizes: list[float], **changes: object) -> tuple[api.Server, ...]:
+    return tuple(api.Server(b"s%d" % n, weight=size, **changes) for n, size in enumerate(sizes))  # type: ignore[arg-type]
+
+
+def steady(node: Node, count: int, every: int, work: int, first: int = 0) -> Counter[object]:
+    """Requests at an even pace, each answered after the same time; how many went where."""
+    for rid in range(first, first + count):
+        node.ask(rid)
+        node.run_to(node.now + every)
+        for r, book in node.books.items():
+            for n, a in enumerate(book.attempts):
+                if a.result is None and node.now - a.sent >= work:
+                    node.answer(r, n)
+    return Counter(sid for _, rid, sid in node.sent if rid >= first)
+
+
+def test_the_fastest_idle_class_comes_first() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4 + [4.0] * 4))
+    steady(node, 100, 20 * MS, 5 * MS)
+    sent = steady(node, 400, 20 * MS, 5 * MS, first=1000)
+    fast = sum(sent[b"s%d" % n] for n in range(4, 8))
+    assert fast > 0.8 * 400  # its capacity share
+
+
+def test_all_busy_draws_by_capacity_not_by_depth() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0, 3.0]))
+    for rid in range(2000):
+        node.ask(rid)  # nothing is ever answered
+    sent = Counter(sid for _, _, sid in node.sent)
+    assert 0.7 < sent[b"s1"] / 2000 < 0.8
+
+
+def test_within_a_class_the_choice_is_uniform() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL), seed=5)
+    node.list(servers([1.0] * 5))
+    sent = steady(node, 1000, 10 * MS, 4 * MS)
+    assert all(150 < sent[b"s%d" % n] < 250 for n in range(5))
+
+
+def test_a_server_that_errs_quickly_does_not_look_idle() -> None:
+    """DESIGN: quick errors clear a server's count; it must not draw more work for it."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4))
+    for rid in range(400):
+        node.ask(rid)
+        for n, a in enumerate(node.books[rid].attempts):
+            if a.result is None and a.server == b"s0":
+                node.answer(rid, n, api.Result.ERROR)
+        node.run_to(node.now + 20 * MS)
+        for r, book in node.books.items():
+            for n, a in enumerate(book.attempts):
+                if a.result is None:
+                    node.answer(r, n)
+    sent = Counter(sid for _, _, sid in node.sent)
+    assert sent[b"s0"] < 40
+
+
+def test_a_shared_fault_does_not_eject_the_fleet() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4))
+    for rid in range(200):
+        node.ask(rid)
+        for n, a in enumerate(node.books[rid].attempts):
+            if a.result is None:
+                node.answer(rid, n, api.Result.ERROR)
+        node.run_to(node.now + 20 * MS)
+    near = [s for s in node.balancer.servers.values() if s.group is not None]
+    assert len(near) >= 2, "at least half of the fleet stays in use"
+    before = len(node.sent)
+    node.run_to(node.now + 10 * SECOND)
+    for rid in range(1000, 1010):
+        node.ask(rid)
+        node.run_to(node.now + 20 * MS)
+    assert len(node.sent) > before
+
+
+def test_an_overloaded_server_that_answers_some_is_not_paused() -> None:
+    """Met on bc-rehearsal-web: time-outs of an overloaded zone paused two thirds of it."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0, 1.0]))
+    last: dict[object, int] = {}
+    for rid in range(40):
+        node.ask(rid, 0, 3 * SECOND)
+        node.run_to(node.now + 100 * MS)
+        book = node.books[rid]
+        for n, a in enumerate(book.attempts):
+            if a.result is None:
+                ok = node.now - last.get(a.server, 0) > 500 * MS
+                last[a.server] = node.now if ok else last.get(a.server, 0)
+                node.answer(rid, n, api.Result.OK if ok else api.Result.TIMEOUT)
+    assert all(s.paused_until == 0 for s in node.balancer.servers.values())
+
+
+def test_a_silent_server_is_paused_and_tried_again() -> None:
+    node = Node(
+        make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL, copies_allowed=False)
+    )
+    node.list(servers([1.0] * 3))
+    rid = 0
+
+    def play(silent: bool, until: int) -> list[api.ServerId]:
+        nonlocal rid
+        mark = len(node.sent)
+        while node.now < until:
+            rid += 1
+            node.ask(rid, 0, 300 * MS)
+            node.run_to(node.now + 20 * MS)
+            for r, book in node.books.items():
+                for n, a in enumerate(book.attempts):
+                    if a.result is None and not (silent and a.server == b"s0"):
+                        node.answer(r, n)
+        return [sid for _, _, sid in node.sent[mark:]]
+
+    play(False, node.now + SECOND)
+    sick = play(True, node.now + 8 * SECOND)
+    assert sick.count(b"s0") < 0.15 * len(sick)
+    play(False, node.now + 10 * SECOND)
+    well = play(False, node.now + 2 * SECOND)
+    assert well.count(b"s0") > 0.2 * len(well)
+
+
+def test_frozen_weights_fade_when_the_list_is_out_of_reach() -> None:
+    """Met on cascadia-seats: with the list down, live weights froze and steered for 20 s."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.LIVE))
+    node.list(servers([1.0] * 6), api.ListKind.CACHED)
+    steady(node, 50, 20 * MS, 5 * MS)
+    node.list(servers([1.0] * 3 + [0.1] * 3))
+    loads = [s.load for s in node.balancer.servers.values()]
+    assert max(loads) > 5.0
+    node.run_to(node.now + 15 * SECOND)
+    assert max(s.load for s in node.balancer.servers.values()) < 0.5
+
+
+def test_an_overloaded_zone_spills_and_near_servers_come_first_otherwise() -> None:
+    """Met on all three sites: home zones overloaded while far zones idled."""
+    node = Node(make_settings(classes=ONE, zones=2, kinds=1, weights=api.Weights.NOMINAL))
+    fleet2 = tuple(api.Server(b"s%d" % n, zone=0 if n < 4 else 1) for n in range(8))
+    node.list(fleet2)
+    steady(node, 300, 20 * MS, 5 * MS)
+    sent = steady(node, 300, 20 * MS, 5 * MS, first=1000)
+    assert sum(sent[b"s%d" % n] for n in range(4, 8)) < 10
+
+    def answer() -> None:
+        for r, book in node.books.items():
+            for n, a in enumerate(book.attempts):
+                slow = 900 * MS if node.lines[a.server].zone == 0 else 10 * MS
+                if a.result is None and node.now - a.sent >= slow:
+                    node.answer(r, n)
+
+    mark = len(node.sent)
+    for rid in range(5000, 5600):
+        node.ask(rid)
+        node.run_to(node.now + 20 * MS)
+        answer()
+    far = sum(1 for _, _, sid in node.sent[mark + 300 :] if node.lines[sid].zone == 1)
+    assert far > 60
+
+
+def test_warm_keys_stay_at_their_homes() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL, warm_keys=True))
+    other = Node(
+        make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL, warm_keys=True, node=1), 77
+    )
+    homes: dict[int, set[object]] = {}
+    for n in (node, other):
+        n.list(servers([1.0] * 20))
+        for rid in range(600):
+            n.ask(rid, key=1 + rid % 30)
+            n.run_to(n.now + 20 * MS)
+            homes.setdefault(rid % 30, set()).add(n.books[rid].attempts[0].server)
+            n.answer(rid, 0)
+    assert sum(len(h) for h in homes.values()) / 30 < 4
+
+
+def test_overload_sheds_the_least_worth_for_its_work_first() -> None:
+    low = api.RequestClass("low", api.Effect.SAFE, 1.0, 100 * MS, 400 * MS)
+    high = api.RequestClass("high", api.Effect.SAFE, 10.0, 100 * MS, 400 * MS)
+    node = Node(make_settings(classes=(low, high), zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 2))
+    for rid in range(3000):
+        node.ask(rid, rid % 2)
+        node.run_to(node.now + 5 * MS)
+        out = [(r, n) for r, b in node.books.items() for n, a in enumerate(b.attempts) if a.result is None]
+        for r, n in out[:1] if rid % 2 else []:
+            node.answer(r, n)
+    refused = Counter(
+        node.books[rid].cls for rid, kind in node.finals if kind == "Refuse" and not node.books[rid].attempts
+    )
+    assert refused[0] > 200
+    assert refused[0] > 3 * refused[1]
+
+
+def test_copies_only_from_silent_servers_while_answers_are_on_time() -> None:
+    """Met on bc-rehearsal-web: copies at a tenth of requests fed the queues they fled from."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4))
+    steady(node, 100, 20 * MS, 5 * MS)
+    node.ask(1000)
+    node.run_to(node.now + 700 * MS)
+    assert len(node.books[1000].attempts) == 2
+
+
+def test_odd_input_does_no_harm() -> None:
+    node = Node(make_settings())
+    node.list(fleet(4))
+    nan = float("nan")
+    odd = (api.Server(b"odd", 99, 99, 9, weight=nan), api.Server(b"neg", 0, 0, 9, weight=-1.0))
+    node.list(odd, api.ListKind.CHANGES)
+    node.ask(1)
+    node.answer(1, 0, report=(nan, -5.0, 1e300))
+    b = node.balancer
+    for event in (
+        api.Outcome(99, 0, b"s000", api.Result.OK, 5),
+        api.Outcome(1, 7, b"nobody", api.Result.OK, 5),
+        api.Gone(1234),
+        api.Timer(4711),
+        api.Started(55, 0, b"s000"),
+        api.ProbeResult(b"nobody", api.Result.OK, 5, (nan,)),
+        api.PeerMessage(3, b"hi"),
+        api.ServerList(api.ListKind.FULL, ()),
+    ):
+        assert all(isinstance(a, api.SetTimer) for a in b.handle(node.now, event))
+    node.barred.update({sid: node.now for sid in node.lines})
+    node.ask(2, 0, 1)
+    node.ask(3, 1)
+    node.run_to(node.now + 20 * SECOND)
+    assert node.books[2].over and node.books[3].over
+
+
+def test_an_unknown_class_fails_and_an_unknown_tenant_is_served() -> None:
+    node = Node(make_settings(tenants=(api.Tenant("a", 1.0),)))
+    node.list(fleet(4))
+    assert node.balancer.handle(node.now, api.Request(9, 77, SECOND)) == [api.Fail(9)]
+    actions = node.balancer.handle(node.now, api.Request(10, 0, SECOND, tenant=50))
+    assert isinstance(actions[0], api.Send)
+
+
+def test_a_list_that_must_be_asked_is_watched_and_asked_again() -> None:
+    node = Node(make_settings(must_ask=True, must_ask_within=10 * SECOND))
+    assert api.Watch(True) in node.list(fleet(4), api.ListKind.CACHED)
+    node.give(api.ServerList(api.ListKind.FAILED))
+    node.run_to(node.now + 10 * SECOND)
+    assert node.actions.count(api.Watch(True)) >= 2
+
+
+def test_a_stream_that_began_is_not_copied() -> None:
+    cls = api.RequestClass("s", api.Effect.SAFE, 1.0, 100 * MS, 400 * MS, streamed=True)
+    node = Node(make_settings(classes=(cls,)))
+    node.list(fleet(4))
+    node.ask(1)
+    node.give(api.Started(1, 0, node.books[1].attempts[0].server))
+    node.books[1].deadline = node.now + 100 * SECOND
+    node.run_to(node.now + 2 * SECOND)
+    assert len(node.books[1].attempts) == 1 and not node.finals
+
+
+def test_few_of_many_nodes_take_a_server_for_idle() -> None:
+    """Met on bc-rehearsal-web at size: every node saw every server idle, and chance alone spread the work."""
+    listed: Counter[object] = Counter()
+    for number in range(40):
+        node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=40, node=number), seed=number)
+        node.list(servers([1.0] * 50))
+        listed.update(s.id for s in node.balancer.servers.values() if s.pos >= 0)
+    assert sum(listed.values()) / 50 < 5
+    assert len(listed) > 40, "nearly every server is on some list"
+
+
+def test_a_failure_keeps_a_server_off_the_idle_list_until_the_next_review() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 3))
+    node.ask(1)
+    failed = node.books[1].attempts[0].server
+    node.answer(1, 0, api.Result.ERROR)
+    for rid in range(2, 30):
+        node.run_to(node.now + 10 * MS)
+        node.ask(rid)
+        node.answer(rid, 0)
+    assert failed not in {sid for _, rid, sid in node.sent if rid > 1}
--- /dev/null
+++ b/tests/test_shape.py
@@ -0,0 +1,40 @@
+"""The module's size, and what it may import."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+BRAIN = ROOT / "lynxrouter" / "brain.py"
+
+
+def test_module_size_and_line_length() -> None:
+    lines = [line for line in BRAIN.read_text().splitlines() if line.strip()]
+    assert 300 <= len(lines) <= 1200
+    for path in (ROOT / "lynxrouter").glob("*.py"):
+        assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
+
+
+def test_module_imports_only_the_standard_library_and_the_interface() -> None:
+    for node in ast.walk(ast.parse(BRAIN.read_text())):
+        if isinstance(node, ast.Import):
+            assert all(name.name in sys.stdlib_module_names for name in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            assert (
+                node.module == "interface"
+                if node.level
+                else node.module in sys.stdlib_module_names | {"__future__"}
+            )
+    text = BRAIN.read_text()
+    assert not any(word in text for word in ("time.time", "monotonic", "open(", "threading", "global "))
+
+
+def test_the_readme_example_runs() -> None:
+    readme = (ROOT / "README.md").read_text()
+    code = readme.split("```python\n")[1].split("```")[0]
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=False)
+    assert done.returncode == 0, done.stderr
+    assert "Send(" in done.stdout
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,198 @@
+"""A driver for tests of the module: it keeps the books of a node and asserts the four rules."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lynxrouter import Balancer
+from lynxrouter import interface as api
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+
+SAFE = api.RequestClass("read", api.Effect.SAFE, 3.0, 200 * MS, 500 * MS, 0.25)
+UNSAFE = api.RequestClass("write", api.Effect.UNSAFE, 2.0, 1200 * MS, 5 * SECOND, 0.2)
+CELL = api.RequestClass("book", api.Effect.KEYED, 9.0, 1500 * MS, 6 * SECOND, 0.2, api.Group.CELL, 4 * SECOND)
+ZONE = api.RequestClass("join", api.Effect.KEYED, 4.0, 800 * MS, 3 * SECOND, 0.0, api.Group.ZONE, 2 * SECOND)
+ALL = api.RequestClass("tag", api.Effect.KEYED, 1.0, 800 * MS, 3 * SECOND, 0.0, api.Group.ALL, 2 * SECOND)
+CLASSES = (SAFE, UNSAFE, CELL, ZONE, ALL)
+NEVER_RAN = (api.Result.REJECTED, api.Result.CONNECT_FAILED, api.Result.NOT_SENT)
+
+
+def make_settings(**changes: object) -> api.Settings:
+    values: dict[str, object] = {
+        "classes": CLASSES,
+        "zones": 2,
+        "kinds": 3,
+        "nodes": 4,
+        "tick": 4 * MS,
+        "copies_allowed": True,
+        "answer_grace": 16 * MS,
+        "drain_grace": SECOND,
+        "cold_share": 0.3,
+        "warm_up": 8 * SECOND,
+        "fall_multiple": 4.0,
+        "fall_span": 2 * SECOND,
+    }
+    values.update(changes)
+    return api.Settings(**values)  # type: ignore[arg-type]
+
+
+def fleet(count: int, **changes: object) -> tuple[api.Server, ...]:
+    return tuple(
+        api.Server(
+            id=b"s%03d" % n, zone=n % 2, kind=n % 3, cell=n // 4, weight=1.0 + 0.5 * (n % 3), **changes
+        )  # type: ignore[arg-type]
+        for n in range(count)
+    )
+
+
+@dataclass
+class Attempt:
+    server: api.ServerId
+    sent: int
+    result: api.Result | None = None
+
+
+@dataclass
+class Book:
+    cls: int
+    deadline: int
+    attempts: list[Attempt] = field(default_factory=list)
+    over: bool = False
+    gone: bool = False
+
+
+class Node:
+    """One balancer and the books of what it was told and did."""
+
+    def __init__(self, settings: api.Settings | None = None, seed: int = 1, now: int = 5 * SECOND) -> None:
+        self.settings = settings or make_settings()
+        self.balancer = Balancer(self.settings, seed, now)
+        self.now = now
+        self.books: dict[int, Book] = {}
+        self.lines: dict[api.ServerId, api.Server] = {}
+        self.barred: dict[api.ServerId, int] = {}
+        self.timers: list[tuple[int, int]] = []
+        self.sent: list[tuple[int, int, api.ServerId]] = []
+        self.finals: list[tuple[int, str]] = []
+        self.actions: list[api.Action] = []
+
+    def give(self, event: api.Event) -> list[api.Action]:
+        actions = self.balancer.handle(self.now, event)
+        self.actions += actions
+        for action in actions:
+            self._act(action)
+        return actions
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Send):
+            book = self.books[action.id]
+            assert not book.over, "sent after the final answer"
+            assert len(book.attempts) < self.settings.max_attempts
+            self._check_effect(book, action.server)
+            barred = self.barred.get(action.server)
+            assert barred is None or self.now <= barred + self.settings.drain_grace, "drain broken"
+            book.attempts.append(Attempt(action.server, self.now))
+            self.sent.append((self.now, action.id, action.server))
+        elif isinstance(action, api.Refuse | api.Fail):
+            book = self.books[action.id]
+            assert not book.over, "two final answers"
+            assert self.now <= book.deadline + self.settings.answer_grace, "answered too late"
+            if isinstance(action, api.Refuse):
+                self._check_refusal(book)
+            book.over = True
+            self.finals.append((action.id, type(action).__name__))
+        elif isinstance(action, api.Cancel):
+            assert action.attempt < len(self.books[action.id].attempts)
+        elif isinstance(action, api.SetTimer):
+            assert action.delay > 0
+            self.timers.append((self.now + action.delay, action.token))
+
+    def _check_effect(self, book: Book, server: api.ServerId) -> None:
+        cls = self.settings.classes[book.cls]
+        if not self.settings.copies_allowed:
+            assert all(a.result is not None for a in book.attempts), "two at once"
+        ran = [a for a in book.attempts if a.result not in NEVER_RAN]
+        if not ran or cls.effect == api.Effect.SAFE:
+            return
+        assert cls.effect == api.Effect.KEYED, "unsafe request sent again"
+        assert self.now - ran[0].sent < cls.window, "keyed request outside its window"
+        first, line = self.lines[ran[0].server], self.lines[server]
+        assert cls.group == api.Group.ALL or (
+            line.cell == first.cell if cls.group == api.Group.CELL else line.zone == first.zone
+        ), "keyed request outside its group"
+
+    def _check_refusal(self, book: Book) -> None:
+        cls = self.settings.classes[book.cls]
+        ran = [a for a in book.attempts if a.result not in NEVER_RAN]
+        assert (
+            not ran
+            or cls.effect == api.Effect.SAFE
+            or (cls.effect == api.Effect.KEYED and cls.group == api.Group.ALL)
+        ), "refused what may have run"
+
+    def list(
+        self, servers: tuple[api.Server, ...], kind: api.ListKind = api.ListKind.FULL
+    ) -> list[api.Action]:
+        named = {s.id for s in servers}
+        for s in servers:
+            self.lines[s.id] = s
+            if s.state == api.State.READY:
+                self.barred.pop(s.id, None)
+            else:
+                self.barred.setdefault(s.id, self.now)
+        if kind in (api.ListKind.FULL, api.ListKind.CACHED):
+            for sid in self.lines:
+                if sid not in named:
+                    self.barred.setdefault(sid, self.now)
+        return self.give(api.ServerList(kind, servers))
+
+    def ask(self, rid: int, cls: int = 0, left: int = 0, key: int = 0) -> list[api.Action]:
+        left = left or self.settings.classes[cls].deadline
+        self.books[rid] = Book(cls, self.now + left)
+        return self.give(api.Request(rid, cls, left, key=key))
+
+    def answer(
+        self, rid: int, attempt: int, result: api.Result = api.Result.OK, report: api.Report = ()
+    ) -> list[api.Action]:
+        book = self.books[rid]
+        tried = book.attempts[attempt]
+        assert tried.result is None
+        tried.result = result
+        if result == api.Result.OK and not book.over:
+            book.over = True
+            self.finals.append((rid, "Served"))
+        return self.give(
+            api.Outcome(rid, attempt, tried.server, result, self.now - tried.sent, book.over, report)
+        )
+
+    def leave(self, rid: int) -> list[api.Action]:
+        self.books[rid].over = True
+        self.books[rid].gone = True
+        return self.give(api.Gone(rid))
+
+    def run_to(self, when: int) -> None:
+        """Fire the timers and the time-outs at deadlines that fall due, each no earlier than its time."""
+        while True:
+            due = min(self.timers, default=(when + 1, 0))
+            ends = [
+                (book.deadline, rid, n)
+                for rid, book in self.books.items()
+                for n, a in enumerate(book.attempts)
+                if a.result is None
+            ]
+            end = min(ends, default=(when + 1, 0, 0))
+            if min(due[0], end[0]) > when:
+                break
+            self.now = max(self.now, min(due[0], end[0]))
+            if due[0] <= end[0]:
+                self.timers.remove(due)
+                self.give(api.Timer(due[1]))
+            else:
+                self.answer(end[1], end[2], api.Result.TIMEOUT)
+        self.now = max(self.now, when)
+
+    def check_answered(self) -> None:
+        for rid, book in self.books.items():
+            assert book.over or self.now <= book.deadline + self.settings.answer_grace, f"{rid} was lost"
