Reread the configuration on SIGHUP and move the watch to the new discovery

Cause: __main__.py handled SIGTERM and SIGINT only, and Discovery kept the address of its start. Ruled out: the drain at restarts (0 to 2 connections left, within its time). Change: SIGHUP rereads the file; a bad one is logged and changes nothing. Discovery.move drops the old watch and asks the new address for the whole list at once.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -1,4 +1,4 @@
-"""One real node: read the configuration, serve until SIGTERM, drain, end."""
+"""One real node: read the configuration, serve until SIGTERM, drain, end. SIGHUP: read it again."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable, Mapping
 
 from .clients import ACCEPT_BATCH, Clients
 from .config import SECOND, Config, ConfigError, load
@@ -26,12 +27,8 @@
 RESERVED = 24 + 3 * ACCEPT_BATCH
 
 
-async def serve(config: Config) -> None:
-    """Run the node until it has drained."""
-    loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+def assemble(config: Config) -> tuple[Clients, Node, Discovery]:
+    """The parts of a node, put together but not yet started."""
     spare = config.sockets - RESERVED
     servers = Servers(config.settings, config.names, limit=spare * 4 // 9)
     node = Node(config.settings, config.seed, servers)
@@ -48,19 +45,58 @@
     if known is not None:
         node.listing(known)
         discovery.heard.set()
-    port = await clients.listen()
+    return clients, node, discovery
+
+
+async def serve(
+    config: Config,
+    environ: Mapping[str, str] = os.environ,
+    started: Callable[[int], None] = lambda port: None,
+    port: int | None = None,
+) -> None:
+    """Run the node until it has drained; started is told the port once all signals are handled."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    # Until there is something to reload, and while the node drains, SIGHUP changes nothing; it must never end
+    # the process, as it does where nobody handles it.
+    loop.add_signal_handler(signal.SIGHUP, log.info, "SIGHUP: nothing to reload now")
+    clients, node, discovery = assemble(config)
+    port = await clients.listen(port)
     discovery.start()
     log.info("%s listens on %s:%d", config.name, config.listen[0], port)
     ready = loop.create_task(_ready(clients, discovery))
+    loop.add_signal_handler(signal.SIGHUP, reload, config, discovery, environ)
+    started(port)
     # What lives as long as the process need not be looked through at every collection.
     gc.collect()
     gc.freeze()
     await stop.wait()
+    loop.add_signal_handler(signal.SIGHUP, log.info, "SIGHUP: draining, nothing is reloaded")
     ready.cancel()
     await drain(clients, node)
     await discovery.close()
 
 
+def reload(config: Config, discovery: Discovery, environ: Mapping[str, str]) -> None:
+    """Take over what a new configuration can change under load: where discovery is.
+
+    A file that is missing, half written or senseless is logged and the old configuration stays in force. What
+    the process was built on (address, limits, settings) takes a restart; that it differs is logged.
+    """
+    try:
+        new = load(environ)
+    except ConfigError as error:
+        log.error("reload: %s; the old configuration stays in force", error)
+        return
+    for field in ("name", "listen", "sockets", "body_budget", "settings", "names"):
+        if getattr(new, field) != getattr(config, field):
+            log.warning("reload: %s differs, which takes a restart", field)
+    log.info("reload: discovery at %s:%d", *new.discovery)
+    discovery.move(new.discovery)
+
+
 async def _ready(clients: Clients, discovery: Discovery) -> None:
     await discovery.heard.wait()
     clients.ready = True
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -395,9 +395,10 @@
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.TimerHandle | None = None
 
-    async def listen(self) -> int:
-        """Begin to accept; the port."""
-        host, port = self.config.listen
+    async def listen(self, port: int | None = None) -> int:
+        """Begin to accept, at the configured port if no other is given; the port."""
+        host, configured = self.config.listen
+        port = configured if port is None else port
         sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
@@ -474,6 +475,14 @@
         if self.server is not None:
             self.server.close()
 
+    def close(self) -> None:
+        """End the listener and all connections at once."""
+        self.stop_listening()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        for conn in list(self.connections):
+            conn.transport.abort()
+
 
 def _key(text: bytes) -> int:
     """A number for any text, the same at every node and start; 0 for none."""
--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -68,6 +68,27 @@
         """The module asks for the whole list once."""
         self._spawn(self._fetch())
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Go on at another address, as of now.
+
+        A new configuration may name another discovery while the old one is about to close its connections.
+        The whole list is asked for at once: versions of two services need not count alike, and what changed
+        between the last answer of the one and the first of the other must not be missed. The list that is
+        held stays in force until then. It would do harm only if an address were told that never answers:
+        the list would then grow old, as it does whenever discovery is down.
+        """
+        if address == self.address:
+            return
+        self.address = address
+        self.version = -1
+        streams, self._streams = self._streams, None
+        if streams is not None:
+            streams[1].transport.abort()
+        if self._watching is None:
+            return
+        self._watching.cancel()
+        self._watching = self._spawn(self._subscribe() if self.asked else self._follow())
+
     async def close(self) -> None:
         """Stop all calls."""
         for task in list(self._tasks):
@@ -123,17 +144,20 @@
         streams = self._streams if shared else None
         if shared:
             self._streams = None
+        address = self.address
         try:
             try:
                 async with asyncio.timeout(limit):
                     if streams is None or streams[0].at_eof() or streams[1].is_closing():
                         if streams is not None:
                             streams[1].close()
-                        streams = await asyncio.open_connection(*self.address, limit=READ_SIZE)
-                    body, kept = await _get(streams, self.address[0], path)
+                        streams = await asyncio.open_connection(*address, limit=READ_SIZE)
+                    body, kept = await _get(streams, address[0], path)
                 listing = self.names.listing(json.loads(body))
             except (OSError, TimeoutError, ValueError, RecursionError, h11.RemoteProtocolError) as error:
                 raise CallFailed(f"{path}: {type(error).__name__} {error}") from None
+            if address != self.address:
+                raise CallFailed(f"{path}: an answer of the discovery that was left")
             if kept and shared:
                 self._streams, streams = streams, None
         finally:
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,245 @@
+"""A node in this process between a discovery and servers that tests script, all on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from elderscale.__main__ import assemble
+from elderscale.clients import Clients
+from elderscale.config import Config, load
+from elderscale.discovery import Discovery
+from elderscale.node import Node
+
+LIMIT = 20.0  # no test waits longer for anything: it then fails, it does not go on
+CLASSES = [
+    {"name": "view", "effect": "retryable", "slo": 5 * 10**9, "give-up": 10**10, "worth": 3.0},
+    {"name": "send", "effect": "fragile", "slo": 5 * 10**9, "give-up": 10**10, "worth": 2.0},
+    {
+        "name": "book",
+        "effect": "dedup",
+        "slo": 5 * 10**9,
+        "give-up": 10**10,
+        "worth": 9.0,
+        "group": "cell",
+        "window": 4 * 10**9,
+    },
+]
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    return {
+        "balancers": 1,
+        "zones": ["a"],
+        "kinds": ["m"],
+        "categories": CLASSES,
+        "caps": {
+            "most-tries": 3,
+            "cancel": True,
+            "may-duplicate": False,
+            "connect-timeout": 10**9,
+            "conn-idle": 5 * 10**9,
+        },
+        "rules": {"drain-grace": 2 * 10**9},
+        "report": {"via": "piggyback", "fields": ["q"]},
+        **changes,
+    }
+
+
+class Listener:
+    """A TCP server that keeps count of its connections and can be waited for."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self.accepted = 0
+        self.changed = asyncio.Event()
+        self.writers: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        self.writers.append(writer)
+        self.note()
+        try:
+            await self.talk(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def note(self) -> None:
+        """Something has happened that a test may wait for."""
+        self.changed.set()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        async with asyncio.timeout(LIMIT):
+            while not holds():
+                self.changed.clear()
+                await self.changed.wait()
+
+    async def stop(self) -> None:
+        """Take no new connection and end the open ones."""
+        if self._server is not None:
+            self._server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """A head and the body that its Content-Length tells."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    return head, await reader.readexactly(length)
+
+
+class Registry(Listener):
+    """A discovery that pushes: a watch is answered as soon as there is something newer."""
+
+    def __init__(self, version: int = 1) -> None:
+        super().__init__()
+        self.version = version
+        self.lines: list[dict[str, Any]] = []
+        self.calls = 0
+
+    def tell(self, *backends: Backend, state: str = "SERVING") -> None:
+        self.lines = [
+            {"id": b.name, "addr": b.address, "zone": "a", "kind": "m", "cell": 0, "state": state}
+            for b in backends
+        ]
+        self.version += 1
+        self.note()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await read_message(reader)
+            target = head.split(b" ")[1].decode()
+            self.calls += 1
+            self.note()
+            if f"index={self.version}&" in target:
+                seen = self.version
+                await self.until(lambda seen=seen: self.version != seen)  # type: ignore[misc]
+            body = json.dumps({"version": self.version, "full": True, "servers": self.lines}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+
+Script = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Backend(Listener):
+    """A server: it notes each request's head and answers it as the script says."""
+
+    def __init__(self, name: str, script: Script | bytes = OK) -> None:
+        super().__init__()
+        self.name = name
+        self.script = script
+        self.heads: list[bytes] = []
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await read_message(reader)
+            self.heads.append(head)
+            self.note()
+            if isinstance(self.script, bytes):
+                writer.write(self.script)
+            else:
+                await self.script(head, writer)
+
+
+class Running:
+    """A node that runs, with its parts in reach."""
+
+    def __init__(self, clients: Clients, node: Node, discovery: Discovery, port: int, path: Path) -> None:
+        self.clients = clients
+        self.node = node
+        self.discovery = discovery
+        self.port = port
+        self.path = path
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def ask(self, data: bytes) -> bytes:
+        """What comes for these bytes until the node closes, or the first whole message."""
+        reader, writer = await self.connect()
+        try:
+            async with asyncio.timeout(LIMIT):
+                writer.write(data)
+                return b"".join(await read_message(reader))
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+        except ConnectionError:
+            return b""
+        finally:
+            writer.transport.abort()
+
+
+def request(cls: str = "view", rid: str = "r-1", body: bytes = b"", extra: bytes = b"") -> bytes:
+    key = b"Idempotency-Key: k-" + rid.encode() + b"\r\n" if cls == "book" else b""
+    if cls == "view":
+        method, length = b"GET", b""
+    else:
+        method, length = b"POST", b"Content-Length: %d\r\n" % len(body)
+    return (
+        b"%s /%s HTTP/1.1\r\nHost: service.internal\r\n" % (method, cls.encode())
+        + b"X-Correlation-Id: %s\r\n" % rid.encode()
+        + key + length + extra + b"\r\n" + body
+    )  # fmt: skip
+
+
+def write_config(path: Path, registry: Registry, **changes: Any) -> None:
+    data = {
+        "name": "n0",
+        "listen": "127.0.0.1:9000",
+        "discovery": registry.address,
+        "seed": "7",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+        "settings": settings(),
+        **changes,
+    }
+    path.write_text(json.dumps(data))
+
+
+@asynccontextmanager
+async def running(
+    path: Path,
+    registry: Registry,
+    *backends: Backend,
+    adjust: Callable[[Config], Config] = lambda c: c,
+    **changes: Any,
+) -> AsyncIterator[Running]:
+    """A node that has heard of all these servers; port 0, so that tests never meet."""
+    if not registry.address:
+        await registry.start()
+    for backend in backends:
+        await backend.start()
+    registry.tell(*backends)
+    write_config(path, registry, **changes)
+    config = adjust(replace(load({"BALANCER_CONFIG": str(path)}), listen=("127.0.0.1", 0)))
+    clients, node, discovery = assemble(config)
+    port = await clients.listen()
+    discovery.start()
+    async with asyncio.timeout(LIMIT):
+        await discovery.heard.wait()
+    try:
+        yield Running(clients, node, discovery, port, path)
+    finally:
+        await discovery.close()
+        clients.close()
+        for listener in (registry, *backends):
+            await listener.stop()
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,65 @@
+"""SIGHUP under load: the new discovery is watched at once, and a bad file changes nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+from elderscale.__main__ import serve
+from elderscale.config import load
+
+from .loopback import LIMIT, Backend, Registry, request, running, write_config
+
+
+def test_the_watch_moves_to_the_new_discovery(tmp_path: Path) -> None:
+    async def play() -> None:
+        old, new = Registry(version=900), Registry(version=3)
+        first, second = Backend("s-1"), Backend("s-2")
+        async with running(tmp_path / "c.json", old, first) as node:
+            assert b" 200 " in await node.ask(request(rid="r-1"))
+            await new.start()
+            await second.start()
+            new.tell(second)
+            write_config(node.path, new)
+            node.discovery.move(load({"BALANCER_CONFIG": str(node.path)}).discovery)
+            # The versions of the two do not count alike: the first call must ask for the whole list.
+            await new.until(lambda: new.calls >= 2)
+            assert list(node.node.balancer.servers) == ["s-2"]
+            assert b" 200 " in await node.ask(request(rid="r-2"))
+            assert len(first.heads) == len(second.heads) == 1
+        await new.stop()
+        await second.stop()
+
+    asyncio.run(play())
+
+
+def test_sighup_rereads_and_a_bad_file_keeps_the_old_in_force(tmp_path: Path) -> None:
+    async def play() -> None:
+        old, new = Registry(), Registry()
+        await old.start()
+        await new.start()
+        path = tmp_path / "c.json"
+        write_config(path, old, listen="127.0.0.1:1")
+        environ = {"BALANCER_CONFIG": str(path)}
+        config = load(environ)
+        started: asyncio.Queue[int] = asyncio.Queue()
+        node = asyncio.ensure_future(serve(config, environ, started.put_nowait, port=0))
+        async with asyncio.timeout(LIMIT):
+            await started.get()
+            await old.until(lambda: old.calls >= 2)  # a list, and a watch that waits
+            path.write_text('{"half": ')
+            os.kill(os.getpid(), signal.SIGHUP)
+            old.tell()  # the old watch must still be there to take this
+            await old.until(lambda: old.calls >= 3)
+            assert not node.done() and new.calls == 0
+            write_config(path, new, listen="127.0.0.1:1")
+            os.kill(os.getpid(), signal.SIGHUP)
+            await new.until(lambda: new.calls >= 2)
+            os.kill(os.getpid(), signal.SIGTERM)
+            await node
+        await old.stop()
+        await new.stop()
+
+    asyncio.run(play())
