Check framing and form of requests in one place; one deadline per phase; budgets that fit

Checked: h11 takes chunked where both framings stand (clients.py let it through); ids were never compared; UNFINISHED_LIMIT was moved on by every byte, 10 s and 120 s are past the 3 s owed; RESERVED took 120 descriptors, as it followed an accept batch of 32; a connection being opened to a server counted twice until its task was reaped, which in a burst read as 'no descriptor left' and blamed the server. Ruled out: CPU (0.3 of 0.85 cores). Change: fault() words all that is turned away before a body is read; ids are remembered for 10 to 20 s; bodies end at 64 KiB; phases have deadlines from their start; the eldest body never waits; lingering reads a bounded amount; silence yields before kept connections. Left: late and refused requests on the ordinary path.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import logging
+import re
 import socket
 from collections import OrderedDict
 from hashlib import blake2b
+from itertools import takewhile
 from typing import TYPE_CHECKING
 
 import h11
 
 from lynxrouter.interface import Effect
 
-from .config import MAX_BODY, MS, SECOND, Config
-from .messages import MAX_HEAD, SMALL_BODY, Answer, Headers, Message, Peer, end_to_end
+from .config import MS, SECOND, Config, Names
+from .messages import MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Headers, Message, Peer, end_to_end
 
 if TYPE_CHECKING:
     from .node import Node
@@ -23,17 +25,28 @@
 log = logging.getLogger("elderscale")
 
 # Connections that are accepted in one turn of the loop, before the budget can make room for them.
-ACCEPT_BATCH = 32
+ACCEPT_BATCH = 8
 # The kernel's queue of connections not yet accepted: a crowd waits there and is not turned away.
 BACKLOG = 4096
-# A request that is not whole and has brought nothing for this long is given up. Its head may take 2 s.
-UNFINISHED_LIMIT = 10.0
-# Nothing asked for this long, or nothing read of an answer: the connection is closed.
-IDLE_LIMIT = 120.0
-WRITING_LIMIT = 30.0
-# How long a connection that is closed in order goes on reading: with unread bytes a close is a reset, and
-# that could destroy the answer on its way.
+# One deadline for each phase of a connection, in seconds and from the phase's beginning, so that neither
+# silence nor a trickle holds a descriptor. They guard against crowds that say nothing, half requests, bodies
+# that never end and clients that do not read; they do harm where a client needs longer than this for one
+# request of 64 KiB or rests between two requests (it then sends on a new connection).
+SILENT_LIMIT = 2.0  # connected, no byte yet
+UNFINISHED_LIMIT = 2.0  # from a request's first byte to its last
+IDLE_LIMIT = 4.0  # from an answer to the next request
+WRITING_LIMIT = 3.0  # nothing read of an answer
+SWEEP = 0.25
+# Whoever has said nothing, or only half a request, for this long is taken for one of a crowd when room is
+# short: a client that wants something sends it as soon as it is connected.
+SUSPECT = 0.25
+# How long a connection that is closed in order goes on reading, and how much: with unread bytes a close is a
+# reset, and that could destroy the answer on its way. Who sends for ever is not read for ever.
 LINGER = 1.0
+LINGER_BYTES = 128 << 10
+# For how long at least a request's id is remembered after it came, and the most that are.
+ID_MEMORY = 10.0
+ID_MOST = 20_000
 # The longest time that a client can sanely be ready to wait.
 LONGEST_WAIT_MS = 86_400_000
 
@@ -48,6 +61,89 @@
 )
 
 
+# Headers that decide what a request is and where it ends: more than one of a kind is ambiguous.
+_ONCE = (b"host", b"x-correlation-id", b"x-time-left-ms", b"idempotency-key", b"content-length")
+_CONTROLS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+_HEALTH = (b"/health/live", b"/health/ready")
+
+
+def class_of(target: bytes, names: Names) -> int | None:
+    """The number of the class that a target names in the first part of its path."""
+    path = target.split(b"?", 1)[0]
+    return names.classes.get(path[1:].split(b"/", 1)[0].decode("latin-1")) if path[:1] == b"/" else None
+
+
+def fault(event: h11.Request, config: Config) -> tuple[int, str] | None:
+    """What is wrong with a head that h11 could read: the one check of framing and form, or None.
+
+    Whatever two readers could take for two different things is turned away here, before any of its body is
+    read: the node must not pass on what a server may cut in other places (a request hidden in a body), nor
+    what servers can only turn away. It should catch every way to word length, id, key or class doubly or
+    wrongly. It would do harm to a client that sends both framings, repeats one of these headers, or uses a
+    method that its class does not have; the protocol has no such client.
+    """
+    headers = list(event.headers)
+    given = dict(headers)
+    if sum(len(name) + len(value) + 4 for name, value in headers) + len(event.target) > MAX_HEAD:
+        return 431, "the head is too long"
+    if len(given) != len(headers):
+        names = [name for name, _ in headers]
+        for name in _ONCE:
+            if names.count(name) > 1:
+                return 400, f"{name.decode()}: more than once"
+    length = given.get(b"content-length")
+    if b"transfer-encoding" in given and (length is not None or event.http_version < b"1.1"):
+        return 400, "both Content-Length and Transfer-Encoding, or the latter in HTTP/1.0"
+    if length is not None and int(length) > MAX_BODY:
+        return 413, "the body is longer than 64 KiB"
+    if _CONTROLS.search(b"".join(given.values())):
+        return 400, "a control character in a header"
+    if event.target.split(b"?", 1)[0] in _HEALTH:
+        return None
+    cls = class_of(event.target, config.names)
+    if cls is None:
+        return 404, "no such class"
+    effect = config.settings.classes[cls].effect
+    if event.method != (b"GET" if effect == Effect.SAFE else b"POST"):
+        return 405, "not the method of this class"
+    if event.method == b"GET" and (b"transfer-encoding" in given or int(length or b"0")):
+        return 400, "a GET with a body"
+    if not _ID.fullmatch(given.get(b"x-correlation-id", b"")):
+        return 400, "X-Correlation-Id: missing or senseless"
+    if effect == Effect.KEYED and not given.get(b"idempotency-key"):
+        # Without it a server could not drop the repeat that this class allows.
+        return 400, "Idempotency-Key: missing"
+    left = given.get(b"x-time-left-ms")
+    if left is not None and not (left.isdigit() and len(left) < 10 and 0 < int(left) <= LONGEST_WAIT_MS):
+        return 400, "X-Time-Left-Ms: no sane number"
+    return None
+
+
+class RecentIds:
+    """The ids that came lately, as hashes in two generations, so that its size is bounded by its age.
+
+    Every request has an id of its own, also a client's retry: one that comes again while the first is open,
+    or soon after, belongs to somebody else, and servers would take it for a repeat of the first. It does harm
+    to a client that sends an id again although the node had read the whole of the first.
+    """
+
+    def __init__(self) -> None:
+        self.new: set[int] = set()
+        self.old: set[int] = set()
+        self.turned = 0.0
+
+    def known(self, rid: bytes, now: float) -> bool:
+        """Whether an id has come lately; from now on it has."""
+        if now - self.turned >= ID_MEMORY or len(self.new) >= ID_MOST:
+            self.old, self.new, self.turned = self.new, set(), now
+        number = hash(rid)
+        if number in self.new or number in self.old:
+            return True
+        self.new.add(number)
+        return False
+
+
 class BodyBudget:
     """Memory for bodies that are not small. Whoever finds no room leaves the rest to its sender's kernel."""
 
@@ -68,9 +164,8 @@
 
     def _room(self, conn: ClientConnection) -> bool:
         # Were the whole budget open to all, bodies that are each half here could fill it, and none would
-        # ever be whole. The last part is the eldest's alone; it holds any body, so that one comes through.
-        eldest = next(iter(self.held)) is conn
-        return self.used < self.total - (0 if eldest else MAX_BODY)
+        # ever be whole. The eldest is never made to wait: the last part is kept for it, and it ends.
+        return next(iter(self.held)) is conn or self.used < self.total - MAX_BODY
 
     def release(self, conn: ClientConnection) -> None:
         """Give back what a connection held."""
@@ -138,6 +233,9 @@
 
     def received(self, data: memoryview) -> None:
         if self.lingering is not None:
+            self.ahead += len(data)
+            if self.ahead > LINGER_BYTES:
+                self.read_on(False)
             return
         self.http.receive_data(data)
         if self.busy:
@@ -169,9 +267,9 @@
             self._reject(error.error_status_hint, str(error))
 
     def _unfinished(self) -> None:
-        """Note that part of a request is here, and since when: for a head since its first byte."""
-        begun = self.http.trailing_data[0] and self.group is not self.clients.unfinished
-        if self.request is not None or begun:
+        """Note that part of a request is here, and since when: since its first byte, however it trickles."""
+        begun = self.request is not None or self.http.trailing_data[0]
+        if begun and self.group is not self.clients.unfinished:
             self.clients.move(self, self.clients.unfinished)
 
     def _head(self, event: h11.Request) -> None:
@@ -179,32 +277,15 @@
         self.request = event
         self.body = []
         self.size = 0
-        path = event.target.split(b"?", 1)[0].decode("latin-1")
-        if path in ("/health/ready", "/health/live"):
-            return
-        cls = config.names.classes.get(path.lstrip("/").split("/", 1)[0]) if path.startswith("/") else None
-        if cls is None:
-            self._reject(404, "no such class")
+        wrong = fault(event, config)
+        if wrong is not None:
+            self._reject(*wrong)
             return
-        if event.method not in (b"GET", b"POST"):
-            self._reject(400, "neither GET nor POST")
-            return
-        self.cls = cls
-        given = dict(event.headers)
-        if not given.get(b"x-correlation-id"):
-            self._reject(400, "X-Correlation-Id: missing")
-            return
-        if config.settings.classes[cls].effect == Effect.KEYED and not given.get(b"idempotency-key"):
-            # Without it a server could not drop the repeat that this class allows.
-            self._reject(400, "Idempotency-Key: missing")
-            return
-        left = given.get(b"x-time-left-ms")
-        if left is None:
-            self.time_left = config.settings.classes[cls].deadline
-        elif left.isdigit() and len(left) < 10 and 0 < int(left) <= LONGEST_WAIT_MS:
-            self.time_left = int(left) * MS
-        else:
-            self._reject(400, "X-Time-Left-Ms: no sane number")
+        cls = class_of(event.target, config.names)
+        if cls is not None:
+            self.cls = cls
+            left = dict(event.headers).get(b"x-time-left-ms")
+            self.time_left = config.settings.classes[cls].deadline if left is None else int(left) * MS
 
     def _data(self, data: bytes) -> None:
         if self.lingering is not None:
@@ -212,7 +293,7 @@
         self.body.append(data)
         self.size += len(data)
         if self.size > MAX_BODY:
-            self._reject(413, "the body is longer than 32 MiB")
+            self._reject(413, "the body is longer than 64 KiB")
             return
         if self.large or self.size > SMALL_BODY:
             size = len(data) if self.large else self.size
@@ -230,19 +311,22 @@
         self.read_on(True)
         self.clients.move(self, None)
         path = event.target.split(b"?", 1)[0]
-        if path in (b"/health/live", b"/health/ready"):
+        if path in _HEALTH:
             well = path == b"/health/live" or (self.clients.ready and not self.clients.draining)
             self._respond(200 if well else 503, [], (b"ok\n" if well else b"not ready\n",))
             return
-        if self.clients.full:
-            # Worded by the node itself: nothing was sent on for this request.
-            self.refuse(0)
-            return
         headers = end_to_end(event.headers, _FOR_NODE)
         if not any(name == b"host" for name, _ in headers):
             headers.append((b"host", self.clients.host))
         message = Message(event.method, event.target, headers, self.body, self.size)
         given = dict(event.headers)
+        if self.clients.ids.known(given[b"x-correlation-id"], self.clients.loop.time()):
+            self._reject(409, "X-Correlation-Id: another request has it")
+            return
+        if self.clients.full:
+            # Worded by the node itself: nothing was sent on for this request.
+            self.refuse(0)
+            return
         hint = given.get(b"x-weight-hint", b"").strip()
         names = self.clients.config.names
         self.rid = -1
@@ -281,6 +365,7 @@
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer what is no request, or none that the node can take, and close."""
+        self.busy = False
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             body = reason.encode("latin-1", "replace") + b"\n"
             headers = [
@@ -293,6 +378,10 @@
             )
         self.linger()
 
+    def give_up(self) -> None:
+        """Its request is not whole in time."""
+        self._reject(408, "the request is not whole in time")
+
     def answer(self, answer: Answer) -> None:
         """Pass on an answer that was held until it was whole."""
         self._respond(answer.status, answer.headers, list(answer.body or ()))
@@ -364,6 +453,7 @@
         if self.lingering is not None or self.transport.is_closing():
             return
         self._gone()
+        self.ahead = 0
         self.clients.move(self, self.clients.ending)
         self.lingering = self.clients.loop.call_later(LINGER, self.transport.abort)
         self.read_on(True)
@@ -390,6 +480,14 @@
         self.silent: OrderedDict[ClientConnection, float] = OrderedDict()
         self.unfinished: OrderedDict[ClientConnection, float] = OrderedDict()
         self.writing: OrderedDict[ClientConnection, float] = OrderedDict()
+        self.ids = RecentIds()
+        # By phase, how long a connection may stay there.
+        self.limits = {
+            "silent": SILENT_LIMIT,
+            "unfinished": UNFINISHED_LIMIT,
+            "idle": IDLE_LIMIT,
+            "writing": WRITING_LIMIT,
+        }
         self.draining = False
         self.ready = False
         self.server: asyncio.Server | None = None
@@ -434,35 +532,43 @@
         self.move(conn, self.silent)
         if len(self.connections) <= self.limit:
             return
-        # A kept connection may be closed between requests: its client sends on a new one. What has asked
-        # nothing, or not all, for longest is likeliest to be the crowd.
-        groups = (self.ending, self.idle, self.silent, self.unfinished)
-        victim = next(c for group in groups for c in group)  # the new one itself, if there is no other
+        victim = self._victim()
         victim.transport.abort()
         self.dropped(victim)
 
+    def _victim(self) -> ClientConnection:
+        """The connection that is missed least; never one that is owed an answer."""
+        suspect = self.loop.time() - SUSPECT
+        for group in (self.ending, self.silent, self.unfinished):
+            for conn, since in group.items():
+                if group is self.ending or since <= suspect:
+                    return conn
+                break
+        # A kept connection may be closed between requests: its client sends on a new one. The new one itself
+        # is silent, so there is always one.
+        return next(c for group in (self.idle, self.silent) for c in group)
+
     def dropped(self, conn: ClientConnection) -> None:
         """A connection is gone, or as good as gone."""
         self.move(conn, None)
         self.connections.discard(conn)
 
     def _sweep(self) -> None:
-        """Close what has not moved for too long."""
-        self.sweeper = self.loop.call_later(1.0, self._sweep)
+        """Close what has been at one thing for too long."""
+        self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
-        for group, limit in (
-            (self.idle, IDLE_LIMIT),
-            (self.silent, IDLE_LIMIT),
-            (self.unfinished, UNFINISHED_LIMIT),
-            (self.writing, WRITING_LIMIT),
-        ):
-            for conn, since in list(group.items()):
-                if now - since < limit:
-                    break
-                if conn in self.budget.waiting:
-                    self.touch(conn)  # it is the node that does not read
-                else:
-                    conn.transport.abort()
+        for conn in self._overdue(self.unfinished, now - self.limits["unfinished"]):
+            conn.give_up()
+        for conn in self._overdue(self.silent, now - self.limits["silent"]):
+            conn.linger()
+        for conn in self._overdue(self.idle, now - self.limits["idle"]):
+            conn.linger()
+        for conn in self._overdue(self.writing, now - self.limits["writing"]):
+            conn.transport.abort()
+
+    @staticmethod
+    def _overdue(group: OrderedDict[ClientConnection, float], before: float) -> list[ClientConnection]:
+        return list(takewhile(lambda conn: group[conn] <= before, group))
 
     def close_idle(self) -> None:
         """Close all that have nothing under way."""
--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -24,10 +24,12 @@
     "rate": "qps",
     "fail_rate": "eps",
 }
-# Memory that the interpreter and the open connections need beside large bodies.
-BASE_MEMORY_MB = 112
-# No body is longer than the page allows; one of this size must always find room.
-MAX_BODY = 32 << 20
+# Memory that the interpreter, the module and the open connections need beside bodies. Bodies may take a third
+# of what is left: as much again goes to answers and to what the allocator keeps of both.
+BASE_MEMORY_MB = 24
+BODY_PART = 3
+# Room for bodies even where memory is scarcest; it holds many of the longest.
+BODY_LEAST = 2 << 20
 
 
 class ConfigError(Exception):
@@ -186,7 +188,7 @@
         discovery=address_of("discovery"),
         seed=seed,
         sockets=_whole(limits, "sockets", 1024, least=192),
-        body_budget=max(MAX_BODY, (memory - BASE_MEMORY_MB) << 20),
+        body_budget=max(BODY_LEAST, ((memory - BASE_MEMORY_MB) << 20) // BODY_PART),
         settings=parsed,
         names=names,
         known=known,
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
+log = logging.getLogger("elderscale")
+
 Headers = list[tuple[bytes, bytes]]
 
 # The longest head of a message; longer ones are answered 431, or count as a break where a server sent them.
-MAX_HEAD = 128 << 10
-# Bodies up to this size are small: requests that need no room of the large-body budget, answers that are
-# held until they are whole.
-SMALL_BODY = 64 << 10
+MAX_HEAD = 16 << 10
+# The longest body of a message, either way. Everything up to it is held until it is whole.
+MAX_BODY = 64 << 10
+# Bodies up to this size need no room of the body budget.
+SMALL_BODY = 8 << 10
 # One read, and so the most that one connection adds to a buffer before its reading is paused.
-READ_SIZE = 64 << 10
+READ_SIZE = 16 << 10
 
 # Headers of one connection, not of the message (RFC 9110, 7.6.1), and those that the node words itself.
 _OWN = frozenset(
@@ -86,7 +90,12 @@
         return _shared
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.received(_shared[:nbytes])
+        # The last resort: what nobody foresaw in a peer's bytes ends this connection and nothing else.
+        try:
+            self.received(_shared[:nbytes])
+        except Exception:
+            log.exception("unforeseen input, its connection is closed")
+            self.transport.abort()
 
     def received(self, data: memoryview) -> None:
         """Bytes have come; they must be copied before this returns."""
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -15,7 +15,7 @@
 from lynxrouter import interface as api
 
 from .config import MS, SECOND, Listing, Names
-from .messages import MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
+from .messages import MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
 
 if TYPE_CHECKING:
     from .node import Client
@@ -134,8 +134,9 @@
 class ServerConnection(Peer):
     """One connection to a server; it carries one attempt at a time."""
 
-    def __init__(self, servers: Servers, backend: _Backend) -> None:
+    def __init__(self, servers: Servers, backend: _Backend, opened_for: Attempt) -> None:
         super().__init__()
+        self.opened_for: Attempt | None = opened_for
         self.servers = servers
         self.backend = backend
         self.attempt: Attempt | None = None
@@ -146,7 +147,11 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
+        # From here on it counts as a connection; counted twice, a burst would seem to use up the descriptors.
         self.servers.connections.add(self)
+        if self.opened_for is not None:
+            self.servers.opening.discard(self.opened_for)
+            self.opened_for = None
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.lost = True
@@ -332,7 +337,7 @@
         self.body.append(data)
         self.size += len(data)
         assert self.head is not None
-        if max(self.size, self.head.length or 0) > SMALL_BODY:
+        if max(self.size, self.head.length or 0) > MAX_BODY:
             self._start(attempt)
 
     def _start(self, attempt: Attempt) -> None:
@@ -399,7 +404,7 @@
         self.backends: dict[api.ServerId, _Backend] = {}
         self.connections: set[ServerConnection] = set()
         self.resting: OrderedDict[ServerConnection, None] = OrderedDict()  # idle ones, longest rest first
-        self.connecting = 0
+        self.opening: set[Attempt] = set()  # attempts whose connection is not yet among the others
 
     def apply(self, listing: Listing) -> None:
         """Take a list over: addresses, and no rest for connections to what drains or is gone."""
@@ -452,25 +457,23 @@
                 conn.begin(attempt)
                 return
             conn.close()
-        if len(self.connections) + self.connecting >= self.limit:
+        if len(self.connections) + len(self.opening) >= self.limit:
             if not self.resting:
+                # The node's own want, which says nothing of the server.
                 log.warning("no descriptor left for a connection to a server")
-                attempt.end(api.Result.CONNECT_FAILED)
+                attempt.end(api.Result.NOT_SENT)
                 return
             next(iter(self.resting)).close()
-        self.connecting += 1
+        self.opening.add(attempt)
         attempt.connecting = self.loop.create_task(self._connect(backend, attempt))
         # Not in a finally of the task: one that is cancelled before its first step runs none.
-        attempt.connecting.add_done_callback(self._connected)
-
-    def _connected(self, task: asyncio.Task[None]) -> None:
-        self.connecting -= 1
+        attempt.connecting.add_done_callback(lambda _: self.opening.discard(attempt))
 
     async def _connect(self, backend: _Backend, attempt: Attempt) -> None:
         try:
             async with asyncio.timeout(self.settings.connect_timeout / SECOND):
                 _, conn = await self.loop.create_connection(
-                    lambda: ServerConnection(self, backend), *backend.address
+                    lambda: ServerConnection(self, backend, attempt), *backend.address
                 )
         except (OSError, TimeoutError):
             attempt.connecting = None
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,182 @@
+"""Clients that are wrong, slow, silent or many: each gets an error or a close, the others are served."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from elderscale.clients import RecentIds
+
+from .loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+
+HEAD = b"POST /send HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: r-1\r\n"
+HIDDEN = b"0\r\n\r\nPOST /send HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: r-2\r\nContent-Length: 0\r\n\r\n"
+WRONG = {
+    "both framings": HEAD + b"Content-Length: 80\r\nTransfer-Encoding: chunked\r\n\r\n" + HIDDEN,
+    "two lengths": HEAD + b"Content-Length: 4\r\nContent-Length: 9\r\n\r\nabcdefghi",
+    "negative length": HEAD + b"Content-Length: -4\r\n\r\n",
+    "huge length": HEAD + b"Content-Length: 60000000\r\n\r\n" + b"x" * 100_000,
+    "huge chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 5,
+    "endless head": HEAD + b"X-Pad: " + b"p" * 40_000,
+    "noise": b"\x00\x16\x03\x01\xfe\r\n\r\n",
+    "two ids": HEAD + b"X-Correlation-Id: r-2\r\nContent-Length: 0\r\n\r\n",
+    "no id": b"POST /send HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+    "no such class": request().replace(b"/view", b"/view-old"),
+    "wrong method": request().replace(b"GET", b"POST"),
+    "a GET with a body": request(extra=b"Content-Length: 2\r\n") + b"ab",
+    "control character": request(extra=b"X-Note: a\x01b\r\n"),
+    "no key": request("book").replace(b"Idempotency-Key", b"X-Other"),
+    "deadline that is no number": request(extra=b"X-Time-Left-Ms: soon\r\n"),
+    "negative deadline": request(extra=b"X-Time-Left-Ms: -5\r\n"),
+}
+
+
+@pytest.mark.parametrize("kind", WRONG)
+def test_what_is_wrong_is_answered_4xx_and_never_passed_on(kind: str, tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            assert (await node.ask(WRONG[kind])).startswith(b"HTTP/1.1 4")
+            assert b" 200 " in await node.ask(request(rid="r-9"))
+            assert [head.count(b"r-9") for head in server.heads] == [1]
+
+    asyncio.run(play())
+
+
+def test_an_id_that_another_open_request_has_is_turned_away(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            first = asyncio.ensure_future(node.ask(request(rid="r-1")))
+            await server.until(lambda: len(server.heads) == 1)
+            assert (await node.ask(request("send", rid="r-1"))).startswith(b"HTTP/1.1 409")
+            go.set()
+            assert b" 200 " in await first
+            assert len(server.heads) == 1
+
+    asyncio.run(play())
+
+
+def test_ids_are_forgotten_by_age_and_by_number() -> None:
+    ids = RecentIds()
+    assert not ids.known(b"a", 100.0)
+    assert ids.known(b"a", 109.0)
+    assert not ids.known(b"b", 111.0)
+    assert ids.known(b"a", 112.0)
+    assert not ids.known(b"c", 122.0)
+    assert not ids.known(b"a", 122.0)
+    for n in range(100_000):
+        ids.known(b"%d" % n, 123.0)
+    assert len(ids.new) + len(ids.old) <= 40_000
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /vi", HEAD + b"Content-Length: 9\r\n\r\nhalf"])
+def test_silence_and_half_requests_end_at_their_phase_s_deadline(sent: bytes, tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            node.clients.limits.update(silent=0.0, unfinished=0.0)
+            answer = await node.ask(sent)
+            assert answer.startswith(b"HTTP/1.1 408") if sent else answer == b""
+
+    asyncio.run(play())
+
+
+def test_a_trickle_does_not_put_the_deadline_off(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            reader, writer = await node.connect()
+            writer.write(HEAD)
+            async with asyncio.timeout(LIMIT):
+                while not node.clients.unfinished:
+                    await asyncio.sleep(0)
+                (conn, since), *_ = node.clients.unfinished.items()
+                writer.write(b"X-More: 1\r\nContent-Length: 9\r\n\r\nabc")
+                while not conn.size:
+                    await asyncio.sleep(0)
+            assert node.clients.unfinished[conn] == since
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_kept_connection_is_closed_after_its_rest(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            node.clients.limits["idle"] = 0.0
+            reader, writer = await node.connect()
+            writer.write(request())
+            async with asyncio.timeout(LIMIT):
+                assert b" 200 " in (await read_message(reader))[0]
+                assert await reader.read() == b""
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_a_silent_crowd_does_not_displace_those_who_ask(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            limit = node.clients.limit
+            asking = [asyncio.ensure_future(node.ask(request(rid=f"r-{n}"))) for n in range(20)]
+            await server.until(lambda: len(server.heads) == 20)
+            crowd = [await node.connect() for _ in range(2 * limit)]
+            asking += [asyncio.ensure_future(node.ask(request(rid=f"q-{n}"))) for n in range(20)]
+            await server.until(lambda: len(server.heads) == 40)
+            assert len(node.clients.connections) <= limit
+            go.set()
+            assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
+            for _, writer in crowd:
+                writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_third_of_256_descriptors_may_wait_for_answers_at_once(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(
+            tmp_path / "c.json", Registry(), server, adjust=lambda c: replace(c, sockets=256)
+        ) as node:
+            asking = [asyncio.ensure_future(node.ask(request(rid=f"r-{n}"))) for n in range(85)]
+            await server.until(lambda: len(server.heads) == 85)
+            go.set()
+            assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
+
+    asyncio.run(play())
+
+
+def test_bodies_together_stay_within_their_budget(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1")
+        body = b"x" * 65536
+        async with running(
+            tmp_path / "c.json", Registry(), server, adjust=lambda c: replace(c, body_budget=200_000)
+        ) as node:
+            asking = [node.ask(request("send", rid=f"r-{n}", body=body)) for n in range(12)]
+            answers = await asyncio.gather(*asking)
+            assert all(b" 200 " in answer for answer in answers)
+            assert node.clients.budget.used == 0 and not node.clients.budget.held
+
+    asyncio.run(play())
