Busy pick: of four draws by capacity take the server this node burdens least

Cause: with some ten servers and two nodes all are often held; _drawn_from then kept the last of its draws, whatever this node had there itself. Ruled out: CPU (0.3 of 0.85 cores), time inside the node (4 ms to the first attempt), descriptors. Change: among the draws by capacity, which stay as they are, the least (held + 1) / capacity.

--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -608,16 +608,27 @@
         return None
 
     def _drawn_from(self, table: tuple[list[float], list[_Server]]) -> _Server | None:
-        """A draw by capacity, repeated a few times for a server with nothing of this node's."""
+        """A draw by capacity, repeated a few times for the server that this node's own requests burden least.
+
+        Where few nodes share few servers most of what a server holds is this node's own, so that the capacity
+        that is left there is known at once, long before lists or answers tell.
+        """
         bounds, servers = table
         if not servers:
             return None
+        best: _Server | None = None
+        least = 0.0
         for _ in range(DRAWS):
             at = bisect_right(bounds, self.random.random() * bounds[-1])
             s = servers[min(at, len(servers) - 1)]
-            if not s.held and (s.warmth >= 1.0 or s.cold_at <= self.now):
+            if s.warmth < 1.0 and s.cold_at > self.now:
+                continue
+            if not s.held:
                 return s
-        return s if s.warmth >= 1.0 or s.cold_at <= self.now else None
+            burden = (s.held + 1) / s.cap
+            if best is None or burden < least:
+                best, least = s, burden
+        return best
 
     def _pick(self, request: _Request) -> _Server | None:
         tried = request.tries
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -45,6 +45,22 @@
     assert 0.7 < sent[b"s1"] / 2000 < 0.8
 
 
+def test_all_busy_spares_what_this_node_burdens_itself() -> None:
+    """Where few nodes share few servers, most of what a server holds is this node's own."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4))
+    for rid in range(80):
+        node.ask(rid)  # some twenty each
+    node.run_to(node.now + 10 * MS)
+    on_one = [rid for _, rid, sid in node.sent if sid == b"s0"]
+    for rid in on_one[1:]:
+        node.answer(rid, 0)
+    for rid in range(100, 110):
+        node.ask(rid)
+    # A draw by capacity alone finds it once in four times.
+    assert [sid for _, rid, sid in node.sent if rid >= 100].count(b"s0") >= 6
+
+
 def test_within_a_class_the_choice_is_uniform() -> None:
     node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL), seed=5)
     node.list(servers([1.0] * 5))
