Take an answer only whole and of sound framing; nothing unread for the next one

Seen: 10 spoilt answers passed on to clients, 3 GB ones among them; 288 good answers with more behind them. At fault in servers.py: _data and _hold_over passed on what was long or of no told length; nothing bounded the time or the bytes of an answer; alive() asked TCP only. Ruled out: marks of the request in the answer (there are none to compare). Change: an answer needs exactly one framing and at most 64 KiB and is held until whole (streamed classes excepted); 50 ms (safe) or 250 ms from its first byte to its last, 128 KiB in all; before a connection is used, and before a held last byte goes out, nothing may wait in the kernel, and the hold also covers a connection whose last answer ended just now. An answer that cannot be worded no longer leaves its attempt counted.

--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -236,7 +236,17 @@
         if request is None or request.done or request.stream is not None:
             return
         self._conclude(request)
-        give(request.client)
+        self._give(request.client, lambda: give(request.client))
+
+    @staticmethod
+    def _give(client: Client, give: Callable[[], None]) -> None:
+        """Word an answer. One that cannot be worded costs its connection; the module still hears of its end,
+        or it would count the attempt, and its server as burdened, for ever."""
+        try:
+            give()
+        except Exception:
+            log.exception("an answer cannot be worded")
+            client.cut()
 
     def _fail(self, request: Open) -> None:
         """The module did not answer in time, or cannot: the node does, and tells it so."""
@@ -264,6 +274,8 @@
         if request.done and not request.out:
             self._stop_timer(request)
             self.requests.pop(request.id, None)
+            # Attempts know their request: without this each request would be a cycle for the collector.
+            request.attempts = []
 
     @staticmethod
     def _stop_timer(request: Open) -> None:
@@ -297,13 +309,10 @@
             client = request.client
             if request.stream is attempt:
                 self._conclude(request)
-                if result == api.Result.OK:
-                    client.finish()
-                else:
-                    client.cut()
+                self._give(client, client.finish if result == api.Result.OK else client.cut)
             elif result == api.Result.OK and answer is not None:
                 self._conclude(request)
-                client.answer(answer)
+                self._give(client, lambda: client.answer(answer))
         self._forget(request)
         self.feed(
             api.Outcome(
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import socket
+import termios
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -25,13 +27,21 @@
 # How long the last byte of a request that must not be repeated freely is held back: about a round trip and
 # the peer's waking up. A connection that is already dead, or reset by its first byte, breaks within it, while
 # it is still certain that nothing ran.
+#
+# The same hold guards a request on a connection whose last answer ended less than this long ago, of whatever
+# class: a server that sends more than belongs to an answer (a second copy, noise) sends it right behind, and
+# the next request must not be written before that shows. What comes before the last byte is no answer to it.
 HOLD_LAST_BYTE = 0.003
 # Part of the idle limit after which the node closes a connection itself: the rest is for clocks and the wire.
 IDLE_PART = 0.8
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
 GRACE_PART = 0.75
-# An answer of no told length is passed on after this long, as it may be a long one.
-UNKNOWN_LENGTH_HOLD = 0.25
+# From an answer's first byte to its last. Bodies hold 64 KiB at most and come in one piece, so that an answer
+# that stands still is spoilt: a head without end, a length that does not fit. The longer leaves room for a
+# lost packet to be sent again, as taking a good answer for spoilt costs more where it must not be repeated.
+ANSWER_LIMIT, ANSWER_LIMIT_SAFE = 0.25, 0.05
+# The most that one answer can bring in all, with informational answers ahead, framing and trailers.
+ANSWER_BYTES = MAX_BODY + 4 * MAX_HEAD
 # A stream that brings nothing for this long is taken for left unfinished.
 STREAM_STALL = 8.0
 PROBE_TIME = SECOND
@@ -143,6 +153,8 @@
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         self.pieces: list[bytes] = []
         self.timer: asyncio.TimerHandle | None = None
+        self.taken = 0  # bytes of the present answer
+        self.answered = 0.0  # when the last answer ended
         self.lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -161,11 +173,18 @@
             self._broke()
 
     def alive(self) -> bool:
-        """Whether the kernel still knows the connection as whole: a close may have come that was not read."""
+        """Whether the kernel knows the connection as whole and has nothing to read.
+
+        A close or bytes may have come that the loop has not seen yet.
+        """
         if self.lost or self.transport.is_closing():
             return False
         sock = self.transport.get_extra_info("socket")
-        return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_ESTABLISHED)
+        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED:
+            return False
+        # Nothing has been asked in full: bytes that wait to be read belong to no request, and would be taken
+        # for the answer to the next one.
+        return not any(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
@@ -196,7 +215,9 @@
         self.body: list[bytes] = []
         self.size = 0
         self.client: Client | None = None
+        self.taken = 0
         self.moved = self.servers.loop.time()
+        self.hold = not attempt.repeatable or self.moved - self.answered < HOLD_LAST_BYTE
         left = max(1, (attempt.deadline - time.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
         if message.method != b"GET" or message.size:
@@ -214,7 +235,7 @@
         pieces: list[bytes] = [part for part in parts if part]
         if message.size <= SMALL_BODY:
             pieces = [b"".join(pieces)]
-        if not attempt.repeatable:
+        if self.hold:
             tail = pieces.pop()
             pieces += [tail[:-1], tail[-1:]]
         pieces.reverse()
@@ -234,10 +255,10 @@
         if self.unsent or self.timer is not None:
             return
         if len(self.pieces) == 1:
-            if attempt.repeatable:
-                self._last()
-            else:
+            if self.hold:
                 self.after(HOLD_LAST_BYTE, self._last)
+            else:
+                self._last()
         elif not self.pieces:
             self._written()
 
@@ -265,6 +286,12 @@
             self.close()  # nothing was asked: what comes could only be taken for an answer to the next one
             return
         self.moved = self.servers.loop.time()
+        if not self.taken:
+            self.after(ANSWER_LIMIT_SAFE if self.attempt.repeatable else ANSWER_LIMIT, self._broke)
+        self.taken += len(data)
+        if self.taken > ANSWER_BYTES and not self.attempt.streamed:
+            self._broke()
+            return
         self.http.receive_data(data)
         self._events()
 
@@ -298,9 +325,12 @@
 
     def _head(self, attempt: Attempt, event: h11.Response) -> None:
         length = None
+        chunked = False
         for name, value in event.headers:
             if name == b"content-length":
                 length = int(value)
+            elif name == b"transfer-encoding":
+                chunked = True
             elif name == self.servers.load_header:
                 attempt.report = self.servers.names.load_report(value.decode("latin-1"))
         if event.status_code != 200:
@@ -312,21 +342,16 @@
         if not attempt.written:
             # Nothing was asked in full yet, so no server can have made this for it.
             raise h11.RemoteProtocolError("an answer before the request")
+        if not attempt.streamed and (chunked == (length is not None) or (length or 0) > MAX_BODY):
+            # The one check of an answer's framing. Two lengths are read in two ways, none ends with the
+            # connection, so that a broken one seems whole, and too long a one is no answer here. It would do
+            # harm to servers that end answers by closing, or whose bodies are longer than 64 KiB.
+            raise h11.RemoteProtocolError("no sound length")
         self.head = Answer(
             200, end_to_end(event.headers, (self.servers.load_header, b"x-unprocessed")), None, length
         )
         if attempt.streamed:
             self._start(attempt)
-        elif length is None:
-            self.after(UNKNOWN_LENGTH_HOLD, self._hold_over)
-
-    def _hold_over(self) -> None:
-        self.stop_timer()
-        if self.attempt is not None and self.client is None:
-            if self.body:
-                self._start(self.attempt)
-            else:
-                self.after(UNKNOWN_LENGTH_HOLD, self._hold_over)
 
     def _data(self, attempt: Attempt, data: bytes) -> None:
         if self.verdict is not None:
@@ -334,14 +359,14 @@
         if self.client is not None:
             self.client.write(data)
             return
+        # Held until it is whole: what has been passed on in part can be neither tried again nor taken back.
         self.body.append(data)
         self.size += len(data)
-        assert self.head is not None
-        if max(self.size, self.head.length or 0) > MAX_BODY:
-            self._start(attempt)
+        if self.size > MAX_BODY:
+            raise h11.RemoteProtocolError("the body is too long")
 
     def _start(self, attempt: Attempt) -> None:
-        """Pass the answer on from here."""
+        """Pass the answer on from here: only where its class is streamed."""
         assert self.head is not None
         self.after(STREAM_STALL, self._stalled)
         self.client = attempt.listener.started(attempt, self.head)
@@ -374,6 +399,7 @@
         if self.head is not None and self.client is None:
             answer = Answer(200, self.head.headers, self.body)
         self.body = []
+        self.answered = self.servers.loop.time()
         self.attempt = attempt.conn = None
         if reusable:
             self.http.start_next_cycle()
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,130 @@
+"""Servers whose answers are spoilt, or bring more than belongs to them."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from .loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SPOILT = {
+    "noise": b"\x9a\xfe\x00\x16\r\n\r\n",
+    "no HTTP": b"ICY 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "endless head": HEAD + b"X-Pad: pppppppppppppppp\r\n" * 4000,
+    "endless 1xx": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 8000,
+    "two lengths": HEAD + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+    "both framings": HEAD + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "no length": HEAD + b"\r\nok",
+    "negative length": HEAD + b"Content-Length: -1\r\n\r\nok",
+    "huge length": HEAD + b"Content-Length: 3000000000\r\n\r\n" + b"x" * 100_000,
+    "huge chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"4000\r\n%s\r\n" % (b"x" * 0x4000) * 5,
+    "bad chunk": HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nok\r\n0\r\n\r\n",
+    "shorter than told": HEAD + b"Content-Length: 9\r\n\r\nok",
+    "half a head": HEAD + b"Content-Le",
+}
+
+
+@pytest.mark.parametrize("kind", SPOILT)
+@pytest.mark.parametrize("cls", ["view", "send", "book"])
+def test_a_spoilt_answer_is_a_failed_attempt_that_may_have_run(cls: str, kind: str, tmp_path: Path) -> None:
+    """A safe request, or a keyed one within its cell, is sent again; an unsafe one fails, never refused."""
+
+    async def play() -> None:
+        spoil = [SPOILT[kind]]
+        heads: list[bytes] = []
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            heads.append(head)
+            writer.write(spoil.pop() if spoil else OK)
+
+        first, second = Backend("s-1", script), Backend("s-2", script)
+        async with running(tmp_path / "c.json", Registry(), first, second) as node:
+            answer = await node.ask(request(cls))
+            assert answer.startswith(b"HTTP/1.1 502" if cls == "send" else b"HTTP/1.1 200")
+            assert len(heads) == (1 if cls == "send" else 2)
+            assert not node.node.requests and not node.node.balancer.requests
+            assert all(s.held == 0 for s in node.node.balancer.servers.values())
+
+    asyncio.run(play())
+
+
+EXTRA = {"a second copy": OK.replace(b"ok", b"no"), "noise": b"\x00\xff\r\n$-1\r\n"}
+
+
+@pytest.mark.parametrize("kind", EXTRA)
+@pytest.mark.parametrize("cls", ["view", "send"])
+@pytest.mark.parametrize("seen", [True, False])
+def test_what_comes_behind_an_answer_is_never_the_next_one_s(
+    cls: str, kind: str, seen: bool, tmp_path: Path
+) -> None:
+    async def play() -> None:
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            writer.write(OK.replace(b"ok", b"%d!" % len(server.heads)))
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request(cls, rid="r-1"))
+                assert await read_message(reader) == (await _head(b"2"), b"1!")
+                # Behind the answer, once it has been passed on: the loop sees it at once, or the next request
+                # finds it unread in the kernel.
+                (conn,) = node.node.servers.connections
+                if not seen:
+                    conn.transport.pause_reading()
+                server.writers[0].write(EXTRA[kind])
+                if seen:
+                    while conn in node.node.servers.connections:
+                        await asyncio.sleep(0)
+                writer.write(request(cls, rid="r-2"))
+                assert (await read_message(reader))[1] == b"2!"
+            assert server.accepted == 2
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+async def _head(length: bytes) -> bytes:
+    return b"HTTP/1.1 200 \r\ncontent-length: " + length + b"\r\n\r\n"
+
+
+def test_informational_answers_and_unreadable_reports_do_no_harm(tmp_path: Path) -> None:
+    async def play() -> None:
+        answer = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OK.replace(
+            b"\r\n\r\n", b"\r\nX-Backend-Load: TEXT q=\xff\xfe,,=1e999\r\n\r\n"
+        )
+        server = Backend("s-1", answer)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            for n in range(3):
+                assert b" 200 " in await node.ask(request(rid=f"r-{n}"))
+            assert server.accepted == 1
+
+    asyncio.run(play())
+
+
+def test_a_burst_opens_one_connection_each_and_leaves_nothing(tmp_path: Path) -> None:
+    """What is being opened counts once against the budget of descriptors."""
+
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            servers = node.node.servers
+            servers.limit = 30
+            asking = [asyncio.ensure_future(node.ask(request(rid=f"r-{n}"))) for n in range(30)]
+            await server.until(lambda: len(server.heads) == 30)
+            assert len(servers.connections) == 30 and not servers.opening
+            assert (await node.ask(request(rid="q-1"))).startswith(b"HTTP/1.1 503")
+            go.set()
+            assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
+            assert not node.node.requests and not node.node.balancer.requests
+
+    asyncio.run(play())
