Cross zones at once where this node's own queue makes that worth its price

A log of the module's view at each review showed it: near servers held 15 to 38 attempts of this node each, far ones 0 or 1, shedding at 0.4 to 0.6. Cause: the share that crosses follows smoothed answers and a list a second old, swings between 0 and 0.6 and lags each queue by seconds. Ruled out: CPU, descriptors, time in the node. Change: with no near server idle, _across compares how likely one more answer is late here and there, from this node's own count (known at once), with the price of a crossing.

--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -62,6 +62,12 @@
 LATE_MOST = 2.0
 # Crossing zones starts when near answers take this share of their aim, and this much more than far ones.
 SPILL_FROM, SPILL_MARGIN = 0.35, 0.1
+# A request crosses zones at once where that saves this part of the price in worth that would come late; under
+# one, as a request that stays delays the others there, too.
+CROSS_PART = 0.5
+# Part of the load that the list told of a server which is likely still there: it is a second old, and a queue
+# is worked off sooner.
+TOLD_PART = 0.25
 # Gains of that: per review, and at once.
 SPILL_SLOW, SPILL_FAST = 0.1, 0.7
 # Shedding starts when attempts lose this share of their worth, being late or turned away.
@@ -153,10 +159,11 @@
 class _Try:
     """One attempt; result None: still out."""
 
-    __slots__ = ("cell", "result", "sent", "server", "zone")
+    __slots__ = ("beside", "cell", "result", "sent", "server", "zone")
 
     def __init__(self, server: _Server, sent: int) -> None:
         self.server = server
+        self.beside = server.held  # this node's other attempts there when it was sent
         self.zone = server.zone
         self.cell = server.cell
         self.sent = sent
@@ -259,6 +266,8 @@
         self.base: list[float] = [0.0] * len(
             settings.classes
         )  # mean response time x size (x 1/cost hint), by class
+        # Mean response time x size / this node's attempts there: what one adds to the others, by class.
+        self.work: list[float] = [0.0] * len(settings.classes)
         self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
         self.ask_after = ASK_FIRST
         self.longest_aim = max(c.aim for c in settings.classes)
@@ -641,7 +650,11 @@
             if self.spill > 0.0 and self.random.random() < self.spill:
                 s = self._idle_of(self.far) or self._drawn_from(self.far_draw)
             if s is None:
-                s = self._idle_of(self.near) or self._drawn_from(self.near_draw)
+                s = self._idle_of(self.near)
+                if s is None:
+                    s = self._drawn_from(self.near_draw)
+                    if s is not None and s.held and self.far:
+                        s = self._across(request.cls, s)
             if s is None:
                 s = self._idle_of(self.far)
             if s is None:
@@ -650,6 +663,24 @@
                 return s
         return s
 
+    def _across(self, cls: int, near: _Server) -> _Server:
+        """A far server in place of a busy near one, where that is worth its price.
+
+        The share that crosses follows answers, and so lags by seconds behind a queue of this node's own. What
+        it holds itself it knows at once: how likely an answer is late follows from that.
+        """
+        far = self._idle_of(self.far) or self._drawn_from(self.far_draw)
+        if far is None:
+            return near
+        c = self.settings.classes[cls]
+        saved = c.worth * (1.0 - c.late_worth) * (self._late(cls, near) - self._late(cls, far))
+        return far if saved > CROSS_PART * self.settings.prices.crossing * self.worth_asked else near
+
+    def _late(self, cls: int, s: _Server) -> float:
+        """How likely one more request there is late, were response times exponential."""
+        mean = self.work[cls] * (1.0 + max(float(s.held), TOLD_PART * s.load)) / (s.size * s.warmth)
+        return exp(-self.settings.classes[cls].aim / mean) if mean > 0.0 else 0.0
+
     def _pick_within(self, request: _Request, scope: Scope) -> _Server | None:
         """A server of one cell or zone that has not been tried: keyed repeats are rare, so a scan is fine."""
         best: _Server | None = None
@@ -861,6 +892,9 @@
             s.silent = 0
             s.answered = self.now
             sample = event.rtt * s.size / (request.cost or 1)
+            work = event.rtt * s.size / (1.0 + request.tries[event.attempt].beside)
+            known = self.work[request.cls]
+            self.work[request.cls] = known + 0.02 * (work - known) if known > 0.0 else work
             base = self.base[request.cls]
             if base <= 0.0:
                 self.base[request.cls] = sample
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -61,6 +61,40 @@
     assert [sid for _, rid, sid in node.sent if rid >= 100].count(b"s0") >= 6
 
 
+def near_and_far(worth: float, price: float) -> Node:
+    """A node that knows its two near and two far servers, all of one size, and how long they take."""
+    classes = (api.RequestClass("w", api.Effect.SAFE, worth, 100 * MS, 3 * SECOND),)
+    settings = make_settings(
+        classes=classes,
+        zones=2,
+        kinds=1,
+        nodes=2,
+        weights=api.Weights.NOMINAL,
+        prices=api.Prices(crossing=price),
+    )
+    node = Node(settings, seed=3)
+    node.list(tuple(api.Server(b"s%d" % n, zone=n // 2) for n in range(4)))
+    steady(node, 200, 40 * MS, 30 * MS)
+    return node
+
+
+def test_a_queue_of_this_node_s_own_crosses_zones_at_once() -> None:
+    """The share that crosses follows answers; here none comes, and none may be waited for."""
+    node = near_and_far(worth=1.0, price=0.12)
+    for rid in range(1000, 1016):
+        node.ask(rid)
+    sent = Counter(sid for _, rid, sid in node.sent if rid >= 1000)
+    assert sent[b"s2"] + sent[b"s3"] >= 5
+    assert sent[b"s0"] + sent[b"s1"] >= 5
+
+
+def test_a_crossing_that_costs_more_than_it_saves_is_not_made() -> None:
+    node = near_and_far(worth=1.0, price=5.0)
+    for rid in range(1000, 1016):
+        node.ask(rid)
+    assert not any(sid in (b"s2", b"s3") for _, rid, sid in node.sent if rid >= 1000)
+
+
 def test_within_a_class_the_choice_is_uniform() -> None:
     node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL), seed=5)
     node.list(servers([1.0] * 5))
