Weigh failures for what they say: no load, chance first, and only what is new on trial

The module's view at each review showed three to five of ten servers paused at a time while 12 percent of all attempts broke, from every server alike, and 23 percent of requests shed. Causes in brain.py: two failures in a row passed FAIL_LIMIT; what was still out when a server was paused paused it again, doubled, as it was on trial; good answers did not end a pause; broken connections counted as worth lost to load in _learn, which steers shedding. Ruled out: the age of kept connections (breaks come at every age, on new ones too), late hits of the drain. Change: FAIL_WEIGHT 0.2; on trial only what was sent since counts; under FAIL_WELL an answer takes a server back; resets and failed connects leave the share that is shed alone.

--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -36,7 +36,9 @@
 # First pause after a server failed, doubled up to the longest.
 PAUSE_FIRST, PAUSE_MOST = SECOND, 8 * SECOND
 # A failure's weight in the running share of failures, and the share at which a server is paused.
-FAIL_WEIGHT, FAIL_LIMIT = 0.3, 0.45
+FAIL_WEIGHT, FAIL_LIMIT = 0.2, 0.45
+# Under this share a paused server that answers is taken back at once.
+FAIL_WELL = 0.3
 # Resends per request on average, and the most that may be saved up.
 RESEND_BUDGET, RESEND_SAVED = 0.5, 50.0
 # First pause before the list is asked for again, doubled up to half of what the rules allow.
@@ -875,9 +877,11 @@
         late = event.rtt / self.settings.classes[request.cls].aim
         late = LATE_MOST if result == Result.REJECTED or late > LATE_MOST else late
         cls = self.settings.classes[request.cls]
-        lost = 1.0 if result != Result.OK else 1.0 - cls.late_worth if late > 1.0 else 0.0
-        self.worth_lost += 0.02 * (cls.worth * lost - self.worth_lost)
-        self.worth_asked += 0.02 * (cls.worth - self.worth_asked)
+        # A connection that broke says nothing of load, and shedding would not mend it.
+        if result != Result.RESET and result != Result.CONNECT_FAILED:
+            lost = 1.0 if result != Result.OK else 1.0 - cls.late_worth if late > 1.0 else 0.0
+            self.worth_lost += 0.02 * (cls.worth * lost - self.worth_lost)
+            self.worth_asked += 0.02 * (cls.worth - self.worth_asked)
         self.missing = self.worth_lost / self.worth_asked if self.worth_asked > 0.0 else 0.0
         if s.zone == self.settings.zone:
             self.near_late += 0.02 * (late - self.near_late)
@@ -887,8 +891,14 @@
             self.failing *= 0.99
             self.done[request.cls] += 1.0
             s.fails *= 1.0 - FAIL_WEIGHT
-            s.pause = PAUSE_FIRST
-            s.trial = False
+            if s.fails < FAIL_WELL:
+                # Answers to what was out when it was paused show that it is well: it failed by chance.
+                s.pause = PAUSE_FIRST
+                s.trial = False
+                s.paused_until = min(s.paused_until, self.now)
+            elif s.paused_until <= self.now:
+                s.pause = PAUSE_FIRST
+                s.trial = False
             s.silent = 0
             s.answered = self.now
             sample = event.rtt * s.size / (request.cost or 1)
@@ -926,10 +936,11 @@
                 return
         self.failing += 0.01 * (1.0 - self.failing)
         s.fails += FAIL_WEIGHT * (1.0 - s.fails)
+        # On trial only what was sent since counts: what was out when it was paused says nothing new.
         if (
-            s.trial
+            (s.trial and request.tries[event.attempt].sent >= s.paused_until)
             or s.silent >= SILENT_LIMIT
-            or (s.fails >= FAIL_LIMIT and s.fails > FAIL_EXCESS * self.failing)
+            or (not s.trial and s.fails >= FAIL_LIMIT and s.fails > FAIL_EXCESS * self.failing)
         ):
             s.paused_until = self.now + s.pause
             s.pause = min(2 * s.pause, PAUSE_MOST)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -95,6 +95,30 @@
     assert not any(sid in (b"s2", b"s3") for _, rid, sid in node.sent if rid >= 1000)
 
 
+def test_a_few_failures_of_any_server_pause_none_and_steady_ones_do() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL))
+    node.list(servers([1.0] * 4))
+    for rid in range(80):
+        node.ask(rid)
+    node.run_to(node.now + 10 * MS)
+    server = node.balancer.servers[b"s0"]
+    on_it = [rid for _, rid, sid in node.sent if sid == b"s0"]
+    for rid in on_it[:2]:
+        node.answer(rid, 0, api.Result.RESET)
+    assert not server.paused_until
+    for rid in on_it[2:4]:
+        node.answer(rid, 0, api.Result.ERROR)
+    until = server.paused_until
+    assert until > node.now
+    # What was out already says nothing new when it fails, and takes the server back when it is answered.
+    node.run_to(node.now + 10 * MS)
+    node.answer(on_it[4], 0, api.Result.ERROR)
+    assert server.paused_until == until
+    for rid in on_it[5:10]:
+        node.answer(rid, 0)
+    assert server.paused_until <= node.now
+
+
 def test_within_a_class_the_choice_is_uniform() -> None:
     node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL), seed=5)
     node.list(servers([1.0] * 5))
