Clients' connections rest 2 s; kept connections to servers stay as they were

Change: a connection on which no request is open is closed after 2 s, the soonest allowed. The module goes on choosing.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -34,7 +34,7 @@
 # request of 64 KiB or rests between two requests (it then sends on a new connection).
 SILENT_LIMIT = 2.0  # connected, no byte yet
 UNFINISHED_LIMIT = 2.0  # from a request's first byte to its last
-IDLE_LIMIT = 4.0  # from an answer to the next request
+IDLE_LIMIT = 2.0  # from an answer to the next request
 WRITING_LIMIT = 3.0  # nothing read of an answer
 SWEEP = 0.25
 # Whoever has said nothing, or only half a request, for this long is taken for one of a crowd when room is
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -62,8 +62,8 @@
     """One attempt at a request. Ends exactly once, with a result."""
 
     __slots__ = (
-        "backend", "conn", "connecting", "deadline", "listener", "message", "number", "owner", "repeatable",
-        "report", "result", "sent", "server", "streamed", "timer", "written",
+        "backend", "conn", "connecting", "deadline", "listener", "message", "number", "owner",
+        "repeatable", "report", "result", "sent", "server", "streamed", "timer", "written",
     )  # fmt: skip
 
     def __init__(
