Serve clients on the connections they have for as long as a drain has time

The node's log: drained 0.6 s after SIGTERM, with most of its time unused; __main__.py ended all kept connections at 0.55 s, answers said close from the start. Ruled out: start-up (0.1 s). Change: health says not ready at once; the listener closes as before; kept connections are served until 1.2 s before the node must end, then closed, and what is out is answered.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -22,6 +22,10 @@
 ACCEPT_ON = 0.55
 # SIGKILL comes 0.7 s after the longest deadline, which counts as 3 s at most here; all is answered before.
 LONGEST_DEADLINE, KILL_MARGIN = 3.0, 0.3
+# The time that is kept free at the end for what is then still out. Until then clients are served on the
+# connections that they have: they use these as long as they are open, and where nodes are restarted one after
+# another the next one may not be there yet.
+ANSWER_ROOM = 1.2
 # Descriptors for the loop, the log, the listener and discovery, and for what one turn accepts before others
 # are dropped, and those then closed one turn later.
 RESERVED = 24 + 3 * ACCEPT_BATCH
@@ -102,17 +106,21 @@
     clients.ready = True
 
 
-async def drain(clients: Clients, node: Node) -> None:
-    """Answer all that comes while connections still come, then what is left; end well before the kill."""
+async def drain(
+    clients: Clients, node: Node, accept_on: float = ACCEPT_ON, answer_room: float = ANSWER_ROOM
+) -> None:
+    """Answer all that comes while there is time, then what is left; end well before the kill."""
     loop = asyncio.get_running_loop()
     began = loop.time()
     longest = max(c.deadline for c in node.settings.classes) / SECOND
     latest = began + min(longest, LONGEST_DEADLINE) + 0.7 - KILL_MARGIN
     log.info("draining: %d requests open, %d connections", node.owed, len(clients.connections))
     clients.draining = True
-    await asyncio.sleep(ACCEPT_ON)
+    await asyncio.sleep(accept_on)
     clients.stop_listening()
-    clients.close_idle()
+    while clients.connections and loop.time() < latest - answer_room:
+        await asyncio.sleep(0.02)
+    clients.closing = True
     while clients.connections and loop.time() < latest - 0.1:
         clients.close_idle()
         await asyncio.sleep(0.02)
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -361,7 +361,7 @@
         self._finished()
 
     def _ending(self, headers: Headers) -> Headers:
-        return [*headers, (b"connection", b"close")] if self.clients.draining else headers
+        return [*headers, (b"connection", b"close")] if self.clients.closing else headers
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer what is no request, or none that the node can take, and close."""
@@ -488,7 +488,8 @@
             "idle": IDLE_LIMIT,
             "writing": WRITING_LIMIT,
         }
-        self.draining = False
+        self.draining = False  # it takes no more clients on
+        self.closing = False  # answers end their connections
         self.ready = False
         self.server: asyncio.Server | None = None
         self.sweeper: asyncio.TimerHandle | None = None
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,69 @@
+"""SIGTERM: clients are served on the connections that they have while there is time, then all is closed."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from elderscale.__main__ import drain
+
+from .loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+
+READY = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def test_kept_connections_are_served_while_the_node_drains(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            node.clients.ready = True
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request(rid="r-1"))
+                await read_message(reader)
+                draining = asyncio.ensure_future(drain(node.clients, node.node, accept_on=0.0))
+                while node.clients.server is not None and node.clients.server.is_serving():
+                    await asyncio.sleep(0)
+                writer.write(READY)
+                assert b" 503 " in (await read_message(reader))[0]
+                for n in range(2, 5):
+                    writer.write(request(rid=f"r-{n}"))
+                    head, _ = await read_message(reader)
+                    assert b" 200 " in head and b"close" not in head
+                with pytest.raises(ConnectionRefusedError):
+                    await node.connect()
+                writer.transport.abort()
+                await draining
+
+    asyncio.run(play())
+
+
+def test_the_end_of_a_drain_answers_what_is_out_and_closes_the_rest(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            idle, idle_writer = await node.connect()
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request())
+                await server.until(lambda: len(server.heads) == 1)
+                draining = asyncio.ensure_future(
+                    drain(node.clients, node.node, accept_on=0.0, answer_room=10.0)
+                )
+                assert await idle.read() == b""
+                idle_writer.close()
+                go.set()
+                head, _ = await read_message(reader)
+                assert b" 200 " in head and b"connection: close" in head
+                assert await reader.read() == b""
+                writer.close()
+                await draining
+
+    asyncio.run(play())
