--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -25,10 +25,13 @@
 # An answer that waits for nothing takes no longer than this, and an overdue one no longer beyond its wait.
 CALL_LIMIT = 3.0
 OVERDUE = 0.7
+# Pause after an answer that came before its wait was over and brought nothing: a discovery that does not wait
+# would else be asked as fast as it answers. A watch goes on if the next call comes within 200 ms.
+NOTHING_NEW_PAUSE = 0.05
 # Pause before the next call after a failure, doubled up to the longest.
 BACKOFF_FIRST, BACKOFF_MOST = 0.05, 1.0
-# A list of a large fleet takes about 150 bytes a server.
-MAX_LIST = 16 << 20
+# A list takes about 150 bytes a server, and many times that while it is read.
+MAX_LIST = 2 << 20
 
 
 class CallFailed(Exception):
@@ -109,7 +112,11 @@
                 if self.version < 0:
                     await self._call("/registry/instances", CALL_LIMIT)
                 else:
+                    version, began = self.version, asyncio.get_running_loop().time()
                     await self._call(self._watch_path(WATCH_MS), WATCH_MS / 1000 + OVERDUE)
+                    early = asyncio.get_running_loop().time() - began < WATCH_MS / 2000
+                    if self.version == version and early:
+                        await asyncio.sleep(NOTHING_NEW_PAUSE)
                 pause = BACKOFF_FIRST
             except CallFailed as error:
                 log.info("discovery: %s", error)
@@ -154,16 +161,18 @@
                         streams = await asyncio.open_connection(*address, limit=READ_SIZE)
                     body, kept = await _get(streams, address[0], path)
                 listing = self.names.listing(json.loads(body))
-            except (OSError, TimeoutError, ValueError, RecursionError, h11.RemoteProtocolError) as error:
+            except Exception as error:
+                # Whatever discovery says wrong, in framing, JSON or content, fails this call and no more: the
+                # watch goes on, the list that is held stays. It could hide a fault of ours, hence the log.
                 raise CallFailed(f"{path}: {type(error).__name__} {error}") from None
             if address != self.address:
                 raise CallFailed(f"{path}: an answer of the discovery that was left")
+            self._take(listing)
             if kept and shared:
                 self._streams, streams = streams, None
         finally:
             if streams is not None:
                 streams[1].transport.abort()
-        self._take(listing)
 
     def _take(self, listing: Listing) -> None:
         self.version = listing.servers.version
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,81 @@
+"""A discovery that says nonsense or does not wait: the list that is held stays, and the watch goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from elderscale.discovery import NOTHING_NEW_PAUSE
+
+from .loopback import Backend, Registry, read_message, request, running
+
+
+class Scripted(Registry):
+    """Gives its list once, then what the script holds, then its list again."""
+
+    def __init__(self, *script: bytes) -> None:
+        super().__init__()
+        self.script = list(script)
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await read_message(reader)
+            self.calls += 1
+            self.note()
+            body = json.dumps({"version": self.version, "full": True, "servers": self.lines}).encode()
+            answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            if self.calls > 1 and self.script:
+                answer = self.script.pop(0)
+            writer.write(answer)
+
+
+def answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+NONSENSE = {
+    "noise": b"\x00\xff\r\n\r\n",
+    "two lengths": b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n{}",
+    "no JSON": answer(b'{"version":'),
+    "no list": answer(b"[]"),
+    "deep": answer(b"[" * 100_000),
+    "a state nobody knows": answer(
+        b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"127.0.0.1:1","state":"LOST"}]}'
+    ),
+    "no address": answer(b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"x","state":"SERVING"}]}'),
+    "senseless numbers": answer(
+        b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"127.0.0.1:1","state":"SERVING",'
+        b'"weight":NaN,"cell":1e999}]}'
+    ),
+    "a list as zone": answer(
+        b'{"version":9,"full":true,"servers":[{"id":"s-9","addr":"127.0.0.1:1","state":"SERVING","zone":[]}]}'
+    ),
+    "an error": b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("kind", NONSENSE)
+def test_nonsense_changes_nothing_and_the_watch_goes_on(kind: str, tmp_path: Path) -> None:
+    async def play() -> None:
+        registry, server = Scripted(NONSENSE[kind]), Backend("s-1")
+        async with running(tmp_path / "c.json", registry, server) as node:
+            await registry.until(lambda: registry.calls >= 3)
+            assert list(node.node.balancer.servers) == ["s-1"]
+            assert b" 200 " in await node.ask(request())
+
+    asyncio.run(play())
+
+
+def test_a_discovery_that_does_not_wait_is_not_asked_without_a_pause(tmp_path: Path) -> None:
+    async def play() -> None:
+        registry = Scripted()
+        async with running(tmp_path / "c.json", registry, Backend("s-1")):
+            loop = asyncio.get_running_loop()
+            seen, began = registry.calls, loop.time()
+            await registry.until(lambda: registry.calls >= seen + 4)
+            assert loop.time() - began >= 2 * NOTHING_NEW_PAUSE
+
+    asyncio.run(play())
