Thin out resting client connections before they fill the clients' share

Change: while resting and working connections exceed a quarter of the descriptors, those that rested longest, 0.1 s at least, are closed.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -35,11 +35,14 @@
 SILENT_LIMIT = 2.0  # connected, no byte yet
 UNFINISHED_LIMIT = 2.0  # from a request's first byte to its last
 IDLE_LIMIT = 2.0  # from an answer to the next request
+THIN_LIMIT = 0.1  # the same, while clients hold more connections than their share
 WRITING_LIMIT = 3.0  # nothing read of an answer
 SWEEP = 0.25
 # Whoever has said nothing, or only half a request, for this long is taken for one of a crowd when room is
 # short: a client that wants something sends it as soon as it is connected.
 SUSPECT = 0.25
+# The part of the descriptors (one in so many) up to which client connections are kept between requests.
+KEPT_PART = 4
 # How long a connection that is closed in order goes on reading, and how much: with unread bytes a close is a
 # reset, and that could destroy the answer on its way. Who sends for ever is not read for ever.
 LINGER = 1.0
@@ -444,10 +447,20 @@
             return
         self.http.start_next_cycle()
         self.clients.move(self, self.clients.idle)
+        self.clients.thin_out()
         self.ahead = 0
         self.read_on(True)
         self._events()
 
+    def rest_over(self) -> None:
+        """Close a connection on which nothing is under way, unless a request has just come.
+
+        After a pause of the process requests may wait in the kernel on connections that seem to rest: closing
+        those would lose what has been taken. What is still on its way is sent again by its client.
+        """
+        if not self.transport.is_closing() and not self.unread():
+            self.linger()
+
     def linger(self) -> None:
         """Close in order: an end of sending now, the close when the client has closed or had its time."""
         if self.lingering is not None or self.transport.is_closing():
@@ -470,6 +483,8 @@
         self.config = config
         self.node = node
         self.limit = limit
+        # Clients may hold a third of the descriptors; what rests or works here leaves them some for more.
+        self.share = config.sockets // KEPT_PART
         self.host = config.listen[0].encode()
         self.loop = asyncio.get_running_loop()
         self.budget = BodyBudget(config.body_budget)
@@ -486,6 +501,7 @@
             "silent": SILENT_LIMIT,
             "unfinished": UNFINISHED_LIMIT,
             "idle": IDLE_LIMIT,
+            "thin": THIN_LIMIT,
             "writing": WRITING_LIMIT,
         }
         self.draining = False  # it takes no more clients on
@@ -547,7 +563,23 @@
                 break
         # A kept connection may be closed between requests: its client sends on a new one. The new one itself
         # is silent, so there is always one.
-        return next(c for group in (self.idle, self.silent) for c in group)
+        for conn in self.idle:
+            if not conn.unread():
+                return conn
+        return next(c for group in (self.silent, self.idle) for c in group)
+
+    def thin_out(self) -> None:
+        """Close the connections that have rested longest while clients hold more than their share.
+
+        Clients that ask once and stay would else hold all that clients may have, and the next request would
+        find no connection. The one that rested longest is likeliest to be one of them; where clients do come
+        back to it, they send on a new one, which costs them a round trip.
+        """
+        excess = len(self.idle) + self.node.owed - self.share
+        if excess > 0:
+            rested = self.loop.time() - self.limits["thin"]
+            for conn in self._overdue(self.idle, rested)[:excess]:
+                conn.rest_over()
 
     def dropped(self, conn: ClientConnection) -> None:
         """A connection is gone, or as good as gone."""
@@ -561,9 +593,9 @@
         for conn in self._overdue(self.unfinished, now - self.limits["unfinished"]):
             conn.give_up()
         for conn in self._overdue(self.silent, now - self.limits["silent"]):
-            conn.linger()
+            conn.rest_over()
         for conn in self._overdue(self.idle, now - self.limits["idle"]):
-            conn.linger()
+            conn.rest_over()
         for conn in self._overdue(self.writing, now - self.limits["writing"]):
             conn.transport.abort()
 
@@ -575,7 +607,7 @@
         """Close all that have nothing under way."""
         for group in (self.idle, self.silent):
             for conn in list(group):
-                conn.linger()
+                conn.rest_over()
 
     def stop_listening(self) -> None:
         """Accept no more."""
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
+import termios
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import cast
@@ -107,6 +109,11 @@
     def resume_writing(self) -> None:
         self.unsent = False
 
+    def unread(self) -> bool:
+        """Whether the kernel holds bytes of the peer that the loop has not come to yet."""
+        sock = self.transport.get_extra_info("socket")
+        return any(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
+
     def read_on(self, reading: bool) -> None:
         """Read from the socket, or leave to the kernel (and so to the sender) what comes."""
         if reading == self.reading or self.transport.is_closing():
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import logging
 import socket
-import termios
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -184,7 +182,7 @@
             return False
         # Nothing has been asked in full: bytes that wait to be read belong to no request, and would be taken
         # for the answer to the next one.
-        return not any(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
+        return not self.unread()
 
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -147,6 +147,49 @@
     asyncio.run(play())
 
 
+def test_those_who_ask_once_and_stay_leave_room_for_the_next(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            node.clients.limits["thin"] = 0.0
+            stay = []
+            async with asyncio.timeout(LIMIT):
+                for n in range(100):
+                    reader, writer = await node.connect()
+                    stay.append((reader, writer))
+                    writer.write(request(rid=f"r-{n}"))
+                    assert b" 200 " in (await read_message(reader))[0]
+                assert await stay[0][0].read() == b""  # who has rested longest is closed
+                writer.write(request(rid="r-last"))  # who came last is kept
+                assert b" 200 " in (await read_message(reader))[0]
+            assert len(node.clients.idle) <= 256 // 4
+            for _, writer in stay:
+                writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_request_that_waits_unread_keeps_its_connection_open(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request(rid="r-1"))
+                await read_message(reader)
+                while not node.clients.idle:
+                    await asyncio.sleep(0)
+                (conn,) = node.clients.idle
+                conn.transport.pause_reading()
+                writer.write(request(rid="r-2"))
+                while not conn.unread():
+                    await asyncio.sleep(0)
+                node.clients.close_idle()  # as at the end of a drain, or after too long a rest
+                conn.transport.resume_reading()
+                assert b" 200 " in (await read_message(reader))[0]
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
 def test_a_third_of_256_descriptors_may_wait_for_answers_at_once(tmp_path: Path) -> None:
     async def play() -> None:
         go = asyncio.Event()
