Pass on whole answers longer than 64 KiB, within a budget of their own

Ruled out: answers that stand still (295), requests turned away with 413 (none). Change: an answer that tells its length may hold up to 2 MiB if the budget of long answers, as large as that of request bodies, has room; the room is reserved at its head and given back at its end. 3 GB ones still end at their head.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -34,7 +34,7 @@
 def assemble(config: Config) -> tuple[Clients, Node, Discovery]:
     """The parts of a node, put together but not yet started."""
     spare = config.sockets - RESERVED
-    servers = Servers(config.settings, config.names, limit=spare * 4 // 9)
+    servers = Servers(config.settings, config.names, limit=spare * 4 // 9, answer_budget=config.body_budget)
     node = Node(config.settings, config.seed, servers)
     clients = Clients(config, node, limit=spare * 5 // 9)
     known = config.known
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -16,8 +16,11 @@
 
 # The longest head of a message; longer ones are answered 431, or count as a break where a server sent them.
 MAX_HEAD = 16 << 10
-# The longest body of a message, either way. Everything up to it is held until it is whole.
+# The longest body of a request. Everything is held until it is whole.
 MAX_BODY = 64 << 10
+# The longest body of an answer that is told its length: the page says 64 KiB, servers were seen to send some
+# hundred; beyond the page's size each takes its room from a budget that all share.
+MAX_ANSWER = 2 << 20
 # Bodies up to this size need no room of the body budget.
 SMALL_BODY = 8 << 10
 # One read, and so the most that one connection adds to a buffer before its reading is paused.
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -15,7 +15,7 @@
 from lynxrouter import interface as api
 
 from .config import MS, SECOND, Listing, Names
-from .messages import MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
+from .messages import MAX_ANSWER, MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
 
 if TYPE_CHECKING:
     from .node import Client
@@ -38,8 +38,8 @@
 # that stands still is spoilt: a head without end, a length that does not fit. The longer leaves room for a
 # lost packet to be sent again, as taking a good answer for spoilt costs more where it must not be repeated.
 ANSWER_LIMIT, ANSWER_LIMIT_SAFE = 0.25, 0.05
-# The most that one answer can bring in all, with informational answers ahead, framing and trailers.
-ANSWER_BYTES = MAX_BODY + 4 * MAX_HEAD
+# The most that one answer can bring beside its body: informational answers ahead, framing and trailers.
+ANSWER_BESIDE = MAX_BODY + 4 * MAX_HEAD
 # A stream that brings nothing for this long is taken for left unfinished.
 STREAM_STALL = 8.0
 PROBE_TIME = SECOND
@@ -119,6 +119,7 @@
             self.connecting.cancel()
         if self.conn is not None:
             self.conn.attempt = None
+            self.conn.release()
             self.conn.close()
             self.conn = None
         if self.backend is not None:
@@ -152,6 +153,7 @@
         self.pieces: list[bytes] = []
         self.timer: asyncio.TimerHandle | None = None
         self.taken = 0  # bytes of the present answer
+        self.reserved = 0  # room that the budget of long answers holds for it
         self.answered = 0.0  # when the last answer ended
         self.lost = False
 
@@ -287,7 +289,7 @@
         if not self.taken:
             self.after(ANSWER_LIMIT_SAFE if self.attempt.repeatable else ANSWER_LIMIT, self._broke)
         self.taken += len(data)
-        if self.taken > ANSWER_BYTES and not self.attempt.streamed:
+        if self.taken > ANSWER_BESIDE + self.reserved and not self.attempt.streamed:
             self._broke()
             return
         self.http.receive_data(data)
@@ -340,10 +342,10 @@
         if not attempt.written:
             # Nothing was asked in full yet, so no server can have made this for it.
             raise h11.RemoteProtocolError("an answer before the request")
-        if not attempt.streamed and (chunked == (length is not None) or (length or 0) > MAX_BODY):
+        if not attempt.streamed and (chunked == (length is not None) or not self._room(length or 0)):
             # The one check of an answer's framing. Two lengths are read in two ways, none ends with the
             # connection, so that a broken one seems whole, and too long a one is no answer here. It would do
-            # harm to servers that end answers by closing, or whose bodies are longer than 64 KiB.
+            # harm to servers that end answers by closing, or whose bodies are longer than MAX_ANSWER.
             raise h11.RemoteProtocolError("no sound length")
         self.head = Answer(
             200, end_to_end(event.headers, (self.servers.load_header, b"x-unprocessed")), None, length
@@ -351,6 +353,21 @@
         if attempt.streamed:
             self._start(attempt)
 
+    def _room(self, length: int) -> bool:
+        """Reserve room for a body that is longer than most, before any of it is read."""
+        if length > MAX_BODY:
+            if length > MAX_ANSWER or self.servers.reserved + length > self.servers.answer_budget:
+                return False
+            self.reserved = length
+            self.servers.reserved += length
+            self.after(ANSWER_LIMIT, self._broke)
+        return True
+
+    def release(self) -> None:
+        """Give back what was reserved for the present answer."""
+        self.servers.reserved -= self.reserved
+        self.reserved = 0
+
     def _data(self, attempt: Attempt, data: bytes) -> None:
         if self.verdict is not None:
             return
@@ -360,7 +377,7 @@
         # Held until it is whole: what has been passed on in part can be neither tried again nor taken back.
         self.body.append(data)
         self.size += len(data)
-        if self.size > MAX_BODY:
+        if self.size > max(MAX_BODY, self.reserved):
             raise h11.RemoteProtocolError("the body is too long")
 
     def _start(self, attempt: Attempt) -> None:
@@ -397,6 +414,7 @@
         if self.head is not None and self.client is None:
             answer = Answer(200, self.head.headers, self.body)
         self.body = []
+        self.release()
         self.answered = self.servers.loop.time()
         self.attempt = attempt.conn = None
         if reusable:
@@ -419,8 +437,10 @@
 class Servers:
     """All servers that the lists named, and the connections to them."""
 
-    def __init__(self, settings: api.Settings, names: Names, limit: int) -> None:
+    def __init__(self, settings: api.Settings, names: Names, limit: int, answer_budget: int) -> None:
         self.settings = settings
+        self.answer_budget = answer_budget  # for answers longer than MAX_BODY, all together
+        self.reserved = 0
         self.names = names
         self.limit = limit
         self.load_header = b"x-backend-load"
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -91,6 +91,25 @@
     return b"HTTP/1.1 200 \r\ncontent-length: " + length + b"\r\n\r\n"
 
 
+def test_a_long_answer_is_passed_on_whole_and_its_room_given_back(tmp_path: Path) -> None:
+    """Longer than bodies should be, yet told and within the budget, which the next one needs as well."""
+
+    async def play() -> None:
+        body = bytes(range(256)) * 6000
+        server = Backend("s-1", HEAD + b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            node.node.servers.answer_budget = len(body) + 1000
+            for cls, rid in (("view", "r-1"), ("send", "r-2"), ("book", "r-3")):
+                head = await node.ask(request(cls, rid=rid))
+                assert b" 200 " in head and head.endswith(b"\r\n\r\n" + body)
+            assert node.node.servers.reserved == 0
+            node.node.servers.answer_budget = len(body) - 1
+            assert (await node.ask(request("send", rid="r-4"))).startswith(b"HTTP/1.1 502")
+            assert node.node.servers.reserved == 0
+
+    asyncio.run(play())
+
+
 def test_informational_answers_and_unreadable_reports_do_no_harm(tmp_path: Path) -> None:
     async def play() -> None:
         answer = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + OK.replace(
