Take in who waits, tell the node's own lateness from the servers', say no early, and make a request cheap

Turns of the loop then take 35 to 50 ms and accept 8 connections each, 240 a second, while more come: they and their requests wait 1 to 2 s in the kernel. 205 of 240 accepted had been left by their clients (Cancel 150 to 309 a second), each of them cost an attempt and tore a server connection down, so that new ones were opened, up to 246 a second of which failed: a connect takes four turns of the loop, and 100 ms is all it has. At fault: ACCEPT_BATCH as asyncio's backlog (listen), the request's clock begun at its reading (_whole, submit), wait for create_connection under the connect timeout (_connect), rtt with the loop's lag in it (ended), and 0.60 ms a request (0.24 ms a refusal) in h11, header lists and timers. Change: accept as far as there is room; TCP_INFO tells how old a request is and whether its client is still there; the module is told and refuses, by worth and with Retry-After, in proportion to the lag, and what has no time left; lag is taken off response times; connects are judged by the kernel's state.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -16,7 +16,20 @@
 from lynxrouter.interface import Effect
 
 from .config import MS, SECOND, Config, Names
-from .messages import MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Headers, Message, Peer, end_to_end
+from .messages import (
+    MAX_BODY,
+    MAX_HEAD,
+    SMALL_BODY,
+    Answer,
+    Headers,
+    Message,
+    Peer,
+    end_to_end,
+    head,
+    not_passed_on,
+    pairs,
+    tcp_socket,
+)
 
 if TYPE_CHECKING:
     from .node import Node
@@ -24,8 +37,11 @@
 
 log = logging.getLogger("elderscale")
 
-# Connections that are accepted in one turn of the loop, before the budget can make room for them.
+# Connections that are accepted at once beyond those that there is room for, before others are dropped for
+# them.
 ACCEPT_BATCH = 8
+# The pause after an accept that failed for want of something.
+ACCEPT_PAUSE = 0.1
 # The kernel's queue of connections not yet accepted: a crowd waits there and is not turned away.
 BACKLOG = 4096
 # One deadline for each phase of a connection, in seconds and from the phase's beginning, so that neither
@@ -54,14 +70,17 @@
 LONGEST_WAIT_MS = 86_400_000
 
 # Not passed on: they are for the node alone, or it words them anew.
-_FOR_NODE = (
-    b"x-account",
-    b"x-session-key",
-    b"x-time-left-ms",
-    b"x-repeat",
-    b"x-weight-hint",
-    b"x-facts",
+_FOR_NODE = not_passed_on(
+    (
+        b"x-account",
+        b"x-session-key",
+        b"x-time-left-ms",
+        b"x-repeat",
+        b"x-weight-hint",
+        b"x-facts",
+    )
 )
+_FIRST_LINE = {status: b"HTTP/1.1 %d " % status for status in (200, 502, 503, 504)}
 
 
 # Headers that decide what a request is and where it ends: more than one of a kind is ambiguous.
@@ -77,7 +96,9 @@
     return names.classes.get(path[1:].split(b"/", 1)[0].decode("latin-1")) if path[:1] == b"/" else None
 
 
-def fault(event: h11.Request, config: Config) -> tuple[int, str] | None:
+def fault(
+    event: h11.Request, headers: Headers, given: dict[bytes, bytes], config: Config
+) -> tuple[int, str] | None:
     """What is wrong with a head that h11 could read: the one check of framing and form, or None.
 
     Whatever two readers could take for two different things is turned away here, before any of its body is
@@ -86,9 +107,7 @@
     wrongly. It would do harm to a client that sends both framings, repeats one of these headers, or uses a
     method that its class does not have; the protocol has no such client.
     """
-    headers = list(event.headers)
-    given = dict(headers)
-    if sum(len(name) + len(value) + 4 for name, value in headers) + len(event.target) > MAX_HEAD:
+    if sum([len(name) + len(value) + 4 for name, value in headers]) + len(event.target) > MAX_HEAD:
         return 431, "the head is too long"
     if len(given) != len(headers):
         names = [name for name, _ in headers]
@@ -188,12 +207,16 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
         self.group: OrderedDict[ClientConnection, float] | None = None
         self.request: h11.Request | None = None
+        self.headers: Headers = []
+        self.given: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
         self.size = 0
         self.large = False
         self.cls = 0
         self.time_left = 0
         self.rid = 0  # the request that the node works on, 0: none
+        self.last = False  # the connection ends with the present answer
+        self.fresh = False  # the loop has just read it
         self.busy = False  # from a request's last byte to its answer's
         self.ahead = 0  # bytes of the next request that came meanwhile
         self.source: Attempt | None = None  # where an answer comes from that is passed on
@@ -247,7 +270,9 @@
             if self.ahead > SMALL_BODY:
                 self.read_on(False)
             return
+        self.fresh = True
         self._events()
+        self.fresh = False
 
     def _events(self) -> None:
         try:
@@ -258,11 +283,11 @@
                         self._write(h11.InformationalResponse(status_code=100, headers=[]))
                     self._unfinished()
                     break
-                if isinstance(event, h11.Request):
+                if type(event) is h11.Request:
                     self._head(event)
-                elif isinstance(event, h11.Data):
+                elif type(event) is h11.Data:
                     self._data(bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
+                elif type(event) is h11.EndOfMessage:
                     self._whole()
                 else:  # paused or closed: nothing more can come on this connection
                     self.linger()
@@ -280,14 +305,16 @@
         self.request = event
         self.body = []
         self.size = 0
-        wrong = fault(event, config)
+        self.headers = pairs(event)
+        self.given = dict(self.headers)
+        wrong = fault(event, self.headers, self.given, config)
         if wrong is not None:
             self._reject(*wrong)
             return
         cls = class_of(event.target, config.names)
         if cls is not None:
             self.cls = cls
-            left = dict(event.headers).get(b"x-time-left-ms")
+            left = self.given.get(b"x-time-left-ms")
             self.time_left = config.settings.classes[cls].deadline if left is None else int(left) * MS
 
     def _data(self, data: bytes) -> None:
@@ -318,30 +345,37 @@
             well = path == b"/health/live" or (self.clients.ready and not self.clients.draining)
             self._respond(200 if well else 503, [], (b"ok\n" if well else b"not ready\n",))
             return
-        headers = end_to_end(event.headers, _FOR_NODE)
-        if not any(name == b"host" for name, _ in headers):
-            headers.append((b"host", self.clients.host))
-        message = Message(event.method, event.target, headers, self.body, self.size)
-        given = dict(event.headers)
+        open_yet, waited = self.waited()
+        if not open_yet:
+            # It has gone while its request waited to be read: what it asked would be work for nobody.
+            self.eof_received()
+            return
+        given = self.given
         if self.clients.ids.known(given[b"x-correlation-id"], self.clients.loop.time()):
             self._reject(409, "X-Correlation-Id: another request has it")
             return
         if self.clients.full:
             # Worded by the node itself: nothing was sent on for this request.
-            self.refuse(0)
+            self.refuse(self.clients.config.settings.max_retry_after)
             return
         hint = given.get(b"x-weight-hint", b"").strip()
         names = self.clients.config.names
+        headers = end_to_end(self.headers, _FOR_NODE)
+        if b"host" not in given:
+            headers.append((b"host", self.clients.host))
+        message = Message(event.method, event.target, headers, self.body, self.size)
         self.rid = -1
         rid = self.clients.node.submit(
             self,
             message,
             self.cls,
-            self.time_left,
+            self.time_left - waited * MS,
             tenant=names.tenants.get(given.get(b"x-account", b"").decode("latin-1"), 0),
             key=_key(given.get(b"x-session-key", b"")),
             cost=int(hint) * 1000 if hint.isdigit() and len(hint) < 10 else 0,
             repeat=given.get(b"x-repeat", b"").strip() == b"1",
+            # One that came behind another waited for that one's answer, not for the loop.
+            waited=waited * MS if self.fresh else 0,
         )
         if self.rid:  # not answered at once
             self.rid = rid
@@ -355,16 +389,18 @@
 
     def _respond(self, status: int, headers: Headers, body: tuple[bytes, ...] | list[bytes]) -> None:
         whole = b"".join(body)
-        headers = [*headers, (b"content-length", b"%d" % len(whole))]
-        self._write(
-            h11.Response(status_code=status, headers=self._ending(headers)),
-            h11.Data(data=whole),
-            h11.EndOfMessage(),
-        )
+        headers = self._ending([*headers, (b"content-length", b"%d" % len(whole))])
+        if self.request is not None and self.request.method == b"HEAD":
+            whole = b""
+        if not self.transport.is_closing():
+            self.transport.write(head(_FIRST_LINE[status], headers) + whole)
         self._finished()
 
     def _ending(self, headers: Headers) -> Headers:
-        return [*headers, (b"connection", b"close")] if self.clients.closing else headers
+        if self.clients.closing or self.http.their_state is not h11.DONE:
+            self.last = True
+            return [*headers, (b"connection", b"close")]
+        return headers
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer what is no request, or none that the node can take, and close."""
@@ -442,10 +478,14 @@
         if self.transport.is_closing() or not self.busy or self.lingering is not None:
             return
         self.busy = False
-        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+        if self.last or self.http.their_state is not h11.DONE:
             self.linger()
             return
-        self.http.start_next_cycle()
+        # A reader for each message, as answers are not written through it.
+        rest, _ = self.http.trailing_data
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD)
+        if rest:
+            self.http.receive_data(rest)
         self.clients.move(self, self.clients.idle)
         self.clients.thin_out()
         self.ahead = 0
@@ -507,25 +547,61 @@
         self.draining = False  # it takes no more clients on
         self.closing = False  # answers end their connections
         self.ready = False
-        self.server: asyncio.Server | None = None
+        self.listener: socket.socket | None = None
+        self.taking: set[asyncio.Task[None]] = set()  # accepted, and not yet among the connections
         self.sweeper: asyncio.TimerHandle | None = None
 
     async def listen(self, port: int | None = None) -> int:
         """Begin to accept, at the configured port if no other is given; the port."""
         host, configured = self.config.listen
         port = configured if port is None else port
-        sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+        sock = tcp_socket(host)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
-        # asyncio takes its backlog for the number that it accepts in one turn, too: with the kernel's, a
-        # crowd would use up the descriptors before a single connection could be dropped.
-        self.server = await self.loop.create_server(
-            lambda: ClientConnection(self), sock=sock, backlog=ACCEPT_BATCH
-        )
+        sock.setblocking(False)
         sock.listen(BACKLOG)
+        self.listener = sock
+        self._accept_on()
         self._sweep()
         return int(sock.getsockname()[1])
 
+    def _accept_on(self) -> None:
+        if self.listener is not None:
+            self.loop.add_reader(self.listener, self._accept)
+
+    def _accept(self) -> None:
+        """Accept all that waits, as far as there is room, and a few beyond it: these displace others.
+
+        What is left to the kernel's queue grows old there unseen: with a fixed number for each turn of the
+        loop, a busy node reads only what clients gave up a second ago, and stays busy with that. Accepting
+        ever all would let a crowd use up the descriptors before a single connection could be dropped.
+        """
+        if self.listener is None:
+            return
+        pending = len(self.taking)
+        for _ in range(max(ACCEPT_BATCH - pending, self.limit - len(self.connections) - pending)):
+            try:
+                sock, _ = self.listener.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except ConnectionError:  # it has gone again
+                continue
+            except OSError as error:
+                log.error("accept: %s", error)
+                self.loop.remove_reader(self.listener)
+                self.loop.call_later(ACCEPT_PAUSE, self._accept_on)
+                return
+            sock.setblocking(False)
+            task = self.loop.create_task(self._take(sock))
+            self.taking.add(task)
+            task.add_done_callback(self.taking.discard)
+
+    async def _take(self, sock: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock)
+        except OSError:  # it has gone again
+            sock.close()
+
     def move(self, conn: ClientConnection, group: OrderedDict[ClientConnection, float] | None) -> None:
         """Note what a connection is at, as of now."""
         if conn.group is not None:
@@ -611,8 +687,11 @@
 
     def stop_listening(self) -> None:
         """Accept no more."""
-        if self.server is not None:
-            self.server.close()
+        if self.listener is not None:
+            self._accept()  # what the kernel has taken for the node is the node's to answer
+            self.loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
 
     def close(self) -> None:
         """End the listener and all connections at once."""
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -5,11 +5,15 @@
 import asyncio
 import fcntl
 import logging
+import socket
+import sys
 import termios
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
+import h11
+
 log = logging.getLogger("elderscale")
 
 Headers = list[tuple[bytes, bytes]]
@@ -42,6 +46,12 @@
         b"content-length",
     )
 )
+# What Linux tells of a TCP connection (struct tcp_info): its state in the first byte, and the milliseconds
+# since the last bytes came, whether or not anybody has read them.
+TCP_ESTABLISHED = 1
+_SINCE_LAST = slice(52, 56)
+# The kernel's clock for that goes in steps of so many milliseconds, which are taken off.
+_COARSE = 4
 # All reads go here and are taken out before the next one: no connection holds a buffer of its own.
 _shared = memoryview(bytearray(READ_SIZE))
 
@@ -67,14 +77,38 @@
     length: int | None = None
 
 
-def end_to_end(headers: Iterable[tuple[bytes, bytes]], without: Iterable[bytes] = ()) -> Headers:
+def pairs(event: h11.Request | h11.Response) -> Headers:
+    """The headers of an event as a plain list, names in lower case: h11's own type is slow to go through."""
+    return [(name.lower(), value) for name, value in event.headers.raw_items()]
+
+
+def not_passed_on(names: Iterable[bytes] = ()) -> frozenset[bytes]:
+    """The names of headers that end here: those of the connection, and these."""
+    return _OWN.union(names)
+
+
+def end_to_end(headers: Headers, drop: Collection[bytes]) -> Headers:
     """The headers that belong to the message itself; names that Connection lists are left out too."""
-    pairs = list(headers)
-    drop = set(_OWN).union(without)
-    for name, value in pairs:
+    for name, value in headers:
         if name == b"connection":
-            drop.update(token.strip().lower() for token in value.split(b","))
-    return [(name, value) for name, value in pairs if name not in drop]
+            drop = {*drop, *(token.strip().lower() for token in value.split(b","))}
+    return [pair for pair in headers if pair[0] not in drop]
+
+
+def head(first: bytes, headers: Headers) -> bytes:
+    """A message's head. Its parts come from what h11 has read and checked, or are the node's own words: to
+    have h11 check and copy them once more on their way out would cost as much as reading them."""
+    return b"%s\r\n%s\r\n" % (first, b"".join([b"%s: %s\r\n" % pair for pair in headers]))
+
+
+def tcp_socket(host: str) -> socket.socket:
+    """A socket for this host.
+
+    With its protocol named: asyncio switches Nagle's delay off only then, and the last byte of a request,
+    sent by itself, would wait 40 ms for the peer's acknowledgement.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
 
 
 class Peer(asyncio.BufferedProtocol):
@@ -88,6 +122,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.sock: socket.socket = transport.get_extra_info("socket")
         # Told of every byte that the kernel did not take at once, and again when it has taken the last.
         self.transport.set_write_buffer_limits(high=0)
 
@@ -114,8 +149,16 @@
 
     def unread(self) -> bool:
         """Whether the kernel holds bytes of the peer that the loop has not come to yet."""
-        sock = self.transport.get_extra_info("socket")
-        return any(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
+        return any(fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(4)))
+
+    def waited(self) -> tuple[bool, int]:
+        """Whether the peer holds the connection open, and for how long (ms) its last bytes have been here.
+
+        The bytes may have waited here, before the accept or before the read, for as long as the loop was busy
+        with others: that time is the node's own, not the peer's. A close may wait behind them.
+        """
+        info = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _SINCE_LAST.stop)
+        return info[0] == TCP_ESTABLISHED, max(0, int.from_bytes(info[_SINCE_LAST], sys.byteorder) - _COARSE)
 
     def read_on(self, reading: bool) -> None:
         """Read from the socket, or leave to the kernel (and so to the sender) what comes."""
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -121,6 +121,7 @@
         key: int = 0,
         cost: int = 0,
         repeat: bool = False,
+        waited: int = 0,
     ) -> int:
         """A whole request has come; its number."""
         rid = self._next_id
@@ -130,7 +131,7 @@
         self.requests[rid] = request
         self.owed += 1
         request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
-        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat))
+        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited))
         return rid
 
     def gone(self, rid: int) -> None:
@@ -320,7 +321,7 @@
                 attempt.number,
                 attempt.server,
                 result,
-                time.monotonic_ns() - attempt.sent,
+                max(0, time.monotonic_ns() - attempt.sent - attempt.lag),
                 request.done,
                 attempt.report,
             )
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -8,6 +8,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from itertools import takewhile
 from typing import TYPE_CHECKING, Any, Protocol
 
 import h11
@@ -15,7 +16,21 @@
 from lynxrouter import interface as api
 
 from .config import MS, SECOND, Listing, Names
-from .messages import MAX_ANSWER, MAX_BODY, MAX_HEAD, SMALL_BODY, Answer, Message, Peer, end_to_end
+from .messages import (
+    MAX_ANSWER,
+    MAX_BODY,
+    MAX_HEAD,
+    SMALL_BODY,
+    TCP_ESTABLISHED,
+    Answer,
+    Message,
+    Peer,
+    end_to_end,
+    head,
+    not_passed_on,
+    pairs,
+    tcp_socket,
+)
 
 if TYPE_CHECKING:
     from .node import Client
@@ -32,6 +47,7 @@
 HOLD_LAST_BYTE = 0.003
 # Part of the idle limit after which the node closes a connection itself: the rest is for clocks and the wire.
 IDLE_PART = 0.8
+SWEEP = 0.25  # how often that is looked for
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
 GRACE_PART = 0.75
 # From an answer's first byte to its last. Bodies hold 64 KiB at most and come in one piece, so that an answer
@@ -43,7 +59,11 @@
 # A stream that brings nothing for this long is taken for left unfinished.
 STREAM_STALL = 8.0
 PROBE_TIME = SECOND
-TCP_ESTABLISHED = 1
+
+
+# What a reader of one answer must know of the request, which is not written through it: answers to GET and to
+# POST end alike.
+_ASKED = h11.Request(method=b"GET", target=b"/", headers=[(b"host", b"server")])
 
 
 class Listener(Protocol):
@@ -60,7 +80,7 @@
     """One attempt at a request. Ends exactly once, with a result."""
 
     __slots__ = (
-        "backend", "conn", "connecting", "deadline", "listener", "message", "number", "owner",
+        "backend", "conn", "connecting", "deadline", "lag", "listener", "message", "number", "owner",
         "repeatable", "report", "result", "sent", "server", "streamed", "timer", "written",
     )  # fmt: skip
 
@@ -84,6 +104,7 @@
         self.owner = owner
         self.number = number
         self.sent = time.monotonic_ns()
+        self.lag = 0  # for how long (ns) the answer's end was here before the node came to read it
         self.written = False  # the kernel has taken the last byte: from here on it may have run
         self.result: api.Result | None = None
         self.report: tuple[float, ...] = ()
@@ -130,7 +151,7 @@
 class _Backend:
     """A server of the list."""
 
-    __slots__ = ("address", "draining", "id", "idle", "unsent")
+    __slots__ = ("address", "draining", "id", "idle", "told", "unsent")
 
     def __init__(self, server: api.ServerId, address: tuple[str, int]) -> None:
         self.id = server
@@ -138,6 +159,13 @@
         self.draining: asyncio.TimerHandle | None = None
         self.idle: list[ServerConnection] = []  # the last one rested shortest and is taken first
         self.unsent: set[Attempt] = set()
+        self.told: tuple[bytes, tuple[float, ...]] = (b"", ())
+
+    def load_report(self, text: bytes, names: Names) -> tuple[float, ...]:
+        """The values of its load report, which it renews less often than it answers."""
+        if text != self.told[0]:
+            self.told = (text, names.load_report(text.decode("latin-1")))
+        return self.told[1]
 
 
 class ServerConnection(Peer):
@@ -179,8 +207,7 @@
         """
         if self.lost or self.transport.is_closing():
             return False
-        sock = self.transport.get_extra_info("socket")
-        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED:
+        if self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED:
             return False
         # Nothing has been asked in full: bytes that wait to be read belong to no request, and would be taken
         # for the answer to the next one.
@@ -222,17 +249,9 @@
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
         if message.method != b"GET" or message.size:
             headers.append((b"content-length", b"%d" % message.size))
-        try:
-            parts = [
-                self.http.send(h11.Request(method=message.method, target=message.target, headers=headers))
-            ]
-            parts += [self.http.send(h11.Data(data=part)) for part in message.body]
-            self.http.send(h11.EndOfMessage())
-        except h11.LocalProtocolError as error:
-            log.error("a request cannot be written: %s", error)
-            attempt.end(api.Result.CONNECT_FAILED)
-            return
-        pieces: list[bytes] = [part for part in parts if part]
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+        self.http.send(_ASKED)
+        pieces = [head(b"%s %s HTTP/1.1" % (message.method, message.target), headers), *message.body]
         if message.size <= SMALL_BODY:
             pieces = [b"".join(pieces)]
         if self.hold:
@@ -286,14 +305,16 @@
             self.close()  # nothing was asked: what comes could only be taken for an answer to the next one
             return
         self.moved = self.servers.loop.time()
-        if not self.taken:
-            self.after(ANSWER_LIMIT_SAFE if self.attempt.repeatable else ANSWER_LIMIT, self._broke)
+        begins = not self.taken
         self.taken += len(data)
         if self.taken > ANSWER_BESIDE + self.reserved and not self.attempt.streamed:
             self._broke()
             return
         self.http.receive_data(data)
         self._events()
+        if begins and self.attempt is not None and self.timer is None:
+            # Most answers are whole by now.
+            self.after(ANSWER_LIMIT_SAFE if self.attempt.repeatable else ANSWER_LIMIT, self._broke)
 
     def eof_received(self) -> None:
         if self.attempt is not None:
@@ -310,11 +331,11 @@
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     break
-                if isinstance(event, h11.Response):
+                if type(event) is h11.Response:
                     self._head(self.attempt, event)
-                elif isinstance(event, h11.Data):
+                elif type(event) is h11.Data:
                     self._data(self.attempt, bytes(event.data))
-                elif isinstance(event, h11.EndOfMessage):
+                elif type(event) is h11.EndOfMessage:
                     self._end(self.attempt)
                 elif isinstance(event, h11.ConnectionClosed):
                     self._broke()
@@ -326,16 +347,17 @@
     def _head(self, attempt: Attempt, event: h11.Response) -> None:
         length = None
         chunked = False
-        for name, value in event.headers:
+        headers = pairs(event)
+        for name, value in headers:
             if name == b"content-length":
                 length = int(value)
             elif name == b"transfer-encoding":
                 chunked = True
             elif name == self.servers.load_header:
-                attempt.report = self.servers.names.load_report(value.decode("latin-1"))
+                attempt.report = self.backend.load_report(value, self.servers.names)
         if event.status_code != 200:
             unprocessed = event.status_code in (503, 504) and any(
-                name == b"x-unprocessed" and value.strip() == b"1" for name, value in event.headers
+                name == b"x-unprocessed" and value.strip() == b"1" for name, value in headers
             )
             self.verdict = api.Result.REJECTED if unprocessed else api.Result.ERROR
             return
@@ -347,9 +369,7 @@
             # connection, so that a broken one seems whole, and too long a one is no answer here. It would do
             # harm to servers that end answers by closing, or whose bodies are longer than MAX_ANSWER.
             raise h11.RemoteProtocolError("no sound length")
-        self.head = Answer(
-            200, end_to_end(event.headers, (self.servers.load_header, b"x-unprocessed")), None, length
-        )
+        self.head = Answer(200, end_to_end(headers, self.servers.not_for_clients), None, length)
         if attempt.streamed:
             self._start(attempt)
 
@@ -404,12 +424,8 @@
 
     def _end(self, attempt: Attempt) -> None:
         self.stop_timer()
-        reusable = (
-            attempt.written
-            and self.http.our_state is h11.DONE
-            and self.http.their_state is h11.DONE
-            and not self.http.trailing_data[0]
-        )
+        attempt.lag = self.waited()[1] * MS
+        reusable = attempt.written and self.http.their_state is h11.DONE and not self.http.trailing_data[0]
         answer = None
         if self.head is not None and self.client is None:
             answer = Answer(200, self.head.headers, self.body)
@@ -418,7 +434,6 @@
         self.answered = self.servers.loop.time()
         self.attempt = attempt.conn = None
         if reusable:
-            self.http.start_next_cycle()
             self.servers.pool(self)
         else:
             self.close()
@@ -444,10 +459,13 @@
         self.names = names
         self.limit = limit
         self.load_header = b"x-backend-load"
+        self.not_for_clients = not_passed_on((self.load_header, b"x-unprocessed"))
         self.loop = asyncio.get_running_loop()
         self.backends: dict[api.ServerId, _Backend] = {}
         self.connections: set[ServerConnection] = set()
-        self.resting: OrderedDict[ServerConnection, None] = OrderedDict()  # idle ones, longest rest first
+        # Idle ones and since when, longest rest first.
+        self.resting: OrderedDict[ServerConnection, float] = OrderedDict()
+        self.sweeper: asyncio.TimerHandle | None = None
         self.opening: set[Attempt] = set()  # attempts whose connection is not yet among the others
 
     def apply(self, listing: Listing) -> None:
@@ -514,15 +532,29 @@
         attempt.connecting.add_done_callback(lambda _: self.opening.discard(attempt))
 
     async def _connect(self, backend: _Backend, attempt: Attempt) -> None:
+        host, port = backend.address
+        sock = tcp_socket(host)
+        sock.setblocking(False)
         try:
-            async with asyncio.timeout(self.settings.connect_timeout / SECOND):
-                _, conn = await self.loop.create_connection(
-                    lambda: ServerConnection(self, backend, attempt), *backend.address
-                )
-        except (OSError, TimeoutError):
+            try:
+                async with asyncio.timeout(self.settings.connect_timeout / SECOND):
+                    await self.loop.sock_connect(sock, (host, port))
+            except TimeoutError:
+                # The server's time is up, unless it was in time and only the loop is late to hear of it: a
+                # busy node would else blame its servers, and open the same connection elsewhere again.
+                if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED:
+                    raise
+            _, conn = await self.loop.create_connection(
+                lambda: ServerConnection(self, backend, attempt), sock=sock
+            )
+        except OSError:  # TimeoutError is one, too
+            sock.close()
             attempt.connecting = None
             attempt.end(api.Result.CONNECT_FAILED)
             return
+        except asyncio.CancelledError:
+            sock.close()
+            raise
         attempt.connecting = None
         if conn.lost:
             attempt.end(api.Result.CONNECT_FAILED)
@@ -531,13 +563,23 @@
 
     def pool(self, conn: ServerConnection) -> None:
         """Keep a connection for the next request to its server."""
-        if conn.backend.draining is not None or not conn.alive():
+        if conn.backend.draining is not None:
             conn.close()
             return
         conn.read_on(True)
         conn.backend.idle.append(conn)
-        self.resting[conn] = None
-        conn.after(IDLE_PART * self.settings.idle_timeout / SECOND, conn.close)
+        self.resting[conn] = conn.answered
+        if self.sweeper is None:
+            self.sweeper = self.loop.call_later(SWEEP, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what has rested for nearly as long as its server lets it; one timer for all of them."""
+        self.sweeper = None
+        before = self.loop.time() + SWEEP - IDLE_PART * self.settings.idle_timeout / SECOND
+        for conn in list(takewhile(lambda conn: self.resting[conn] <= before, self.resting)):
+            conn.close()
+        if self.resting:
+            self.sweeper = self.loop.call_later(SWEEP, self._sweep)
 
     def unpool(self, conn: ServerConnection) -> None:
         """Take a connection out of the pool, if it is there."""
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -77,6 +77,20 @@
 # How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
 # shrink.
 SHED_DRAIN = 1.0
+# A node that reads requests later than this part of the shortest aim is short of its own time; the span over
+# which it is judged, and the share that it turns away for each unit of lateness beyond that. In proportion to
+# what is seen now: a share that had to be wound down would go on turning away after the crowd has gone.
+#
+# A guard against whatever makes the node itself late: more requests than its CPU can serve, clients that
+# open ever new connections, a machine that is shared or slow, a pause of the process. Only turning away early
+# is cheap: what is served late is lost all the same, and its client asks again. It would do harm if requests
+# were read late for another reason than want of time (one that is held behind another on its connection must
+# not be told as waiting), or if turning away cost as much as serving.
+LAG_PART, LAG_SPAN, LAG_SLOPE = 0.1, 100 * MS, 0.25
+# Weight of one span, so that one pause does not turn away much, and the most that is turned away.
+LAG_WEIGHT, LAG_SHED_MOST = 0.4, 0.9
+# One that was read late and has less than this part of what its answer takes is turned away at once.
+HOPELESS_PART = 0.5
 # Part of the cold budget that all nodes together plan to use: the rest is slack for chance and uneven
 # traffic.
 COLD_PART = 0.5
@@ -253,6 +267,11 @@
         self.failing = 0.0  # share of attempts that fail, over all servers
         self.shed = 0.0  # share of the work that is refused
         self.shed_class = [0.0] * len(settings.classes)
+        self.lag_shed = 0.0  # share of the requests that is refused as this node is late itself
+        self.lag_class = [0.0] * len(settings.classes)
+        self.lag_since = now
+        self.lag_sum = self.lag_count = 0
+        self.fastest = 1.0  # size of the largest server
         self.count = [0.0] * len(settings.classes)
         self.done = [0.0] * len(settings.classes)
         self.worth_lost = self.worth_asked = 0.0  # worth of late and failed attempts, and of all
@@ -273,6 +292,7 @@
         self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
         self.ask_after = ASK_FIRST
         self.longest_aim = max(c.aim for c in settings.classes)
+        self.lag_aim = LAG_PART * min(c.aim for c in settings.classes)
         self.ring: tuple[list[int], list[_Server]] = ([], [])
         self.ring_of: list[tuple[ServerId, float]] = []
 
@@ -432,6 +452,32 @@
             self.count[c] *= 0.7
             self.done[c] *= 0.7
 
+    def _note_lag(self, waited: int) -> None:
+        """Renew the share that is refused because this node reads requests late."""
+        self.lag_sum += waited
+        self.lag_count += 1
+        span = self.now - self.lag_since
+        if span < LAG_SPAN:
+            return
+        late = self.lag_sum / self.lag_count / self.lag_aim - 1.0
+        share = max(0.0, min(LAG_SHED_MOST, LAG_SLOPE * late))
+        self.lag_shed += LAG_WEIGHT * (share - self.lag_shed)
+        if self.lag_shed < 0.01:
+            self.lag_shed = 0.0
+        self.lag_since = self.now
+        self.lag_sum = self.lag_count = 0
+        # Here each request costs about the same, whatever its work at a server: the least worth goes first.
+        classes = self.settings.classes
+        left = self.lag_shed * sum(self.count)
+        for c in sorted(range(len(classes)), key=lambda c: classes[c].worth):
+            self.lag_class[c] = min(1.0, left / self.count[c]) if self.count[c] > 0.0 else 0.0
+            left = max(0.0, left - self.count[c])
+
+    def _hopeless(self, event: Request) -> bool:
+        """Whether a request that was read late has too little time left for any server to answer it."""
+        takes = self.base[event.cls] * (event.cost or 1) / self.fastest
+        return event.time_left < HOPELESS_PART * takes
+
     def _warmth(self, s: _Server) -> float:
         """Least share of its capacity that a server can do at its age."""
         warm_up = self.settings.warm_up
@@ -467,6 +513,7 @@
             total += s.size
             if s.paused_until > now:
                 paused += s.size
+        self.fastest = max((s.size for s in ready), default=1.0)
         ejecting = paused <= PAUSED_MOST * total
         zones: dict[bool, list[_Server]] = {True: [], False: []}
         for s in ready:
@@ -712,8 +759,14 @@
         self.count[event.cls] += 1.0
         if event.cost:
             self.cost += 0.05 * (event.cost - self.cost)
+        self._note_lag(event.waited)
         shed = self.shed_class[event.cls]
-        if shed > 0.0 and self.random.random() < shed:
+        late = self.lag_class[event.cls]
+        if (
+            (shed > 0.0 and self.random.random() < shed)
+            or (late > 0.0 and self.random.random() < late)
+            or (event.waited and self._hopeless(event))
+        ):
             self._end(request, Refuse(event.id, self.settings.max_retry_after))
             return
         s = self._pick(request)
@@ -815,7 +868,9 @@
     def _give_up(self, request: _Request) -> None:
         cls = self.settings.classes[request.cls]
         if may_refuse(cls, request.tries):
-            self._end(request, Refuse(request.id, 0))
+            # A client that comes back at once meets the same want of room or time.
+            short = self.shed > 0.0 or self.lag_shed > 0.0
+            self._end(request, Refuse(request.id, self.settings.max_retry_after if short else 0))
         else:
             self._end(request, Fail(request.id))
 
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -210,7 +210,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A client's request; the node owes it one final answer within time_left."""
+    """A client's request; the node owes it one final answer within time_left.
+
+    waited: how long it was here before the node came to read it. It shows that the node itself is late.
+    """
 
     id: int
     cls: int
@@ -219,6 +222,7 @@
     key: int = 0
     cost: int = 0
     repeat: bool = False
+    waited: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -23,7 +23,7 @@
                 writer.write(request(rid="r-1"))
                 await read_message(reader)
                 draining = asyncio.ensure_future(drain(node.clients, node.node, accept_on=0.0))
-                while node.clients.server is not None and node.clients.server.is_serving():
+                while node.clients.listener is not None:
                     await asyncio.sleep(0)
                 writer.write(READY)
                 assert b" 503 " in (await read_message(reader))[0]
--- /dev/null
+++ b/tests/test_lag.py
@@ -0,0 +1,156 @@
+"""A node that is late itself: it takes in who waits, tells its lateness from the servers, says no early."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+from elderscale.clients import ACCEPT_BATCH
+from lynxrouter import Balancer
+from lynxrouter import interface as api
+
+from .loopback import LIMIT, OK, Backend, Registry, Running, read_message, request, running, settings
+from .world import MS, SECOND, fleet, make_settings
+
+CAPS = {**settings()["caps"], "retry-after": True, "max-retry-after": 2 * SECOND}
+
+
+def call(node: Running, data: bytes) -> socket.socket:
+    """Connect and send while the loop stands still: all of it waits in the kernel."""
+    sock = socket.create_connection(("127.0.0.1", node.port))
+    sock.sendall(data)
+    return sock
+
+
+def test_a_crowd_that_came_while_the_loop_was_busy_is_taken_in_at_once(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(
+            tmp_path / "c.json", Registry(), Backend("s-1"), adjust=lambda c: replace(c, sockets=1024)
+        ) as node:
+            crowd = [call(node, b"") for _ in range(20 * ACCEPT_BATCH)]
+            turns = 0
+            while len(node.clients.connections) < len(crowd):
+                await asyncio.sleep(0)
+                turns += 1
+                assert turns <= 10  # with a batch for each turn it takes 20 at the least
+            for sock in crowd:
+                sock.close()
+
+    asyncio.run(play())
+
+
+def test_what_is_too_late_when_it_is_read_costs_no_attempt(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=CAPS)) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request(rid="r-1"))
+                assert b" 200 " in (await read_message(reader))[0]
+                (conn,) = node.clients.connections
+                writer.write(request(rid="r-2", extra=b"X-Time-Left-Ms: 20\r\n"))
+                while not conn.unread() or conn.waited()[1] < 40:
+                    pass  # the loop is busy with something else
+                head, _ = await read_message(reader)
+            assert b" 503 " in head and b"retry-after: 2.000" in head
+            assert len(server.heads) == 1
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_who_has_gone_before_the_request_was_read_costs_no_attempt(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            assert b" 200 " in await node.ask(request(rid="r-0"))
+            call(node, request(rid="r-1")).close()
+            assert b" 200 " in await node.ask(request(rid="r-2"))
+            async with asyncio.timeout(LIMIT):
+                while node.clients.connections:
+                    await asyncio.sleep(0)
+            assert len(server.heads) == 2 and not any(b"r-1" in head for head in server.heads)
+            assert not node.node.requests
+
+    asyncio.run(play())
+
+
+def test_the_node_s_own_lateness_is_not_told_as_the_server_s(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1", lambda head, writer: go.wait())
+        go = asyncio.Event()
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            asking = asyncio.ensure_future(node.ask(request()))
+            await server.until(lambda: len(server.heads) == 1)
+            (conn,) = node.node.servers.connections
+            conn.read_on(False)
+            server.writers[0].write(OK)
+            while not conn.unread() or conn.waited()[1] < 200:
+                pass  # the answer is there, the loop is busy with something else
+            conn.read_on(True)
+            assert b" 200 " in await asking
+            assert 0 < node.node.balancer.base[0] < 100 * MS
+            go.set()
+
+    asyncio.run(play())
+
+
+def test_a_connection_that_is_up_in_time_counts_however_late_the_loop_is(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Backend("s-1")
+        caps = {**CAPS, "connect-timeout": 1}
+        async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=caps)) as node:
+            assert b" 200 " in await node.ask(request("send"))
+            assert server.accepted == 1
+
+    asyncio.run(play())
+
+
+def test_no_small_write_waits_for_an_acknowledgement(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request())
+                await read_message(reader)
+            peers = [*node.clients.connections, *node.node.servers.connections]
+            assert len(peers) == 2
+            assert all(peer.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY) for peer in peers)
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def ask_for(balancer: Balancer, start: int, span: int, waited: int) -> list[tuple[int, api.Action]]:
+    """A request each millisecond, of each class in turn, answered at once; the class and what came of it."""
+    came = []
+    for now in range(start, start + span, MS):
+        rid = now // MS
+        cls = rid % 3
+        for action in balancer.handle(now, api.Request(rid, cls, 400 * MS, waited=waited)):
+            if isinstance(action, api.Send):
+                balancer.handle(now, api.Outcome(rid, 0, action.server, api.Result.OK, 5 * MS, True))
+            if isinstance(action, api.Send | api.Refuse):
+                came.append((cls, action))
+    return came
+
+
+def test_a_late_node_turns_away_by_worth_and_stops_when_it_is_no_longer_late() -> None:
+    balancer = Balancer(make_settings(max_retry_after=SECOND), 1, 0)
+    balancer.handle(0, api.ServerList(api.ListKind.FULL, fleet(12), 1))
+
+    def refused(came: list[tuple[int, api.Action]], cls: int) -> list[api.Refuse]:
+        return [a for c, a in came if c == cls and isinstance(a, api.Refuse)]
+
+    calm = ask_for(balancer, SECOND, 2 * SECOND, 0)
+    assert len(calm) == 2000 and not any(refused(calm, cls) for cls in range(3))
+    ask_for(balancer, 3 * SECOND, SECOND, 45 * MS)
+    late = ask_for(balancer, 4 * SECOND, SECOND, 45 * MS)
+    assert len(refused(late, 1)) > 200  # the least worth
+    assert not refused(late, 2)  # the most
+    assert all(refuse.retry_after == SECOND for refuse in refused(late, 1))
+    ask_for(balancer, 5 * SECOND, SECOND, 0)
+    again = ask_for(balancer, 6 * SECOND, SECOND, 0)
+    assert len(again) == 1000 and not any(refused(again, cls) for cls in range(3))
