--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -67,7 +67,8 @@
         self.servers = servers
         self.lists: Lists | None = None
         self.loop = asyncio.get_running_loop()
-        self.balancer = Balancer(settings, seed, time.monotonic_ns())
+        self.now = time.monotonic_ns()  # as the module last heard it
+        self.balancer = Balancer(settings, seed, self.now)
         self.requests: dict[int, Open] = {}
         self.owed = 0  # requests without a final answer
         self.timers: set[asyncio.TimerHandle] = set()
@@ -91,6 +92,7 @@
             self._feeding = False
 
     def _handle(self, now: int, event: api.Event) -> None:
+        self.now = now
         # An exception costs the request that it struck, never the process and with it all the others.
         try:
             for action in self.balancer.handle(now, event):
@@ -220,14 +222,16 @@
             attempt.cancel()
 
     def _set_timer(self, delay: int, token: int) -> None:
-        due = time.monotonic_ns() + delay
+        # Counted from the module's clock, which an early call may have put ahead: a timer that comes before it
+        # is due by that clock is none to the module, which then waits for it for ever.
+        due = self.now + delay
 
         def fire() -> None:
             self.timers.discard(handle)
             # The loop may call a hair early; the module would take a timer that is not yet due for none.
             self.feed(api.Timer(token), due)
 
-        handle = self.loop.call_later(delay / 1e9, fire)
+        handle = self.loop.call_later(max(0, due - time.monotonic_ns()) / 1e9, fire)
         self.timers.add(handle)
 
     # Final answers
