--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -120,14 +120,14 @@
     clients.draining = True
     await asyncio.sleep(accept_on)
     clients.stop_listening()
-    while clients.connections and loop.time() < latest - answer_room:
+    while clients.any_left() and loop.time() < latest - answer_room:
         await asyncio.sleep(0.02)
     clients.closing = True
-    while clients.connections and loop.time() < latest - 0.1:
+    while clients.any_left() and loop.time() < latest - 0.1:
         clients.close_idle()
         await asyncio.sleep(0.02)
     node.end_all()
-    await asyncio.sleep(0.1 if clients.connections else 0)
+    await asyncio.sleep(0.1 if clients.any_left() else 0)
     log.info("drained in %.2f s, %d connections left", loop.time() - began, len(clients.connections))
 
 
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -602,6 +602,10 @@
         except OSError:  # it has gone again
             sock.close()
 
+    def any_left(self) -> bool:
+        """Whether anybody is connected, accepted a moment ago included: its request may be here already."""
+        return bool(self.connections or self.taking)
+
     def move(self, conn: ClientConnection, group: OrderedDict[ClientConnection, float] | None) -> None:
         """Note what a connection is at, as of now."""
         if conn.group is not None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -189,6 +190,13 @@
             writer.transport.abort()
 
 
+def call(node: Running, data: bytes) -> socket.socket:
+    """Connect and send while the loop stands still: all of it waits in the kernel."""
+    sock = socket.create_connection(("127.0.0.1", node.port))
+    sock.sendall(data)
+    return sock
+
+
 def request(cls: str = "view", rid: str = "r-1", body: bytes = b"", extra: bytes = b"") -> bytes:
     key = b"Idempotency-Key: k-" + rid.encode() + b"\r\n" if cls == "book" else b""
     if cls == "view":
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,7 +9,7 @@
 
 from elderscale.__main__ import drain
 
-from .loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+from .loopback import LIMIT, OK, Backend, Registry, call, read_message, request, running
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -67,3 +67,18 @@
                 await draining
 
     asyncio.run(play())
+
+
+def test_who_waits_at_the_listener_when_it_closes_is_still_served(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            crowd = [call(node, request(rid=f"r-{n}")) for n in range(30)]
+            async with asyncio.timeout(LIMIT):
+                await drain(node.clients, node.node, accept_on=0.0, answer_room=10.0)
+            # The process ends here: what has not been answered by now is lost.
+            for sock in crowd:
+                sock.setblocking(False)
+                assert b" 200 " in sock.recv(4096)
+                sock.close()
+
+    asyncio.run(play())
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -11,19 +11,12 @@
 from lynxrouter import Balancer
 from lynxrouter import interface as api
 
-from .loopback import LIMIT, OK, Backend, Registry, Running, read_message, request, running, settings
+from .loopback import LIMIT, OK, Backend, Registry, call, read_message, request, running, settings
 from .world import MS, SECOND, fleet, make_settings
 
 CAPS = {**settings()["caps"], "retry-after": True, "max-retry-after": 2 * SECOND}
 
 
-def call(node: Running, data: bytes) -> socket.socket:
-    """Connect and send while the loop stands still: all of it waits in the kernel."""
-    sock = socket.create_connection(("127.0.0.1", node.port))
-    sock.sendall(data)
-    return sock
-
-
 def test_a_crowd_that_came_while_the_loop_was_busy_is_taken_in_at_once(tmp_path: Path) -> None:
     async def play() -> None:
         async with running(
