--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -109,7 +109,7 @@
 # does not know it. Taken for want of room it would shed everybody's work, and the request would not be tried
 # where it is welcome. It would do harm where one tenant's requests are too much for a server that has room
 # for the others'.
-TURNED_WEIGHT, TURNED_FROM, TURNED_EXCESS = 0.05, 0.1, 3.0
+TURNED_WEIGHT, TURNED_FROM, TURNED_EXCESS = 0.05, 0.2, 3.0
 TURNED_PAUSE = 4 * SECOND
 
 TOKEN_WAKE = 1
