Break the import circle of node and servers: the client's protocol has a module of its own

Need: servers.py imported node.py behind TYPE_CHECKING for the protocol that answers go to, while node.py imports servers.py. Both now name it from ports.py, which also says what a client may ask of an answer's source.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -30,10 +30,10 @@
     pairs,
     tcp_socket,
 )
+from .ports import Source
 
 if TYPE_CHECKING:
     from .node import Node
-    from .servers import Attempt
 
 log = logging.getLogger("elderscale")
 
@@ -219,7 +219,7 @@
         self.fresh = False  # the loop has just read it
         self.busy = False  # from a request's last byte to its answer's
         self.ahead = 0  # bytes of the next request that came meanwhile
-        self.source: Attempt | None = None  # where an answer comes from that is passed on
+        self.source: Source | None = None  # where an answer comes from that is passed on
         self.lingering: asyncio.TimerHandle | None = None
 
     # The connection
@@ -434,13 +434,13 @@
         """Tell the client that its request failed."""
         self._respond(status, [], (b"failed\n",))
 
-    def start(self, answer: Answer, attempt: Attempt) -> None:
+    def start(self, answer: Answer, source: Source) -> None:
         """Begin to pass on a long answer."""
         headers = answer.headers
         if answer.length is not None:
             headers = [*headers, (b"content-length", b"%d" % answer.length)]
         self._write(h11.Response(status_code=answer.status, headers=self._ending(headers)))
-        self.source = attempt
+        self.source = source
         self.clients.move(self, self.clients.writing)
 
     def write(self, data: bytes) -> None:
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -14,6 +14,7 @@
 
 from .config import MS, Listing
 from .messages import Answer, Message
+from .ports import Client
 from .servers import Attempt, Servers
 
 log = logging.getLogger("elderscale")
@@ -22,18 +23,6 @@
 ANSWER_EARLY = 4 * MS
 
 
-class Client(Protocol):
-    """Where answers go. Exactly one of answer, refuse, fail, or start with finish or cut is called."""
-
-    def answer(self, answer: Answer) -> None: ...
-    def refuse(self, retry_after: int) -> None: ...
-    def fail(self, status: int) -> None: ...
-    def start(self, answer: Answer, attempt: Attempt) -> None: ...
-    def write(self, data: bytes) -> None: ...
-    def finish(self) -> None: ...
-    def cut(self) -> None: ...
-
-
 class Lists(Protocol):
     """Discovery, as the module asks for it."""
 
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from itertools import takewhile
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import Any, Protocol
 
 import h11
 
@@ -33,9 +33,7 @@
     pairs,
     tcp_socket,
 )
-
-if TYPE_CHECKING:
-    from .node import Client
+from .ports import Client
 
 log = logging.getLogger("elderscale")
 
