--- a/routing/gate.py
+++ b/routing/gate.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
 from collections.abc import Mapping
 
 from .limits import Effective, Rate
@@ -17,6 +16,8 @@
 
 SECOND = 1_000_000_000
 MS = 1_000_000
+# Buckets that are looked at for one that may be forgotten, each time that a new key finds no room.
+LOOKED_AT = 4
 
 
 class _Bucket:
@@ -45,13 +46,13 @@
 
 
 class _State:
-    """What is known of one scope: requests in flight, and its buckets by key, the longest untouched first."""
+    """What is known of one scope: requests in flight, and its buckets by key."""
 
     __slots__ = ("buckets", "by", "in_flight", "others")
 
     def __init__(self) -> None:
         self.in_flight = 0
-        self.buckets: OrderedDict[int, _Bucket] = OrderedDict()
+        self.buckets: dict[int, _Bucket] = {}
         # For keys beyond the most that are kept apart: they share one, or who makes up keys would be free.
         self.others: _Bucket | None = None
         self.by: tuple[bytes, bool] = (b"", False)
@@ -119,15 +120,21 @@
         buckets = state.buckets
         bucket = buckets.get(key)
         if bucket is not None:
-            buckets.move_to_end(key)
             return bucket
-        while len(buckets) >= rate.most_keys:
-            # Only what has filled up again may be forgotten.
-            if not next(iter(buckets.values())).full(rate, now):
+        if len(buckets) >= rate.most_keys:
+            # Only what has filled up again may be forgotten. It is looked for among those that were looked at
+            # longest ago, a few for each new key: a key that is known costs no bookkeeping.
+            for _ in range(LOOKED_AT):
+                old = next(iter(buckets))
+                one = buckets.pop(old)
+                if not one.full(rate, now):
+                    buckets[old] = one
+                elif len(buckets) < rate.most_keys:
+                    break
+            if len(buckets) >= rate.most_keys:
                 if state.others is None:
                     state.others = _Bucket(float(rate.burst), now)
                 return state.others
-            buckets.popitem(last=False)
         bucket = buckets[key] = _Bucket(float(rate.burst), now)
         return bucket
 
--- a/routing/matcher.py
+++ b/routing/matcher.py
@@ -173,27 +173,23 @@
     def find(self, method: bytes, segments: Sequence[str], given: Mapping[bytes, bytes]) -> R | None:
         """The most specific route below this root."""
         # Along literals alone: that is where the most specific whole pattern and all prefixes stand.
-        last = len(segments)
-        prefixes: list[_Rows[R]] = []
-        branches = False
-        node: _Node[R] | None = self
-        at = 0
-        while True:
-            assert node is not None
+        prefixes = [self.prefix] if self.prefix is not None else []
+        branches = self.variable is not None
+        node = self
+        for segment in segments:
+            child = node.literal.get(segment)
+            if child is None:
+                break
+            node = child
             if node.prefix is not None:
                 prefixes.append(node.prefix)
             if node.variable is not None:
                 branches = True
-            if at == last:
-                if node.whole is not None:
-                    route = node.whole.find(method, given)
-                    if route is not None:
-                        return route
-                break
-            node = node.literal.get(segments[at])
-            if node is None:
-                break
-            at += 1
+        else:
+            if node.whole is not None:
+                route = node.whole.find(method, given)
+                if route is not None:
+                    return route
         if branches:
             route = self._branched(method, segments, given)
             if route is not None:
--- a/routing/plan.py
+++ b/routing/plan.py
@@ -69,12 +69,22 @@
 
     def apply(self, method: bytes, target: bytes, given: Mapping[bytes, bytes]) -> Effective | Denied | None:
         """The limits in force for a request; None: it names no class. given: headers, names in lower case."""
+        # In one piece, as each request comes through here.
+        path = target.decode("latin-1")
+        query = path.find("?")
+        if query >= 0:
+            path = path[:query]
         try:
-            route, segments = self.route_of(method, target, given)
+            segments = segments_of(path, self.reading)
         except BadPath as error:
             return Denied(400, str(error))
         if segments is None:
             return None
+        matcher = self.matcher
+        if matcher.exact or matcher.wild:
+            route = matcher.find(method, _host(given), segments, given)
+        else:
+            route = matcher.any.find(method, segments, given) if matcher.any is not None else None
         if route is not None and route.cls is not None:
             return route.limits[route.cls]
         cls = self.classes.get(segments[0])
--- a/tests/test_routing_gate.py
+++ b/tests/test_routing_gate.py
@@ -97,6 +97,17 @@
     assert len(gate.states["class:view"].buckets) == 10
 
 
+def test_a_smaller_number_of_keys_takes_effect_bit_by_bit() -> None:
+    limits = "rate = {{ per_second = 1, burst = 2, by = 'header:X-Key', most_keys = {} }}"
+    gate = gate_of(limits.format(50))
+    for n in range(50):
+        ask(gate, SECOND, **{"x-key": b"k%d" % n})
+    gate.take_over(compile_file(f"[class.view.limits]\n{limits.format(5)}", SETTINGS))
+    for n in range(50):
+        ask(gate, 100 * SECOND, **{"x-key": b"n%d" % n})
+    assert len(gate.states["class:view"].buckets) == 5
+
+
 def test_requests_in_flight_are_counted_until_they_are_over() -> None:
     gate = gate_of("in_flight = 2")
     limits = limits_of(gate)
