Simulation, first part: an event loop on virtual time, and a network in memory, from one seed

Need: failures that overlap show on real sockets by luck. The loop draws the order of what is due at one moment from a seed, keeps call_soon in order as asyncio promises, hashes every step, and tells deadlocks, endless runs and what nobody handled. The network has delay, jitter, segments, resets, crashes, cut ways and buffers that fill.

--- /dev/null
+++ b/simulation/loop.py
@@ -0,0 +1,262 @@
+"""A deterministic event loop: time passes only when nothing is left to do, and chance comes from a seed.
+
+What is due at one moment from different sources (timers, the network) comes in an order drawn from the
+seed. Callbacks of call_soon stay in their order, as asyncio promises it to its users; transports and futures
+rely on that. Every callback that runs is a step, and goes into the hash of the trace by its time and name, so
+that two runs can be compared without keeping either. Not safe for threads; run_in_executor runs its call as a
+later step.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import heapq
+import random
+from asyncio import events
+from collections import deque
+from collections.abc import Callable, Coroutine, Generator
+from hashlib import blake2b
+from typing import Any, TypeVar, TypeVarTuple
+
+__all__ = ["Deadlock", "SimLoop", "StepLimit"]
+
+T = TypeVar("T")
+Ts = TypeVarTuple("Ts")
+
+
+class Deadlock(RuntimeError):
+    """Nothing is due any more, and what was waited for has not come."""
+
+
+class StepLimit(RuntimeError):
+    """More steps than allowed: it would go on for ever."""
+
+
+def _name(callback: Callable[..., object]) -> str:
+    """A callback's name, the same in every process: no addresses, no hashes."""
+    target: Any = callback
+    while hasattr(target, "func"):  # functools.partial
+        target = target.func
+    own = getattr(target, "__self__", None)
+    if isinstance(own, asyncio.Task):
+        return f"task {getattr(own.get_coro(), '__qualname__', '')}"
+    return getattr(target, "__qualname__", type(target).__name__)
+
+
+class SimLoop(asyncio.AbstractEventLoop):
+    """Virtual time in seconds from `start`; seed: of every choice; most_steps: then StepLimit is raised."""
+
+    def __init__(self, seed: int, start: float = 1000.0, most_steps: int = 50_000_000) -> None:
+        self.random = random.Random(seed)
+        self.now = start
+        self.steps = 0
+        self.most_steps = most_steps
+        self.errors: list[dict[str, Any]] = []  # what no one handled
+        self.after_step: Callable[[], None] | None = None  # a check, after every step
+        self._hash = blake2b(digest_size=16)
+        self._ready: deque[asyncio.Handle] = deque()
+        self._timers: list[tuple[float, float, int, asyncio.TimerHandle]] = []
+        self._ties = 0
+        self._running = self._stopping = self._closed = False
+        self._signals: dict[int, asyncio.Handle] = {}
+        self._handler: Callable[[asyncio.AbstractEventLoop, dict[str, Any]], object] | None = None
+
+    # Time and callbacks
+
+    def time(self) -> float:
+        return self.now
+
+    @property
+    def trace(self) -> str:
+        """The hash of all steps so far."""
+        return self._hash.hexdigest()
+
+    def note(self, text: str) -> None:
+        """Put something that happened into the trace."""
+        self._hash.update(f"{self.now:.9f} {text}\n".encode())
+
+    def call_soon(
+        self, callback: Callable[[*Ts], object], *args: *Ts, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        handle = asyncio.Handle(callback, args, self, context)
+        self._ready.append(handle)
+        return handle
+
+    def call_soon_threadsafe(
+        self, callback: Callable[[*Ts], object], *args: *Ts, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        return self.call_soon(callback, *args, context=context)
+
+    def call_later(
+        self,
+        delay: float,
+        callback: Callable[[*Ts], object],
+        *args: *Ts,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        return self.call_at(self.now + max(0.0, delay), callback, *args, context=context)
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[[*Ts], object],
+        *args: *Ts,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        self._ties += 1
+        heapq.heappush(self._timers, (max(when, self.now), self.random.random(), self._ties, handle))
+        return handle
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        """asyncio tells of each cancelled timer; it is skipped when it comes up."""
+
+    def create_future(self) -> asyncio.Future[Any]:
+        return asyncio.Future(loop=self)
+
+    def create_task(
+        self,
+        coro: Coroutine[Any, Any, T] | Generator[Any, None, T],
+        *,
+        name: str | None = None,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Task[T]:
+        return asyncio.Task(coro, loop=self, name=name or "task", context=context)
+
+    def run_in_executor(self, executor: Any, func: Callable[[*Ts], T], *args: *Ts) -> asyncio.Future[T]:
+        future: asyncio.Future[T] = self.create_future()
+
+        def run() -> None:
+            if future.cancelled():
+                return
+            try:
+                future.set_result(func(*args))
+            except Exception as error:
+                future.set_exception(error)
+
+        self.call_later(self.random.uniform(0.0001, 0.01), run)
+        return future
+
+    # Running
+
+    def step(self) -> bool:
+        """Run the next callback; False: nothing is left."""
+        while True:
+            if not self._ready:
+                while self._timers and self._timers[0][3].cancelled():
+                    heapq.heappop(self._timers)
+                if not self._timers:
+                    return False
+                when, _, _, timer = heapq.heappop(self._timers)
+                self.now = max(self.now, when)
+                self._ready.append(timer)
+            handle = self._ready.popleft()
+            if not handle.cancelled():
+                break
+        self.steps += 1
+        self.note(_name(handle._callback))  # type: ignore[attr-defined]
+        if self.steps > self.most_steps:
+            raise StepLimit(f"{self.steps} steps at {self.now:.3f} s")
+        handle._run()
+        if self.after_step is not None:
+            self.after_step()
+        return True
+
+    def run_until_complete(self, future: Any) -> Any:
+        task = asyncio.ensure_future(future, loop=self)
+        self._enter()
+        try:
+            while not task.done():
+                if not self.step():
+                    raise Deadlock(f"nothing is due at {self.now:.3f} s, step {self.steps}")
+        finally:
+            self._leave()
+        return task.result()
+
+    def run_forever(self) -> None:
+        self._enter()
+        try:
+            while not self._stopping and self.step():
+                pass
+        finally:
+            self._stopping = False
+            self._leave()
+
+    def run_for(self, seconds: float) -> None:
+        """Let so much virtual time pass."""
+        self.run_until_complete(asyncio.sleep(seconds))
+
+    def _enter(self) -> None:
+        if self._closed or self._running:
+            raise RuntimeError("the loop is closed or runs already")
+        self._running = True
+        events._set_running_loop(self)
+
+    def _leave(self) -> None:
+        self._running = False
+        events._set_running_loop(None)
+
+    def stop(self) -> None:
+        self._stopping = True
+
+    def is_running(self) -> bool:
+        return self._running
+
+    def is_closed(self) -> bool:
+        return self._closed
+
+    def close(self) -> None:
+        self._closed = True
+        self._ready.clear()
+        self._timers.clear()
+
+    async def shutdown_asyncgens(self) -> None:
+        """There are none that outlive their task."""
+
+    async def shutdown_default_executor(self, timeout: float | None = None) -> None:
+        """There is none."""
+
+    def left(self) -> list[str]:
+        """The names of what still waits: nothing must, once a scene is over."""
+        waiting = [*self._ready, *(entry[3] for entry in self._timers)]
+        return [_name(h._callback) for h in waiting if not h.cancelled()]  # type: ignore[attr-defined]
+
+    # Signals
+
+    def add_signal_handler(self, sig: int, callback: Callable[[*Ts], object], *args: *Ts) -> None:
+        self._signals[sig] = asyncio.Handle(callback, args, self)
+
+    def remove_signal_handler(self, sig: int) -> bool:
+        return self._signals.pop(sig, None) is not None
+
+    def deliver(self, sig: int) -> bool:
+        """Send the process under simulation a signal; False: nobody handles it, it would end the process."""
+        handle = self._signals.get(sig)
+        if handle is None:
+            return False
+        self.call_soon(handle._run)
+        return True
+
+    # Errors
+
+    def get_debug(self) -> bool:
+        return False
+
+    def set_debug(self, enabled: bool) -> None:
+        """Not here: debug mode reads the real clock."""
+
+    def set_exception_handler(self, handler: Any) -> None:
+        self._handler = handler
+
+    def get_exception_handler(self) -> Any:
+        return self._handler
+
+    def default_exception_handler(self, context: dict[str, Any]) -> None:
+        self.errors.append(context)
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        if self._handler is not None:
+            self._handler(self, context)
+        else:
+            self.default_exception_handler(context)
--- /dev/null
+++ b/simulation/network.py
@@ -0,0 +1,282 @@
+"""Connections in memory between protocols on one SimLoop, with the faults of real ones.
+
+Bytes of one direction keep their order; between connections nothing does. A connection that is cut off says
+nothing to either side, as where a machine vanishes. Addresses are (host, port), any text and number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+from .loop import SimLoop
+
+__all__ = ["Address", "Link", "Network", "SimTransport"]
+
+Address = tuple[str, int]
+Factory = Callable[[], asyncio.BaseProtocol]
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """How a network carries: one-way delay and jitter (s), the chance that a write is cut into segments, and
+    the bytes that wait unread at a receiver before its sender's buffer fills up."""
+
+    delay: float = 0.0005
+    jitter: float = 0.0002
+    split: float = 0.3
+    window: int = 64 << 10
+
+
+class _Server(asyncio.AbstractServer):
+    """A listener; what it accepted lives on when it closes."""
+
+    def __init__(self, network: Network, address: Address) -> None:
+        self.network = network
+        self.address = address
+
+    def close(self) -> None:
+        self.network.listening.pop(self.address, None)
+
+    def is_serving(self) -> bool:
+        return self.address in self.network.listening
+
+    def get_loop(self) -> asyncio.AbstractEventLoop:
+        return self.network.loop
+
+    async def start_serving(self) -> None:
+        """It serves from its making on."""
+
+    async def serve_forever(self) -> None:
+        await self.network.loop.create_future()
+
+    async def wait_closed(self) -> None:
+        """Nothing is left to wait for once it is closed."""
+
+
+class SimTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(
+        self, network: Network, protocol: asyncio.BaseProtocol, local: Address, remote: Address
+    ) -> None:
+        super().__init__({"sockname": local, "peername": remote})
+        self.network = network
+        self.loop = network.loop
+        self.protocol = protocol
+        self.local, self.remote = local, remote
+        self.peer: SimTransport
+        self.lost = False  # connection_lost has been or will be told
+        self.closing = False
+        self.ended = False  # its end of sending is on its way
+        self.reading = True
+        self.unread: deque[bytes | None] = deque()  # arrived, not yet handed over; None: the end
+        self.unread_size = 0
+        self.unsent: deque[bytes] = deque()  # written, the peer has no room
+        self.high = 64 << 10
+        self.paused = False
+        self._free_at = 0.0  # no byte of this direction arrives before the one ahead of it
+
+    # What a protocol asks of it
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self.protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return self.protocol
+
+    def is_closing(self) -> bool:
+        return self.closing or self.lost
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        self.high = 64 << 10 if high is None else high
+
+    def get_write_buffer_size(self) -> int:
+        return sum(map(len, self.unsent))
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if self.is_closing() or self.ended or not data:
+            return
+        self.unsent.append(bytes(data))
+        self._push()
+        if self.get_write_buffer_size() > self.high and not self.paused:
+            self.paused = True
+            self.protocol.pause_writing()
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        self.ended = True
+        self._push()
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+        self.loop.call_soon(self._hand_over)
+
+    def is_reading(self) -> bool:
+        return self.reading
+
+    def close(self) -> None:
+        """Send what is unsent and the end, then be gone."""
+        if self.is_closing():
+            return
+        self.closing = True
+        self.ended = True
+        self._push()
+
+    def abort(self) -> None:
+        """Be gone at once; the other end sees a reset."""
+        if self.lost:
+            return
+        self.unsent.clear()
+        if self.network.carries(self.local[0], self.remote[0]):
+            self.loop.call_later(self._delay(), self.peer.reset)
+        self._gone(None)
+
+    # The wire
+
+    def _delay(self) -> float:
+        link = self.network.link
+        return link.delay + self.loop.random.random() * link.jitter
+
+    def _push(self) -> None:
+        """Put on the wire what the peer has room for, the end last."""
+        on_wire = self.peer.unread_size
+        while self.unsent and on_wire < self.network.link.window:
+            data = self.unsent.popleft()
+            if len(data) > 1 and self.loop.random.random() < self.network.link.split:
+                at = self.loop.random.randrange(1, len(data))
+                self.unsent.appendleft(data[at:])
+                data = data[:at]
+            on_wire += len(data)
+            self._arrive(data)
+        if self.paused and not self.unsent and not self.lost:
+            self.paused = False
+            self.loop.call_soon(self._resume)
+        if self.ended and not self.unsent and not self.lost:
+            self._arrive(None)
+            if self.closing:
+                self._gone(None)
+
+    def _resume(self) -> None:
+        if not self.lost:
+            self.protocol.resume_writing()
+
+    def _arrive(self, data: bytes | None) -> None:
+        if not self.network.carries(self.local[0], self.remote[0]):
+            return  # lost for good: a connection that was cut off never catches up
+        self._free_at = max(self._free_at + 1e-9, self.loop.now + self._delay())
+        self.peer.unread_size += len(data or b"")
+        self.loop.call_at(self._free_at, self.peer.receive, data)
+
+    def receive(self, data: bytes | None) -> None:
+        """Bytes have come from the wire."""
+        if self.lost:
+            return
+        self.unread.append(data)
+        self._hand_over()
+
+    def _hand_over(self) -> None:
+        while self.unread and self.reading and not self.lost:
+            data = self.unread.popleft()
+            if data is None:
+                keep = cast(asyncio.Protocol, self.protocol).eof_received()
+                if not keep:
+                    self.close()
+                continue
+            self.unread_size -= len(data)
+            if isinstance(self.protocol, asyncio.BufferedProtocol):
+                self._buffered(self.protocol, data)
+            else:
+                cast(asyncio.Protocol, self.protocol).data_received(data)
+            if not self.peer.lost:
+                self.peer._push()
+
+    @staticmethod
+    def _buffered(protocol: asyncio.BufferedProtocol, data: bytes) -> None:
+        while data:
+            buffer = memoryview(protocol.get_buffer(len(data)))
+            size = min(len(buffer), len(data))
+            buffer[:size] = data[:size]
+            protocol.buffer_updated(size)
+            data = data[size:]
+
+    def reset(self) -> None:
+        """The other end has gone without a word of order."""
+        if not self.lost:
+            self._gone(ConnectionResetError(104, "Connection reset by peer"))
+
+    def _gone(self, error: Exception | None) -> None:
+        if self.lost:
+            return
+        self.lost = self.closing = True
+        self.unread.clear()
+        self.unsent.clear()
+        self.network.transports.pop(self, None)
+        self.loop.call_soon(self.protocol.connection_lost, error)
+
+
+class Network:
+    """All machines, by host name, and the connections between them. It serves as the loop's own network."""
+
+    def __init__(self, loop: SimLoop, link: Link | None = None) -> None:
+        self.loop = loop
+        self.link = link or Link()
+        self.listening: dict[Address, Factory] = {}
+        # In the order in which they were made: what is reset together is reset in an order that repeats.
+        self.transports: dict[SimTransport, None] = {}
+        self.cut: set[frozenset[str]] = set()  # pairs of hosts that do not hear each other
+        self.down: set[str] = set()  # machines that have vanished
+        self._ports = 40_000
+        loop.create_server = self.create_server  # type: ignore[method-assign,assignment]
+        loop.create_connection = self.create_connection  # type: ignore[method-assign,assignment]
+
+    def carries(self, one: str, other: str) -> bool:
+        """Whether two hosts hear each other."""
+        return one not in self.down and other not in self.down and frozenset((one, other)) not in self.cut
+
+    async def create_server(self, factory: Factory, host: str, port: int, **_: Any) -> _Server:
+        """Listen; OSError where somebody does already."""
+        if port == 0:
+            self._ports += 1
+            port = self._ports
+        if (host, port) in self.listening:
+            raise OSError(98, "Address already in use")
+        self.listening[(host, port)] = factory
+        return _Server(self, (host, port))
+
+    async def create_connection(
+        self, factory: Factory, host: str, port: int, local: str = "client", **_: Any
+    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
+        """Connect; refused where nobody listens, and never up where the way is cut."""
+        delay = self.link.delay + self.loop.random.random() * self.link.jitter
+        if not self.carries(local, host):
+            await self.loop.create_future()  # until the caller gives up
+        await asyncio.sleep(2 * delay)
+        serve = self.listening.get((host, port))
+        if serve is None:
+            raise ConnectionRefusedError(111, "Connection refused")
+        self._ports += 1
+        near, far = (local, self._ports), (host, port)
+        protocol, other = factory(), serve()
+        one = SimTransport(self, protocol, near, far)
+        two = SimTransport(self, other, far, near)
+        one.peer, two.peer = two, one
+        self.transports[one] = self.transports[two] = None
+        two.protocol.connection_made(two)
+        one.protocol.connection_made(one)
+        return one, protocol
+
+    def crash(self, host: str) -> None:
+        """A process dies: its listeners close, its connections are reset."""
+        for address in [address for address in self.listening if address[0] == host]:
+            del self.listening[address]
+        for transport in [t for t in self.transports if t.local[0] == host]:
+            transport.abort()
