--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,9 +4,14 @@
 
 import sys
 
-from . import flood, matcher, routed_node
-
-ALL = {"matcher": matcher.main, "routed_node": routed_node.main, "flood": flood.main}
+from . import flood, matcher, routed_node, simulation
+
+ALL = {
+    "matcher": matcher.main,
+    "routed_node": routed_node.main,
+    "flood": flood.main,
+    "simulation": simulation.main,
+}
 
 
 def main(names: list[str]) -> int:
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -10,13 +10,13 @@
 from collections.abc import Collection
 from hashlib import blake2b
 from itertools import takewhile
-from time import monotonic_ns
 from typing import TYPE_CHECKING, cast
 
 import h11
 
 from lynxrouter.interface import Effect
 
+from . import system
 from .config import MS, SECOND, Config, Names
 from .messages import (
     MAX_BODY,
@@ -30,7 +30,6 @@
     head,
     not_passed_on,
     pairs,
-    tcp_socket,
 )
 from .ports import Source
 
@@ -416,7 +415,9 @@
         tenant = names.tenants.get(given.get(b"x-account", b"").decode("latin-1"))
         limits = self.limits
         if limits is not None and self.clients.gate is not None:
-            away = self.clients.gate.admit(limits, -1 if tenant is None else tenant, given, monotonic_ns())
+            away = self.clients.gate.admit(
+                limits, -1 if tenant is None else tenant, given, system.monotonic_ns()
+            )
             if away is not None:
                 # Nothing was sent on for it, and the module does not hear of it: it costs next to nothing.
                 self._respond(429, _after(away), (b"refused\n",))
@@ -621,7 +622,7 @@
         """Begin to accept, at the configured port if no other is given; the port."""
         host, configured = self.config.listen
         port = configured if port is None else port
-        sock = tcp_socket(host)
+        sock = system.tcp_socket(host)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.setblocking(False)
--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -4,7 +4,6 @@
 
 import json
 import math
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +11,8 @@
 from lynxrouter.interface import ListKind, Server, ServerList, Settings, State
 from lynxrouter.wiresettings import parse_settings
 
+from . import system
+
 MS = 1_000_000
 SECOND = 1_000_000_000
 STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
@@ -86,7 +87,7 @@
                     cell=int(line.get("cell", 0)),
                     state=state,
                     weight=weight,
-                    up_since=max(1, int(started * MS) - WALL_AHEAD) if started > 0 else 0,
+                    up_since=max(1, int(started * MS) - system.wall_ahead) if started > 0 else 0,
                 )
             )
         kind = ListKind.CACHED if cached else ListKind.FULL if data["full"] else ListKind.CHANGES
@@ -123,11 +124,6 @@
     known: Listing | None
 
 
-# Read once: were the difference of the clocks read at each list, a server's start would wander with it and
-# an old process would seem to be a new one.
-WALL_AHEAD = time.time_ns() - time.monotonic_ns()
-
-
 def address(text: str) -> tuple[str, int]:
     """HOST:PORT in figures."""
     host, sep, port = text.rpartition(":")
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import logging
 import socket
 import sys
-import termios
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass
 from typing import cast
 
 import h11
 
+from . import system
+
 log = logging.getLogger("elderscale")
 
 Headers = list[tuple[bytes, bytes]]
@@ -101,16 +101,6 @@
     return b"%s\r\n%s\r\n" % (first, b"".join([b"%s: %s\r\n" % pair for pair in headers]))
 
 
-def tcp_socket(host: str) -> socket.socket:
-    """A socket for this host.
-
-    With its protocol named: asyncio switches Nagle's delay off only then, and the last byte of a request,
-    sent by itself, would wait 40 ms for the peer's acknowledgement.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    return socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-
-
 class Peer(asyncio.BufferedProtocol):
     """One TCP connection that reads through the shared buffer and knows whether written bytes still wait."""
 
@@ -150,7 +140,7 @@
 
     def unread(self) -> bool:
         """Whether the kernel holds bytes of the peer that the loop has not come to yet."""
-        return any(fcntl.ioctl(self.sock.fileno(), termios.FIONREAD, bytes(4)))
+        return system.unread(self.sock)
 
     def waited(self) -> tuple[bool, int]:
         """Whether the peer holds the connection open, and for how long (ms) its last bytes have been here.
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -12,6 +11,7 @@
 from lynxrouter import Balancer
 from lynxrouter import interface as api
 
+from . import system
 from .config import MS, Listing
 from .messages import Answer, Message
 from .ports import Client
@@ -56,7 +56,7 @@
         self.servers = servers
         self.lists: Lists | None = None
         self.loop = asyncio.get_running_loop()
-        self.now = time.monotonic_ns()  # as the module last heard it
+        self.now = system.monotonic_ns()  # as the module last heard it
         self.balancer = Balancer(settings, seed, self.now)
         self.requests: dict[int, Open] = {}
         self.owed = 0  # requests without a final answer
@@ -74,10 +74,10 @@
             return
         self._feeding = True
         try:
-            self._handle(max(at, time.monotonic_ns()), event)
+            self._handle(max(at, system.monotonic_ns()), event)
             while self._events:
                 at, event = self._events.popleft()
-                self._handle(max(at, time.monotonic_ns()), event)
+                self._handle(max(at, system.monotonic_ns()), event)
         finally:
             self._feeding = False
 
@@ -120,7 +120,7 @@
         rid = self._next_id
         self._next_id += 1
         time_left = max(1, time_left - ANSWER_EARLY)
-        request = Open(rid, client, message, cls, time.monotonic_ns() + time_left)
+        request = Open(rid, client, message, cls, system.monotonic_ns() + time_left)
         self.requests[rid] = request
         self.owed += 1
         request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
@@ -188,7 +188,7 @@
         attempt = Attempt(
             request.message,
             action.server,
-            min(request.deadline, time.monotonic_ns() + action.timeout)
+            min(request.deadline, system.monotonic_ns() + action.timeout)
             if action.timeout
             else request.deadline,
             listener=self,
@@ -222,7 +222,7 @@
             # The loop may call a hair early; the module would take a timer that is not yet due for none.
             self.feed(api.Timer(token), due)
 
-        handle = self.loop.call_later(max(0, due - time.monotonic_ns()) / 1e9, fire)
+        handle = self.loop.call_later(max(0, due - system.monotonic_ns()) / 1e9, fire)
         self.timers.add(handle)
 
     # Final answers
@@ -288,7 +288,9 @@
             return None
         request.stream = attempt
         self._stop_timer(request)
-        self.feed(api.Started(request.id, attempt.number, attempt.server, time.monotonic_ns() - attempt.sent))
+        self.feed(
+            api.Started(request.id, attempt.number, attempt.server, system.monotonic_ns() - attempt.sent)
+        )
         # The request is tied to this answer now: what another attempt brings could not be used.
         for other in request.attempts:
             if other is not None and other is not attempt:
@@ -316,7 +318,7 @@
                 attempt.number,
                 attempt.server,
                 result,
-                max(0, time.monotonic_ns() - attempt.sent - attempt.lag),
+                max(0, system.monotonic_ns() - attempt.sent - attempt.lag),
                 request.done,
                 attempt.report,
             )
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -7,7 +7,6 @@
 import logging
 import os
 import socket
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 from itertools import takewhile
@@ -17,6 +16,7 @@
 
 from lynxrouter import interface as api
 
+from . import system
 from .config import MS, SECOND, Listing, Names
 from .messages import (
     MAX_ANSWER,
@@ -31,7 +31,6 @@
     head,
     not_passed_on,
     pairs,
-    tcp_socket,
 )
 from .ports import Client
 
@@ -106,7 +105,7 @@
         self.streamed = streamed
         self.owner = owner
         self.number = number
-        self.sent = time.monotonic_ns()
+        self.sent = system.monotonic_ns()
         self.lag = 0  # for how long (ns) the answer's end was here before the node came to read it
         self.written = False  # the kernel has taken the last byte: from here on it may have run
         self.result: api.Result | None = None
@@ -248,7 +247,7 @@
         self.taken = 0
         self.moved = self.servers.loop.time()
         self.hold = not attempt.repeatable or self.moved - self.answered < HOLD_LAST_BYTE
-        left = max(1, (attempt.deadline - time.monotonic_ns()) // MS)
+        left = max(1, (attempt.deadline - system.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
         if message.method != b"GET" or message.size:
             headers.append((b"content-length", b"%d" % message.size))
@@ -537,7 +536,7 @@
 
     async def _connect(self, backend: _Backend, attempt: Attempt) -> None:
         host, port = backend.address
-        sock = tcp_socket(host)
+        sock = system.tcp_socket(host)
         sock.setblocking(False)
         try:
             try:
@@ -622,7 +621,7 @@
         backend = self.backends.get(server)
         host = backend.address[0].encode() if backend is not None else b""
         message = Message(b"GET", b"/stats" if pulled else b"/health/live", [(b"host", host)], (), 0)
-        attempt = Attempt(message, server, time.monotonic_ns() + PROBE_TIME, _Probe(self.names, feed))
+        attempt = Attempt(message, server, system.monotonic_ns() + PROBE_TIME, _Probe(self.names, feed))
         attempt.timer = self.loop.call_later(PROBE_TIME / SECOND, attempt.end, api.Result.TIMEOUT)
         self.send(attempt)
 
@@ -642,5 +641,5 @@
         report = attempt.report
         if answer is not None and answer.body and not report:
             report = self.names.load_report(b"".join(answer.body).decode("latin-1"))
-        rtt = time.monotonic_ns() - attempt.sent
+        rtt = system.monotonic_ns() - attempt.sent
         self.feed(api.ProbeResult(attempt.server, attempt.result, rtt, report))
--- a/simulation/__init__.py
+++ b/simulation/__init__.py
@@ -2,7 +2,6 @@
 
 loop       an event loop with virtual time, whose choices are drawn from a seed, and the hash of its trace
 network    connections in memory: delay, jitter, segments, resets, half-closes, partitions, full buffers
-
-What is built so far carries protocols and streams (`create_connection`, `create_server`). The node's raw
-sockets, its clock and its questions to the kernel are not yet behind a seam: see docs/ROADMAP.md.
+machine    the node's sockets, descriptors and clock, put in place by the seam `elderscale.system`
+scene      a first scene of a whole node, its agent, servers and clients
 """
--- /dev/null
+++ b/simulation/machine.py
@@ -0,0 +1,188 @@
+"""The node's machine under simulation: sockets as `elderscale` uses them, put in place by its seam."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from elderscale import system
+
+from .loop import SimLoop
+from .network import Address, Network, SimTransport
+
+__all__ = ["Machine", "SimSocket"]
+
+NS = 1_000_000_000
+_TCP_ESTABLISHED, _TCP_CLOSE_WAIT, _TCP_CLOSE = 1, 8, 7
+
+
+class SimSocket:
+    """A TCP socket: what the node calls of one, and no more."""
+
+    def __init__(self, machine: Machine) -> None:
+        self.machine = machine
+        self.local: Address = (machine.host, 0)
+        self.end: SimTransport | None = None
+        self.error = 0
+        self.closed = False
+        self.up = asyncio.Event()  # a connect has ended, well or not
+        self.queue: deque[SimTransport] = deque()  # connections that wait to be accepted
+        self._backlog = 0
+        self._connecting: asyncio.Task[None] | None = None
+        machine.sockets[self] = None
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
+        """Nothing that is set matters here."""
+
+    def setblocking(self, flag: bool) -> None:
+        """Nothing here blocks."""
+
+    def bind(self, address: Address) -> None:
+        self.local = (self.machine.host, address[1] or self.machine.network.port())
+
+    def getsockname(self) -> Address:
+        return self.local
+
+    def listen(self, backlog: int) -> None:
+        self._backlog = backlog
+        self.machine.network.listen(self.local, self._arrived)
+
+    def _arrived(self, end: SimTransport) -> bool:
+        if len(self.queue) >= self._backlog:
+            return False
+        self.queue.append(end)
+        self.machine.readable(self)
+        return True
+
+    def accept(self) -> tuple[SimSocket, Address]:
+        while self.queue:
+            end = self.queue.popleft()
+            if len(self.machine.sockets) >= self.machine.descriptors:
+                self.queue.appendleft(end)
+                raise OSError(errno.EMFILE, "Too many open files")
+            sock = SimSocket(self.machine)
+            sock.local, sock.end = self.local, end
+            return sock, end.remote
+        raise BlockingIOError
+
+    def connect_ex(self, address: Address) -> int:
+        loop = self.machine.loop
+        self._connecting = loop.create_task(self._connect(address))
+        return errno.EINPROGRESS
+
+    async def _connect(self, address: Address) -> None:
+        try:
+            end = await self.machine.network.connect(self.machine.host, address)
+        except OSError as error:
+            self.error = error.errno or errno.ECONNREFUSED
+        else:
+            self.end = end
+        self.up.set()
+        self.machine.writable(self)
+
+    def getsockopt(self, level: int, option: int, size: int = 0) -> Any:
+        """SO_ERROR, or as much of struct tcp_info as the node reads."""
+        if level == socket.SOL_SOCKET and option == socket.SO_ERROR:
+            return self.error
+        end = self.end
+        state = _TCP_CLOSE
+        since = 0
+        if end is not None and not end.lost:
+            state = _TCP_CLOSE_WAIT if end.finished else _TCP_ESTABLISHED
+            since = int(1000 * (self.machine.loop.now - end.arrived))
+        info = bytes([state]) + bytes(51) + since.to_bytes(4, "little")
+        return info[:size]
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.machine.sockets.pop(self, None)
+        self.machine.network.listening.pop(self.local, None) if self._backlog else None
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self.end is not None:
+            self.end.abort()
+        for end in self.queue:
+            end.abort()
+        self.queue.clear()
+
+
+class Machine:
+    """One machine: its name in the network, its descriptors, and the loop's calls about its sockets."""
+
+    def __init__(self, network: Network, host: str = "node", descriptors: int = 1024) -> None:
+        self.network = network
+        self.loop: SimLoop = network.loop
+        self.host = host
+        self.descriptors = descriptors
+        self.sockets: dict[SimSocket, None] = {}
+        self._readers: dict[SimSocket, Callable[[], object]] = {}
+        self._writers: dict[SimSocket, Callable[[], object]] = {}
+        for name in ("add_reader", "remove_reader", "add_writer", "remove_writer", "connect_accepted_socket"):
+            setattr(self.loop, name, getattr(self, name))
+
+    @contextmanager
+    def installed(self) -> Iterator[None]:
+        """Let the node's code run on this machine while the block lasts."""
+        kept = system.monotonic_ns, system.tcp_socket, system.unread, system.wall_ahead
+        system.monotonic_ns = lambda: int(self.loop.now * NS)
+        system.tcp_socket = lambda host: SimSocket(self)  # type: ignore[assignment,return-value]
+        system.unread = self._unread
+        system.wall_ahead = 0
+        try:
+            yield
+        finally:
+            system.monotonic_ns, system.tcp_socket, system.unread, system.wall_ahead = kept
+
+    @staticmethod
+    def _unread(sock: Any) -> bool:
+        return sock.end is not None and any(sock.end.unread)
+
+    # The loop's calls
+
+    def add_reader(self, sock: SimSocket, callback: Callable[..., object], *args: Any) -> None:
+        self._readers[sock] = lambda: callback(*args)
+        self.readable(sock)
+
+    def remove_reader(self, sock: SimSocket) -> bool:
+        return self._readers.pop(sock, None) is not None
+
+    def readable(self, sock: SimSocket) -> None:
+        """Call the reader for as long as connections wait."""
+        if sock in self._readers and sock.queue:
+            self.loop.call_soon(self._read, sock)
+
+    def _read(self, sock: SimSocket) -> None:
+        reader = self._readers.get(sock)
+        if reader is not None and sock.queue:
+            reader()
+            self.readable(sock)
+
+    def add_writer(self, sock: SimSocket, callback: Callable[..., object], *args: Any) -> None:
+        self._writers[sock] = lambda: callback(*args)
+        if sock.up.is_set():
+            self.writable(sock)
+
+    def remove_writer(self, sock: SimSocket) -> bool:
+        return self._writers.pop(sock, None) is not None
+
+    def writable(self, sock: SimSocket) -> None:
+        writer = self._writers.get(sock)
+        if writer is not None:
+            self.loop.call_soon(writer)
+
+    async def connect_accepted_socket(
+        self, factory: Callable[[], asyncio.BaseProtocol], sock: SimSocket
+    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
+        assert sock.end is not None
+        if sock.end.lost:
+            raise ConnectionResetError(errno.ECONNRESET, "Connection reset by peer")
+        protocol = factory()
+        sock.end.attach(protocol)
+        return sock.end, protocol
--- a/simulation/network.py
+++ b/simulation/network.py
@@ -61,15 +61,18 @@
     """One end of a connection."""
 
     def __init__(
-        self, network: Network, protocol: asyncio.BaseProtocol, local: Address, remote: Address
+        self, network: Network, protocol: asyncio.BaseProtocol | None, local: Address, remote: Address
     ) -> None:
         super().__init__({"sockname": local, "peername": remote})
         self.network = network
         self.loop = network.loop
-        self.protocol = protocol
+        self._protocol = protocol  # None: in the kernel, nobody has taken it yet
+        self.arrived = network.loop.now  # when the last bytes came
+        self.finished = False  # the peer's end of sending has come
         self.local, self.remote = local, remote
         self.peer: SimTransport
         self.lost = False  # connection_lost has been or will be told
+        self.error: Exception | None = None  # with which it was lost
         self.closing = False
         self.ended = False  # its end of sending is on its way
         self.reading = True
@@ -80,10 +83,24 @@
         self.paused = False
         self._free_at = 0.0  # no byte of this direction arrives before the one ahead of it
 
+    @property
+    def protocol(self) -> asyncio.BaseProtocol:
+        """Who reads here."""
+        assert self._protocol is not None
+        return self._protocol
+
+    def attach(self, protocol: asyncio.BaseProtocol) -> None:
+        """Hand a connection that the kernel held to a protocol, with all that has come meanwhile."""
+        self._protocol = protocol
+        protocol.connection_made(self)
+        self.loop.call_soon(self._hand_over)
+        if self.lost:
+            self.loop.call_soon(protocol.connection_lost, self.error)
+
     # What a protocol asks of it
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
-        self.protocol = protocol
+        self._protocol = protocol
 
     def get_protocol(self) -> asyncio.BaseProtocol:
         return self.protocol
@@ -180,11 +197,13 @@
         """Bytes have come from the wire."""
         if self.lost:
             return
+        self.arrived = self.loop.now
+        self.finished = self.finished or data is None
         self.unread.append(data)
         self._hand_over()
 
     def _hand_over(self) -> None:
-        while self.unread and self.reading and not self.lost:
+        while self.unread and self.reading and not self.lost and self._protocol is not None:
             data = self.unread.popleft()
             if data is None:
                 keep = cast(asyncio.Protocol, self.protocol).eof_received()
@@ -217,10 +236,16 @@
         if self.lost:
             return
         self.lost = self.closing = True
+        self.error = error
         self.unread.clear()
         self.unsent.clear()
         self.network.transports.pop(self, None)
-        self.loop.call_soon(self.protocol.connection_lost, error)
+        if self._protocol is not None:
+            self.loop.call_soon(self._protocol.connection_lost, error)
+
+
+# Takes the far end of a new connection; False: there is no room, and the near end never hears of it.
+Acceptor = Callable[[SimTransport], bool]
 
 
 class Network:
@@ -229,7 +254,7 @@
     def __init__(self, loop: SimLoop, link: Link | None = None) -> None:
         self.loop = loop
         self.link = link or Link()
-        self.listening: dict[Address, Factory] = {}
+        self.listening: dict[Address, Acceptor] = {}
         # In the order in which they were made: what is reset together is reset in an order that repeats.
         self.transports: dict[SimTransport, None] = {}
         self.cut: set[frozenset[str]] = set()  # pairs of hosts that do not hear each other
@@ -242,37 +267,70 @@
         """Whether two hosts hear each other."""
         return one not in self.down and other not in self.down and frozenset((one, other)) not in self.cut
 
-    async def create_server(self, factory: Factory, host: str, port: int, **_: Any) -> _Server:
-        """Listen; OSError where somebody does already."""
-        if port == 0:
-            self._ports += 1
-            port = self._ports
-        if (host, port) in self.listening:
+    def port(self) -> int:
+        """A port that nobody has."""
+        self._ports += 1
+        return self._ports
+
+    def listen(self, address: Address, accept: Acceptor) -> None:
+        """Take connections at an address; OSError where somebody does already."""
+        if address in self.listening:
             raise OSError(98, "Address already in use")
-        self.listening[(host, port)] = factory
-        return _Server(self, (host, port))
+        self.listening[address] = accept
 
-    async def create_connection(
-        self, factory: Factory, host: str, port: int, local: str = "client", **_: Any
-    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
-        """Connect; refused where nobody listens, and never up where the way is cut."""
-        delay = self.link.delay + self.loop.random.random() * self.link.jitter
-        if not self.carries(local, host):
+    async def create_server(self, factory: Factory, host: str, port: int, **_: Any) -> _Server:
+        """Listen with a protocol for each connection."""
+        address = (host, port or self.port())
+
+        def accept(end: SimTransport) -> bool:
+            end.attach(factory())
+            return True
+
+        self.listen(address, accept)
+        return _Server(self, address)
+
+    async def connect(self, local: str, remote: Address) -> SimTransport:
+        """This side's end of a new connection, as the kernel holds it.
+
+        Refused where nobody listens; it never comes up where the way is cut or the accept queue is full.
+        """
+        await asyncio.sleep(self.link.delay + self.loop.random.random() * self.link.jitter)
+        if not self.carries(local, remote[0]):
             await self.loop.create_future()  # until the caller gives up
-        await asyncio.sleep(2 * delay)
-        serve = self.listening.get((host, port))
-        if serve is None:
+        accept = self.listening.get(remote)
+        if accept is not None:
+            near = (local, self.port())
+            one, two = SimTransport(self, None, near, remote), SimTransport(self, None, remote, near)
+            one.peer, two.peer = two, one
+            self.transports[one] = self.transports[two] = None
+            if not accept(two):
+                del self.transports[one], self.transports[two]
+                await self.loop.create_future()
+        try:
+            await asyncio.sleep(self.link.delay + self.loop.random.random() * self.link.jitter)
+        except asyncio.CancelledError:
+            if accept is not None:
+                one.abort()  # the far side has it already, and learns that nobody is there
+            raise
+        if accept is None:
             raise ConnectionRefusedError(111, "Connection refused")
-        self._ports += 1
-        near, far = (local, self._ports), (host, port)
-        protocol, other = factory(), serve()
-        one = SimTransport(self, protocol, near, far)
-        two = SimTransport(self, other, far, near)
-        one.peer, two.peer = two, one
-        self.transports[one] = self.transports[two] = None
-        two.protocol.connection_made(two)
-        one.protocol.connection_made(one)
-        return one, protocol
+        return one
+
+    async def create_connection(
+        self,
+        factory: Factory,
+        host: str | None = None,
+        port: int | None = None,
+        *,
+        sock: Any = None,
+        local: str = "client",
+        **_: Any,
+    ) -> tuple[SimTransport, asyncio.BaseProtocol]:
+        """Connect and attach a protocol; sock: one that is connected already."""
+        end = sock.end if sock is not None else await self.connect(local, (str(host), int(port or 0)))
+        protocol = factory()
+        end.attach(protocol)
+        return end, protocol
 
     def crash(self, host: str) -> None:
         """A process dies: its listeners close, its connections are reset."""
