A reload that fails in an unforeseen way is logged and leaves the old file in force

Need: only a file's own errors were caught in the reload's task; anything else would have ended it unseen. Test: a compiler that raises, after which the node serves and the next reload takes effect.

--- a/elderscale/operator.py
+++ b/elderscale/operator.py
@@ -100,6 +100,9 @@
                         error.file,
                         len(error.problems),
                     )
+                except Exception:
+                    # What nobody foresaw in a file costs this reload and nothing else.
+                    log.exception("reload: %s cannot be read; the old one stays in force", self.path)
                 else:
                     self.gate.take_over(plan)
                     log.info("reload: %s: %d routes in force", self.path, len(plan.routes))
--- a/tests/test_routes_node.py
+++ b/tests/test_routes_node.py
@@ -323,6 +323,23 @@
     asyncio.run(play())
 
 
+def test_a_reload_that_fails_in_an_unforeseen_way_leaves_the_old_file_in_force(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with routed(tmp_path, "[class.view.limits]\nin_flight = 3", Backend("s-1")) as (node, operator):
+            plan = operator.gate.plan
+            with monkeypatch.context() as patch:
+                patch.setattr("elderscale.operator.compile_file", lambda *args: 1 // 0)
+                await reloaded(operator, "")
+            assert operator.gate.plan is plan
+            assert b" 200 " in await node.ask(request(rid="r-1"))
+            await reloaded(operator, "")
+            assert operator.gate.plan is not plan
+
+    asyncio.run(play())
+
+
 def test_a_file_that_is_being_written_is_read_when_it_is_whole(tmp_path: Path) -> None:
     whole = "[class.view.limits]\nin_flight = 7\n[class.send.limits]\nin_flight = 8\n"
     path = tmp_path / "operator.toml"
