hollybay simulate: seeds under swarms of faults, on one core or several

Need: faults must come from the seed. simulation/faults.py draws, pure, which kinds are on, what they strike, when and for how long; the scene lets them happen and asks for liveness afterwards. The command prints each seed that shows something wrong with the command that plays it again, and the kinds and pairs of kinds that were met.

--- a/simulation/network.py
+++ b/simulation/network.py
@@ -332,6 +332,12 @@
         end.attach(protocol)
         return end, protocol
 
+    def heal(self, one: str, other: str) -> None:
+        """End a cut: what stood between the two was lost in part, and is reset."""
+        self.cut.discard(frozenset((one, other)))
+        for end in [t for t in self.transports if {t.local[0], t.remote[0]} == {one, other}]:
+            end.reset()
+
     def crash(self, host: str) -> None:
         """A process dies: its listeners close, its connections are reset."""
         for address in [address for address in self.listening if address[0] == host]:
--- a/simulation/scene.py
+++ b/simulation/scene.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import random
+from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import cast
 
 from elderscale.__main__ import assemble, drain
@@ -12,11 +14,12 @@
 from standins.ledger import Final, Ledger, Limits, Start
 from standins.scene import settings
 
+from .faults import KINDS, Fault, script
 from .loop import SimLoop
 from .machine import Machine
 from .network import Link, Network, SimTransport
 
-__all__ = ["SETTINGS", "Scene", "played"]
+__all__ = ["SETTINGS", "Played", "Scene", "play_seed", "played"]
 
 NS = 1_000_000_000
 SETTINGS = settings_of(settings())
@@ -67,12 +70,20 @@
         self.states = {name: "SERVING" for name in self.names}
         self.changed = asyncio.Event()
         self.work = 0.05  # seconds, about, that an answer takes
+        self.born: dict[str, int] = {}  # when a server that came back cold started, ms
+        self.failing: set[str] = set()
+        self.slow: set[str] = set()
+        self.struck: set[tuple[str, str]] = set()
+        self.silent = 0  # faults that keep discovery silent
 
     def now(self) -> int:
         return int(self.loop.now * NS)
 
-    async def up(self, name: str) -> None:
-        self.starts[name] = self.ledger.started(name, self.now(), 1.0, cold=False)
+    async def up(self, name: str, cold: bool = False) -> None:
+        """A server begins to serve."""
+        self.starts[name] = self.ledger.started(name, self.now(), 20.0, cold)
+        if cold:
+            self.born[name] = self.now() // 1_000_000
         await self.net.create_server(lambda: _Server(self, name), name, 80)
 
     def tell(self, name: str, state: str) -> None:
@@ -108,6 +119,37 @@
         self.clients.close()
         await asyncio.sleep(20)
 
+    async def strike(self, fault: Fault) -> None:
+        """Let one fault happen, and end it."""
+        name = self.names[fault.server]
+        if fault.kind == "crash":
+            if ("crashed", name) in self.struck:
+                return
+            self.struck.add(("crashed", name))
+            self.net.crash(name)
+            await asyncio.sleep(min(0.4, fault.lasts / 2))
+            self.tell(name, "DRAINING")
+            await asyncio.sleep(fault.lasts)
+            await self.up(name, cold=True)
+            self.tell(name, "SERVING")
+        elif fault.kind == "drain":
+            self.tell(name, "DRAINING")
+            await asyncio.sleep(fault.lasts)
+            self.tell(name, "SERVING")
+        elif fault.kind == "cut":
+            self.net.cut.add(frozenset(("node", name)))
+            await asyncio.sleep(fault.lasts)
+            self.net.heal("node", name)
+        elif fault.kind == "late":
+            self.silent += 1
+            await asyncio.sleep(fault.lasts)
+            self.silent -= 1
+        else:
+            struck = self.failing if fault.kind == "errors" else self.slow
+            struck.add(name)
+            await asyncio.sleep(fault.lasts)
+            struck.discard(name)
+
     def left_over(self) -> list[str]:
         """What the node holds still, after its end: requests, connections, budget."""
         held = {
@@ -140,7 +182,10 @@
             if line.lower().startswith(b"x-correlation-id")
         ).decode()
         scene.ledger.arrived(rid, scene.starts[self.name], scene.now(), 0, 0, NS // 100, True)
-        took = scene.work * scene.chance.uniform(0.5, 2.0)
+        took = scene.work * scene.chance.uniform(0.5, 2.0) * (10 if self.name in scene.slow else 1)
+        if self.name in scene.failing and scene.chance.random() < 0.8:
+            self.answer(500, b"error")
+            return
         scene.loop.call_later(took, self.answer, 200, b"%s by %s" % (rid.encode(), self.name.encode()))
 
 
@@ -162,8 +207,18 @@
                     await scene.changed.wait()
             except TimeoutError:
                 pass
+        while scene.silent:
+            await asyncio.sleep(0.05)
         servers = [
-            {"id": name, "addr": f"{name}:80", "zone": "a", "kind": "std", "cell": 0, "state": state}
+            {
+                "id": name,
+                "addr": f"{name}:80",
+                "zone": "a",
+                "kind": "std",
+                "cell": 0,
+                "state": state,
+                "started_ms": scene.born.get(name, 0),
+            }
             for name, state in scene.states.items()
         ]
         self.answer(200, json.dumps({"version": scene.version, "full": True, "servers": servers}).encode())
@@ -248,3 +303,54 @@
 
     loop.run_until_complete(main())
     return scenes[0], loop
+
+
+@dataclass(frozen=True, slots=True)
+class Played:
+    """What one seed showed: its faults, steps and trace, and everything that went wrong."""
+
+    seed: int
+    kinds: tuple[str, ...]
+    steps: int
+    trace: str
+    wrong: tuple[str, ...]
+
+
+def play_seed(seed: int, allowed: Sequence[str] = KINDS, requests: int = 240, rate: float = 60.0) -> Played:
+    """A run under the faults that its seed draws; liveness is asked for once they are over."""
+    loop = SimLoop(seed)  # type: ignore[abstract]
+    faults = script(seed, 6, requests / rate, allowed)
+    scenes: list[Scene] = []
+
+    async def main() -> None:
+        scene = Scene(loop, link=Link(split=0.4))
+        scenes.append(scene)
+        with scene.machine.installed():
+            await scene.start()
+            began = loop.now
+
+            async def strike(fault: Fault) -> None:
+                await asyncio.sleep(began + fault.at - loop.now)
+                await scene.strike(fault)
+
+            struck = [loop.create_task(strike(fault)) for fault in faults]
+            for n in range(requests):
+                await asyncio.sleep(scene.chance.expovariate(rate))
+                loop.create_task(scene.ask(scene.chance.choice([0, 0, 1, 2]), f"r-{n}"))
+            await asyncio.gather(*struck)
+            await asyncio.sleep(12.0)
+            for n in range(5):
+                await scene.ask(2, f"last-{n}")
+                await asyncio.sleep(1.0)
+            await asyncio.sleep(7.0)
+            await scene.end()
+
+    loop.run_until_complete(main())
+    (scene,) = scenes
+    wrong = [f"{fault.rule}: {fault.subject}: {fault.reason}" for fault in scene.ledger.check().faults]
+    wrong += [f"unhandled: {error.get('exception') or error.get('message')}" for error in loop.errors]
+    wrong += [f"left over: {what}" for what in scene.left_over()]
+    last = [scene.ledger.requests.get(f"last-{n}") for n in range(5)]
+    if not any(entry is not None and entry.final is Final.SERVED for entry in last):
+        wrong.append("no liveness: nothing is served once the faults are over")
+    return Played(seed, tuple(sorted({fault.kind for fault in faults})), loop.steps, loop.trace, tuple(wrong))
--- a/tests/test_simulation_node.py
+++ b/tests/test_simulation_node.py
@@ -7,12 +7,15 @@
 from typing import Any
 
 import pytest
+from click.testing import CliRunner
 
 from elderscale.clients import ClientConnection
 from elderscale.node import Node
+from hollybay.cli import main
 from lynxrouter import brain
 from lynxrouter import interface as api
-from simulation.scene import played
+from simulation.faults import KINDS, script
+from simulation.scene import Played, play_seed, played
 from standins.ledger import Final
 
 
@@ -94,3 +97,56 @@
     monkeypatch.setattr(Node, "_forget", lambda self, request: None)
     scene, _ = played(0, trouble=False, requests=5)
     assert "5 requests" in scene.left_over()
+
+
+def test_a_script_is_drawn_from_its_seed_and_switches_kinds_on_and_off() -> None:
+    assert script(5, 6, 4.0) == script(5, 6, 4.0) != script(6, 6, 4.0)
+    drawn = [{fault.kind for fault in script(seed, 6, 4.0)} for seed in range(200)]
+    assert set().union(*drawn) == set(KINDS)
+    assert min(map(len, drawn)) == 1 and max(map(len, drawn)) >= 5
+    for seed in range(200):
+        faults = script(seed, 6, 4.0, ("crash", "late"))
+        assert {fault.kind for fault in faults} <= {"crash", "late"} and faults
+        assert all(0 <= fault.at <= 4.0 and 0 <= fault.server < 6 and fault.lasts > 0 for fault in faults)
+    with pytest.raises(ValueError, match="no such fault: fire"):
+        script(1, 6, 4.0, ("crash", "fire"))
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_seeds_under_swarms_of_faults_break_no_rule(seed: int) -> None:
+    assert play_seed(seed).wrong == ()
+
+
+def test_the_fixed_seeds_meet_every_kind_of_fault() -> None:
+    assert {fault.kind for seed in range(24) for fault in script(seed, 6, 4.0)} == set(KINDS)
+
+
+def test_the_command_prints_the_seed_the_rule_and_how_to_play_it_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def run(*args: str) -> tuple[int, str]:
+        result = CliRunner().invoke(main, ["simulate", *args])
+        return result.exit_code, result.output
+
+    code, said = run("--seeds", "3..4", "--jobs", "2", "--faults", "crash,cut")
+    assert code == 0 and "2 seeds" in said and "0 seeds with something wrong" in said
+    assert run("--faults", "fire")[0] == 2 and run("--seeds", "4..3")[0] == 2
+    wrong = Played(7, ("crash",), 10, "t", ("dup: r-1: an unsafe request ran again",))
+    monkeypatch.setattr("concurrent.futures.ProcessPoolExecutor", Inline)
+    monkeypatch.setattr("simulation.scene.play_seed", lambda seed, allowed: wrong)
+    code, said = run("--seed", "7", "--faults", "crash")
+    assert code == 1 and "seed 7: dup: r-1: an unsafe request ran again" in said
+    assert "hollybay simulate --seed 7 --faults crash" in said
+
+
+class Inline:
+    """A pool of this process."""
+
+    def __init__(self, *args: object) -> None:
+        self.map = map
+
+    def __enter__(self) -> Inline:
+        return self
+
+    def __exit__(self, *args: object) -> None:
+        """Nothing to end."""
