Say things once: opening a client's line, a scene's stream of requests, the settings of check

Need, from reading the whole change again: callers opened a connection in two places, the two runs of the simulation held one loop of requests each, hollybay check read its configuration twice, limits.py listed by hand which words concern the module (now: whether they differ from saying nothing), and a set kept pairs of which one half never varied.

--- a/hollybay/cli.py
+++ b/hollybay/cli.py
@@ -55,12 +55,11 @@
         raise click.ClickException(f"{path}: {error}") from None
 
 
-def _plan(file: str, config: str | None) -> Plan:
+def _plan(file: str, settings: Settings | None) -> Plan:
     """The compiled file; what does not hold is printed, and ends the command with 2."""
     from routing.plan import compile_file
     from routing.problems import OperatorError
 
-    settings = _settings(config)
     try:
         data = Path(file).read_bytes()
     except OSError as error:
@@ -91,8 +90,9 @@
     Without a configuration a class is what the file declares, and unsafe where it declares nothing. Exit
     status 2 if it does not hold.
     """
-    plan = _plan(file, config)
-    against = "the settings" if _settings(config) is not None else "what it declares of its classes"
+    settings = _settings(config)
+    plan = _plan(file, settings)
+    against = "the settings" if settings is not None else "what it declares of its classes"
     click.echo(f"{file}: holds against {against}: {len(plan.routes)} routes, {len(plan.by_class)} classes")
 
 
@@ -118,7 +118,10 @@
             raise click.BadParameter(f"{header!r} is no NAME:VALUE", param_hint="-H")
         given[name.strip().lower().encode("latin-1", "replace")] = value.strip().encode("latin-1", "replace")
     found = explain(
-        _plan(file, config), method.encode("latin-1", "replace"), path.encode("latin-1", "replace"), given
+        _plan(file, _settings(config)),
+        method.encode("latin-1", "replace"),
+        path.encode("latin-1", "replace"),
+        given,
     )
     if found.denied is not None:
         click.echo(f"turned away with {found.denied.status}: {found.denied.reason}")
--- a/hollybay/demo.py
+++ b/hollybay/demo.py
@@ -12,7 +12,7 @@
 
 from standins.callers import Callers
 from standins.fleet import ModelServer
-from standins.ledger import Asked, Final, Ledger, Verdict
+from standins.ledger import Final, Ledger, Verdict
 from standins.process import NodeProcess
 from standins.scene import KINDS, Scene
 
@@ -225,7 +225,7 @@
 
 
 def _progress(elapsed: float, seconds: float, phase: str, scene: Scene) -> Progress:
-    ends: Counter[Final | None] = Counter(_end(entry) for entry in scene.ledger.requests.values())
+    ends: Counter[Final | None] = Counter(entry.final for entry in scene.ledger.requests.values())
     served, refused, still = ends[Final.SERVED], ends[Final.REFUSED], ends[None]
     asked = len(scene.ledger.requests)
     return Progress(
@@ -238,7 +238,3 @@
         asked - served - refused - still,
         sum(server.up for server in scene.servers),
     )
-
-
-def _end(entry: Asked) -> Final | None:
-    return entry.final
--- a/routing/limits.py
+++ b/routing/limits.py
@@ -9,7 +9,7 @@
 
 from .schema import LimitsTable
 
-__all__ = ["GROUPS", "Effective", "Rate", "Sourced", "inherit"]
+__all__ = ["GROUPS", "Effective", "Rate", "Sourced", "effective", "inherit"]
 
 GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
 
@@ -102,31 +102,17 @@
 
 def effective(scope: str, cls: int, words: Sourced) -> Effective:
     """What these words mean for the edge and the module; they have been checked."""
-    module = None
-    if any(
-        getattr(words, name) is not None
-        for name in (
-            "attempt_timeout",
-            "attempts",
-            "copies",
-            "copy_delay",
-            "repeat_window",
-            "repeat_group",
-            "retry_budget",
-            "retry_after",
-        )
-    ):
-        module = api.Limits(
-            attempts=words.attempts or 0,
-            attempt_timeout=words.attempt_timeout or 0,
-            copies=-1 if words.copies is None else words.copies,
-            copy_delay=words.copy_delay or 0,
-            repeat_window=words.repeat_window or 0,
-            repeat_group=None if words.repeat_group is None else GROUPS[words.repeat_group],
-            retry_share=-1.0 if words.retry_budget is None else words.retry_budget,
-            budget=scope,
-            retry_after=words.retry_after or (0, 0),
-        )
+    module = api.Limits(
+        attempts=words.attempts or 0,
+        attempt_timeout=words.attempt_timeout or 0,
+        copies=-1 if words.copies is None else words.copies,
+        copy_delay=words.copy_delay or 0,
+        repeat_window=words.repeat_window or 0,
+        repeat_group=None if words.repeat_group is None else GROUPS[words.repeat_group],
+        retry_share=-1.0 if words.retry_budget is None else words.retry_budget,
+        budget=scope,
+        retry_after=words.retry_after or (0, 0),
+    )
     return Effective(
         scope,
         cls,
@@ -135,6 +121,7 @@
         words.in_flight or 0,
         words.rate,
         words.retry_after,
-        module,
+        # Where nothing is said the module need not look.
+        None if module == api.Limits(budget=scope) else module,
         words,
     )
--- a/simulation/scene.py
+++ b/simulation/scene.py
@@ -48,11 +48,8 @@
     def asked(self, head: bytes) -> None:
         raise NotImplementedError
 
-    def answer(self, status: int, body: bytes, *lines: bytes) -> None:
-        more = b"".join(line + b"\r\n" for line in lines)
-        self.transport.write(
-            b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n%s\r\n%s" % (status, len(body), more, body)
-        )
+    def answer(self, status: int, body: bytes) -> None:
+        self.transport.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body))
 
 
 class Scene:
@@ -73,7 +70,7 @@
         self.born: dict[str, int] = {}  # when a server that came back cold started, ms
         self.failing: set[str] = set()
         self.slow: set[str] = set()
-        self.struck: set[tuple[str, str]] = set()
+        self.crashed: set[str] = set()  # a server crashes once a run
         self.silent = 0  # faults that keep discovery silent
 
     def now(self) -> int:
@@ -112,6 +109,12 @@
         """One request on a connection of its own, noted in the ledger."""
         await self.net.create_connection(lambda: _Client(self, cls, rid), "node", 80)
 
+    async def requests(self, count: int, rate: float) -> None:
+        """Ask so often, in a Poisson stream of so many a second."""
+        for n in range(count):
+            await asyncio.sleep(self.chance.expovariate(rate))
+            self.loop.create_task(self.ask(self.chance.choice([0, 0, 1, 2]), f"r-{n}"))
+
     async def end(self) -> None:
         """Drain as at SIGTERM, and let everything rest."""
         await drain(self.clients, self.node)
@@ -123,9 +126,9 @@
         """Let one fault happen, and end it."""
         name = self.names[fault.server]
         if fault.kind == "crash":
-            if ("crashed", name) in self.struck:
+            if name in self.crashed:
                 return
-            self.struck.add(("crashed", name))
+            self.crashed.add(name)
             self.net.crash(name)
             await asyncio.sleep(min(0.4, fault.lasts / 2))
             self.tell(name, "DRAINING")
@@ -293,9 +296,7 @@
                         scene.tell(name, "SERVING")
 
             beside = loop.create_task(crashes()) if trouble else None
-            for n in range(requests):
-                await asyncio.sleep(scene.chance.expovariate(60.0))
-                loop.create_task(scene.ask(scene.chance.choice([0, 0, 1, 2]), f"r-{n}"))
+            await scene.requests(requests, rate=60.0)
             if beside is not None:
                 await beside
             await asyncio.sleep(7.0)
@@ -334,9 +335,7 @@
                 await scene.strike(fault)
 
             struck = [loop.create_task(strike(fault)) for fault in faults]
-            for n in range(requests):
-                await asyncio.sleep(scene.chance.expovariate(rate))
-                loop.create_task(scene.ask(scene.chance.choice([0, 0, 1, 2]), f"r-{n}"))
+            await scene.requests(requests, rate)
             await asyncio.gather(*struck)
             await asyncio.sleep(12.0)
             for n in range(5):
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -201,10 +201,7 @@
                 call.fresh = False
                 line.send(call)
                 return
-        call.fresh = True
-        task = self.loop.create_task(self._open(call, port))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._open_anew(call, port)
 
     async def _open(self, call: _Call, port: int) -> None:
         try:
@@ -243,13 +240,13 @@
     def broke(self, call: _Call, part: bytes) -> None:
         """The connection ended. One that the node closed between requests may have crossed this one."""
         if not call.fresh and not part and not call.entry.arrived:
-            self._open_anew(call)
+            self._open_anew(call, self.random.choice(self.ports))
             return
         self._end(call, Final.BROKEN)
 
-    def _open_anew(self, call: _Call) -> None:
+    def _open_anew(self, call: _Call, port: int) -> None:
         call.fresh = True
-        task = self.loop.create_task(self._open(call, self.random.choice(self.ports)))
+        task = self.loop.create_task(self._open(call, port))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
