A door for operators, servers out by hand, drain and resume, figures, upgrade on one address

With `admin` in the configuration (or BALANCER_ADMIN) the node opens a door of its own: ready, metrics in the text form of Prometheus (prometheus_client), servers, disable and enable, drain and resume.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -18,8 +18,11 @@
 from .discovery import Discovery
 from .node import Node
 from .servers import Servers
+from .tally import Tally
 
 if TYPE_CHECKING:
+    from .desk import Desk
+    from .handover import Place
     from .operator import Operator
 
 log = logging.getLogger("elderscale")
@@ -37,11 +40,18 @@
 # Descriptors for the loop, the log, the listener and discovery, and for what one turn accepts before others
 # are dropped, and those then closed one turn later.
 RESERVED = 24 + 3 * ACCEPT_BATCH
+# Further ones where operators call: their connections, the door, files.
+DOOR = 24
+
+
+# How long (s) a new process beside an old one waits to hear from discovery itself before it takes clients;
+# it must be ready within 6 s of its start, whether discovery answers or not.
+FRESH_LIMIT = 2.0
 
 
 def assemble(config: Config) -> tuple[Clients, Node, Discovery]:
     """The parts of a node, put together but not yet started."""
-    spare = config.sockets - RESERVED
+    spare = config.sockets - RESERVED - (DOOR if config.admin is not None else 0)
     servers = Servers(config.settings, config.names, limit=spare * 4 // 9, answer_budget=config.body_budget)
     node = Node(config.settings, config.seed, servers)
     clients = Clients(config, node, limit=spare * 5 // 9)
@@ -95,24 +105,65 @@
     if operator is not None:
         clients.gate = operator.gate
     assembled(clients, node, discovery)
-    port = await clients.listen(port)
+    desk, place = await operated(config, clients, node)
+    beside = place.others() if place is not None else 0
     discovery.start()
+    if beside:
+        # The old process serves meanwhile; this one begins once it knows what it would be asked for.
+        log.info("%d other processes of this node listen; taking over", beside)
+        await fresh(discovery, stop)
+    port = await clients.listen(port)
+    if place is not None:
+        place.join()
+    if place is not None and beside and clients.listener is not None:
+        place.claim(clients.listener, beside)
     log.info("%s listens on %s:%d", config.name, config.listen[0], port)
     ready = loop.create_task(_ready(clients, discovery))
-    loop.add_signal_handler(signal.SIGHUP, reload, config, discovery, environ, operator)
+    loop.add_signal_handler(signal.SIGHUP, reload, config, discovery, environ, operator, node.tally)
     started(port)
     system.settle()
     await stop.wait()
     loop.add_signal_handler(signal.SIGHUP, log.info, "SIGHUP: draining, nothing is reloaded")
     ready.cancel()
-    await drain(clients, node)
+    clients.leaving = True
+    await drain(clients, node, place=place)
+    if desk is not None:
+        desk.close()
     if operator is not None:
         await operator.close()
     await discovery.close()
 
 
+async def operated(config: Config, clients: Clients, node: Node) -> tuple[Desk | None, Place | None]:
+    """The operators' desk with its door open, and this process's place among those of its node; None for
+    both where the configuration has no address for operators."""
+    if config.admin is None:
+        return None, None
+    try:
+        from .desk import Desk
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"admin: needs {error.name}, see requirements.txt") from None
+    from .handover import Place
+
+    desk = Desk(config, clients, node)
+    await desk.open()
+    return desk, Place(desk.folder, desk.name)
+
+
+async def fresh(discovery: Discovery, stop: asyncio.Event) -> None:
+    """Wait until discovery itself has answered, up to FRESH_LIMIT, or until the process is told to end."""
+    waiting = [asyncio.ensure_future(event.wait()) for event in (discovery.fresh, stop)]
+    await asyncio.wait(waiting, timeout=FRESH_LIMIT, return_when=asyncio.FIRST_COMPLETED)
+    for task in waiting:
+        task.cancel()
+
+
 def reload(
-    config: Config, discovery: Discovery, environ: Mapping[str, str], operator: Operator | None = None
+    config: Config,
+    discovery: Discovery,
+    environ: Mapping[str, str],
+    operator: Operator | None = None,
+    tally: Tally | None = None,
 ) -> None:
     """Take over what a new configuration can change under load: where discovery is, and the operator's file.
 
@@ -127,12 +178,16 @@
         new = load(environ)
     except ConfigError as error:
         log.error("reload: %s; the old configuration stays in force", error)
+        if tally is not None:
+            tally.reloads_failed += 1
         return
-    for field in ("name", "listen", "sockets", "body_budget", "settings", "names"):
+    for field in ("name", "listen", "admin", "sockets", "body_budget", "settings", "names"):
         if getattr(new, field) != getattr(config, field):
             log.warning("reload: %s differs, which takes a restart", field)
     log.info("reload: discovery at %s:%d", *new.discovery)
     discovery.move(new.discovery)
+    if tally is not None:
+        tally.reloads_ok += 1
 
 
 async def _ready(clients: Clients, discovery: Discovery) -> None:
@@ -141,17 +196,31 @@
 
 
 async def drain(
-    clients: Clients, node: Node, accept_on: float = ACCEPT_ON, answer_room: float = ANSWER_ROOM
+    clients: Clients,
+    node: Node,
+    accept_on: float = ACCEPT_ON,
+    answer_room: float = ANSWER_ROOM,
+    place: Place | None = None,
 ) -> None:
-    """Answer all that comes while there is time, then what is left; end well before the kill."""
+    """Answer all that comes while there is time, then what is left; end well before the kill.
+
+    place: this process's among those of its node. Where another one has taken over, clients find it as soon
+    as they connect anew: they are told to with their next answer, and what rests is closed as ever.
+    """
+    succeeded = place is not None and place.others() > 0
     loop = asyncio.get_running_loop()
     began = loop.time()
     longest = max(c.deadline for c in node.settings.classes) / SECOND
     latest = began + min(longest, LONGEST_DEADLINE) + 0.7 - KILL_MARGIN
     log.info("draining: %d requests open, %d connections", node.owed, len(clients.connections))
-    clients.draining = True
+    if succeeded:
+        clients.closing = True
+    else:
+        clients.draining = True
     await asyncio.sleep(accept_on)
     clients.stop_listening()
+    if place is not None:
+        place.leave()
     while clients.any_left() and loop.time() < latest - answer_room:
         await asyncio.sleep(0.02)
     clients.closing = True
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -396,7 +396,7 @@
         self.clients.move(self, None)
         path = event.target.split(b"?", 1)[0]
         if path in _HEALTH:
-            well = path == b"/health/live" or (self.clients.ready and not self.clients.draining)
+            well = path == b"/health/live" or self.clients.well
             self._respond(200 if well else 503, [], (b"ok\n" if well else b"not ready\n",))
             return
         open_yet, waited = self.waited()
@@ -410,6 +410,7 @@
             return
         if self.clients.full:
             # Worded by the node itself: nothing was sent on for this request.
+            self.clients.node.tally.refused[self.cls] += 1
             self.refuse(self.clients.config.settings.max_retry_after)
             return
         hint = given.get(b"x-weight-hint", b"").strip()
@@ -422,6 +423,7 @@
             )
             if away is not None:
                 # Nothing was sent on for it, and the module does not hear of it: it costs next to nothing.
+                self.clients.node.tally.refused[self.cls] += 1
                 self._respond(429, _after(away), (b"refused\n",))
                 return
             if limits.in_flight:
@@ -614,18 +616,27 @@
             "writing": WRITING_LIMIT,
         }
         self.draining = False  # it takes no more clients on
+        self.leaving = False  # the process ends
         self.closing = False  # answers end their connections
         self.ready = False
         self.listener: socket.socket | None = None
         self.taking: set[asyncio.Task[None]] = set()  # accepted, and not yet among the connections
         self.sweeper: asyncio.TimerHandle | None = None
 
+    @property
+    def well(self) -> bool:
+        """Whether the front may send clients here."""
+        return self.ready and not self.draining
+
     async def listen(self, port: int | None = None) -> int:
         """Begin to accept, at the configured port if no other is given; the port."""
         host, configured = self.config.listen
         port = configured if port is None else port
         sock = system.tcp_socket(host)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.config.admin is not None:
+            # Where operators run nodes, a new version listens beside the old one.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind((host, port))
         sock.setblocking(False)
         sock.listen(BACKLOG)
--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -122,6 +122,8 @@
     settings: Settings
     names: Names
     known: Listing | None
+    admin: tuple[str, int] | None = None  # where operators call; None: nowhere
+    scratch: str = ""  # a folder that this node's processes share while one takes over from another
 
 
 def address(text: str) -> tuple[str, int]:
@@ -145,10 +147,12 @@
         raise ConfigError("BALANCER_CONFIG: no JSON object")
 
     def address_of(field: str) -> tuple[str, int]:
-        text = data.get(field, environ.get(f"BALANCER_{field.upper()}"))
+        text = data.get(field)
+        if text is None:
+            text = environ.get(f"BALANCER_{field.upper()}")
         try:
-            return address(text)
-        except (ValueError, AttributeError):
+            return address(str(text))
+        except ValueError:
             raise ConfigError(f"{field}: {text!r} is no address") from None
 
     settings = data.get("settings")
@@ -169,6 +173,9 @@
             known = names.listing(data["known"], cached=True)
         except ValueError as error:
             raise ConfigError(f"known: {error}") from None
+    admin = None
+    if data.get("admin") is not None or environ.get("BALANCER_ADMIN"):
+        admin = address_of("admin")
     try:
         seed = int(str(data.get("seed", "0")), 16)
     except ValueError:
@@ -183,6 +190,8 @@
         settings=parsed,
         names=names,
         known=known,
+        admin=admin,
+        scratch=environ.get("TMPDIR", ""),
     )
 
 
--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -48,6 +48,7 @@
         self.asked = asked
         self.version = version
         self.heard = asyncio.Event()
+        self.fresh = asyncio.Event()  # heard from discovery itself, by this process
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self._watching: asyncio.Task[None] | None = None
         self._tasks: dict[asyncio.Task[None], None] = {}
@@ -177,6 +178,7 @@
     def _take(self, listing: Listing) -> None:
         self.version = listing.servers.version
         self.heard.set()
+        self.fresh.set()
         if listing.servers.servers or listing.servers.kind or self.asked:
             self.node.listing(listing)
 
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -16,6 +16,7 @@
 from .messages import Answer, Message
 from .ports import Client
 from .servers import Attempt, Servers
+from .tally import Tally
 
 log = logging.getLogger("elderscale")
 
@@ -55,6 +56,9 @@
         self.settings = settings
         self.servers = servers
         self.lists: Lists | None = None
+        self.tally = Tally(len(settings.classes))
+        # What operators lay over discovery's lists, where they can.
+        self.overlay: Callable[[Listing], Listing] | None = None
         self.loop = asyncio.get_running_loop()
         self.now = system.monotonic_ns()  # as the module last heard it
         self.balancer = Balancer(settings, seed, self.now)
@@ -96,6 +100,12 @@
 
     def listing(self, listing: Listing) -> None:
         """A list of servers has come."""
+        if self.overlay is not None:
+            listing = self.overlay(listing)
+        self.apply(listing)
+
+    def apply(self, listing: Listing) -> None:
+        """Put a list in force: for the pools and for the module."""
         self.servers.apply(listing)
         self.feed(listing.servers)
 
@@ -154,9 +164,9 @@
         elif isinstance(action, api.SetTimer):
             self._set_timer(action.delay, action.token)
         elif isinstance(action, api.Refuse):
-            self._answer(action.id, lambda client: client.refuse(action.retry_after))
+            self._answer(action.id, lambda client: client.refuse(action.retry_after), self.tally.refused)
         elif isinstance(action, api.Fail):
-            self._answer(action.id, lambda client: client.fail(502))
+            self._answer(action.id, lambda client: client.fail(502), self.tally.failed)
         elif isinstance(action, api.Cancel):
             self._cancel(action)
         elif isinstance(action, api.CloseIdle):
@@ -227,10 +237,11 @@
 
     # Final answers
 
-    def _answer(self, rid: int, give: Callable[[Client], None]) -> None:
+    def _answer(self, rid: int, give: Callable[[Client], None], counts: list[int]) -> None:
         request = self.requests.get(rid)
         if request is None or request.done or request.stream is not None:
             return
+        counts[request.cls] += 1
         self._conclude(request)
         self._give(request.client, lambda: give(request.client))
 
@@ -248,7 +259,7 @@
         """The module did not answer in time, or cannot: the node does, and tells it so."""
         if request.done:
             return
-        self._answer(request.id, lambda client: client.fail(504))
+        self._answer(request.id, lambda client: client.fail(504), self.tally.failed)
         self.feed(api.Gone(request.id))
 
     def _expire(self, request: Open) -> None:
@@ -307,8 +318,11 @@
             client = request.client
             if request.stream is attempt:
                 self._conclude(request)
-                self._give(client, client.finish if result == api.Result.OK else client.cut)
+                whole = result == api.Result.OK
+                (self.tally.served if whole else self.tally.failed)[request.cls] += 1
+                self._give(client, client.finish if whole else client.cut)
             elif result == api.Result.OK and answer is not None:
+                self.tally.served[request.cls] += 1
                 self._conclude(request)
                 self._give(client, lambda: client.answer(answer))
         self._forget(request)
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -297,6 +297,7 @@
     def _written(self) -> None:
         if self.attempt is not None and not self.attempt.written and not self.transport.is_closing():
             self.attempt.written = True
+            self.servers.written += 1
             self.backend.unsent.pop(self.attempt, None)
 
     # Reading
@@ -462,6 +463,7 @@
         self.settings = settings
         self.answer_budget = answer_budget  # for answers longer than MAX_BODY, all together
         self.reserved = 0
+        self.written = 0  # attempts that the kernel has taken whole, since the start
         self.names = names
         self.limit = limit
         self.load_header = b"x-backend-load"
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -363,6 +363,11 @@
             self.actions.append(SetTimer(self.armed - now, TOKEN_WAKE))
         return self.actions
 
+    def avoids(self, server: ServerId) -> bool:
+        """Whether nothing new goes to a server that the list offers."""
+        s = self.servers.get(server)
+        return s is not None and s.group is None
+
     def _wake(self, due: int, what: int, rid: int) -> None:
         self.ties += 1
         heappush(self.wakes, (due, self.ties, what, rid))
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -110,7 +110,7 @@
     Defect(
         "broken-stream-seems-whole",
         NODE,
-        "client.finish if result == api.Result.OK else client.cut",
+        "client.finish if whole else client.cut",
         "client.finish",
     ),
     Defect(
