Learn a request's work at idle servers only, and let the cold budget follow it

The gap between sends to a cold server followed the mean response time, which is mostly queue in a jam (base 160 to 380 ms, work 30 ms), and a cold server's next turn, drawn while nothing was known, stayed seconds away in a process that had just started.

Now a request's work is learned from answers that found their server idle (none of this node's beside it, list load under 0.5), the gap follows it, and a turn is drawn anew when the gap has shrunk.

Ruled out for it: closes that cross requests (none was seen in a log of each), the kernel's program (200 of 200 connections go where it says).

--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -70,6 +70,9 @@
 # Part of the load that the list told of a server which is likely still there: it is a second old, and a queue
 # is worked off sooner.
 TOLD_PART = 0.25
+# Load that the list tells (requests held for each core) under which a server counts as idle when a
+# request's work is learned, and the least weight of one such answer.
+IDLE_LOAD, WORK_WEIGHT = 0.5, 0.02
 # Gains of that: per review, and at once.
 SPILL_SLOW, SPILL_FAST = 0.1, 0.7
 # Shedding starts when attempts lose this share of their worth, being late or turned away.
@@ -329,8 +332,9 @@
         self.base: list[float] = [0.0] * len(
             settings.classes
         )  # mean response time x size (x 1/cost hint), by class
-        # Mean response time x size / this node's attempts there: what one adds to the others, by class.
+        # Mean time that one request takes at an idle server of size 1, by class, and how many told of it.
         self.work: list[float] = [0.0] * len(settings.classes)
+        self.work_seen = [0] * len(settings.classes)
         self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
         self.ask_after = ASK_FIRST
         self.longest_aim = max(c.aim for c in settings.classes)
@@ -652,7 +656,7 @@
             s.cap = s.size * s.warmth * tilt * (1.0 - s.fails)
             if s.trial:
                 s.cap *= TRIAL_PART
-        mean = self._mean_time()
+        mean = self._mean_work()
         # In the paper idle servers are known to one dispatcher; in JIQ with several, each idle server joins
         # the list of one of them. Nodes cannot talk, so the lot decides: a server is on the idle lists of
         # about OWNERS nodes of a zone, whose own work there then tells whether it is idle.
@@ -673,7 +677,8 @@
                 # The cold budget: this node's part of what a starting server stands, whatever the traffic.
                 budget = COLD_PART * self.settings.fall_multiple * s.warmth / self.settings.nodes
                 s.cold_gap = int(mean / s.size / budget)
-                if s.cold_at < 0:
+                if s.cold_at < 0 or s.cold_at > now + s.cold_gap:
+                    # New, or the gap has shrunk since: what a request adds is known better by now.
                     s.cold_at = now + int(self.random.random() * s.cold_gap)
             if s.listed and not s.held:
                 if s.warmth < 1.0:
@@ -696,14 +701,18 @@
             held / sum(s.size * s.warmth for s in servers),
         )
 
-    def _mean_time(self) -> float:
-        """Mean response time of a server of size 1, over the classes seen."""
+    def _mean_work(self) -> float:
+        """Mean time that a request adds at a server of size 1, over the classes seen.
+
+        Not the response time: under overload that is mostly queue, and a fleet that has just been replaced
+        would be kept from its cold servers by the jam of the few warm ones.
+        """
         # Classes without an answer yet are left out: taken for free they would leave a cold server unguarded.
-        seen = [(n, b) for n, b in zip(self.count, self.base, strict=True) if b > 0.0]
+        seen = [(n, b) for n, b in zip(self.count, self.work, strict=True) if b > 0.0]
         total = sum(n for n, _ in seen)
         if total <= 0.0:
             return float(max(c.aim for c in self.settings.classes))
-        return sum(n * b for n, b in seen) / total * max(self.cost, 1.0)
+        return sum(n * b for n, b in seen) / total
 
     # Choice
 
@@ -1039,6 +1048,21 @@
         elif not request.out:
             self._again(request)
 
+    def _learn_work(self, s: _Server, cls: int, rtt: int, beside: int) -> None:
+        """What one request adds at a server, from those that found it idle as far as this node can tell.
+
+        Any other answer holds a queue of unknown length, so that under overload the work would seem to grow
+        with the jam, and cold servers would get ever less, when they are needed most. Until one has come,
+        what the others tell is taken: it is too much rather than too little.
+        """
+        work = rtt * s.size * s.warmth / (1.0 + beside)
+        known = self.work[cls]
+        if not beside and s.load < IDLE_LOAD:
+            self.work_seen[cls] += 1
+            self.work[cls] = known + max(WORK_WEIGHT, 1.0 / self.work_seen[cls]) * (work - known)
+        elif not self.work_seen[cls]:
+            self.work[cls] = known + 0.1 * (work - known) if known > 0.0 else work
+
     def _learn(self, s: _Server, request: _Request, event: Outcome) -> None:
         result = event.result
         if result == Result.CANCELLED or result == Result.NOT_SENT:
@@ -1078,9 +1102,7 @@
             s.silent = 0
             s.answered = self.now
             sample = event.rtt * s.size / (request.cost or 1)
-            work = event.rtt * s.size / (1.0 + request.tries[event.attempt].beside)
-            known = self.work[request.cls]
-            self.work[request.cls] = known + 0.02 * (work - known) if known > 0.0 else work
+            self._learn_work(s, request.cls, event.rtt, request.tries[event.attempt].beside)
             base = self.base[request.cls]
             if base <= 0.0:
                 self.base[request.cls] = sample
--- a/tests/test_found_by_seeds.py
+++ b/tests/test_found_by_seeds.py
@@ -107,6 +107,37 @@
     balancer = node.balancer
     longest = max(c.aim for c in balancer.settings.classes)
     balancer.count = [5.0, 9.0, 0.0, 0.0, 0.0]
-    assert balancer._mean_time() == longest
-    balancer.base[0] = 40 * MS
-    assert balancer._mean_time() == 40 * MS
+    assert balancer._mean_work() == longest
+    balancer.work[0] = 40 * MS
+    assert balancer._mean_work() == 40 * MS
+
+
+def test_a_jam_does_not_teach_what_a_request_adds() -> None:
+    node = Node(make_settings(classes=(SAFE,)))
+    node.tell(fleet(4))
+    balancer = node.balancer
+    s = next(iter(balancer.servers.values()))
+    balancer._learn_work(s, 0, 90 * MS, beside=0)
+    assert balancer.work[0] == pytest.approx(90 * MS * s.size)
+    for _ in range(50):  # idle servers answer faster: the first was chance
+        balancer._learn_work(s, 0, 30 * MS, beside=0)
+    learned = balancer.work[0]
+    assert learned < 35 * MS * s.size
+    for _ in range(50):  # as many wait before it
+        balancer._learn_work(s, 0, 900 * MS, beside=9)
+    s.load = 8.0
+    for _ in range(50):  # the list tells of a queue of others
+        balancer._learn_work(s, 0, 900 * MS, beside=0)
+    assert balancer.work[0] == learned
+
+
+def test_a_gap_that_shrinks_frees_a_cold_server_at_once() -> None:
+    node = Node(make_settings(cold_share=0.3, warm_up=8 * SECOND))
+    node.tell(fleet(4, up_since=node.now))
+    balancer = node.balancer
+    cold = list(balancer.servers.values())
+    assert all(s.cold_gap > SECOND // 4 for s in cold)  # nothing is known yet
+    balancer.count = [9.0] * len(balancer.count)
+    balancer.work = [10.0 * MS] * len(balancer.work)
+    balancer._rebuild()
+    assert all(s.cold_at <= node.now + s.cold_gap < node.now + SECOND // 4 for s in cold)
