A node short of places refuses by worth, before clients have no connection left

Closes that cross a request and the kernel's program were ruled out before.

The module now hears which share of the places is free, and under a quarter refuses the class of least worth, the others later; the node's own last resort stands at a third of the descriptors, which is what clients hold.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -63,6 +63,8 @@
 # Whoever has said nothing, or only half a request, for this long is taken for one of a crowd when room is
 # short: a client that wants something sends it as soon as it is connected.
 SUSPECT = 0.25
+# The part of the descriptors (one in so many) that clients hold at most for requests.
+CLIENTS_PART = 3
 # The part of the descriptors (one in so many) up to which client connections are kept between requests.
 KEPT_PART = 4
 # How long a connection that is closed in order goes on reading, and how much: with unread bytes a close is a
@@ -445,6 +447,7 @@
             # One that came behind another waited for that one's answer, not for the loop.
             waited=waited * MS if self.fresh else 0,
             limits=limits.module if limits is not None else None,
+            room=self.clients.room,
         )
         if self.rid:  # not answered at once
             self.rid = rid
@@ -595,6 +598,9 @@
         self.limit = limit
         # Clients may hold a third of the descriptors; what rests or works here leaves them some for more.
         self.share = config.sockets // KEPT_PART
+        # Requests that may wait for their answer at once. Clients hold so many connections at most: with one
+        # more there would be none left to hear others on.
+        self.places = min(limit - 2 * ACCEPT_BATCH, config.sockets // CLIENTS_PART)
         self.host = config.listen[0].encode()
         self.loop = asyncio.get_running_loop()
         self.budget = BodyBudget(config.body_budget)
@@ -701,7 +707,12 @@
     @property
     def full(self) -> bool:
         """So many requests are owed an answer that one more would leave no room to hear others."""
-        return self.node.owed >= self.limit - 2 * ACCEPT_BATCH
+        return self.node.owed >= self.places
+
+    @property
+    def room(self) -> float:
+        """The free share of the places."""
+        return max(0.0, 1.0 - self.node.owed / self.places)
 
     def admit(self, conn: ClientConnection) -> None:
         """Take in a new connection; the one that is missed least makes room for it."""
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -125,6 +125,7 @@
         repeat: bool = False,
         waited: int = 0,
         limits: api.Limits | None = None,
+        room: float = 1.0,
     ) -> int:
         """A whole request has come; its number."""
         rid = self._next_id
@@ -134,7 +135,7 @@
         self.requests[rid] = request
         self.owed += 1
         request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
-        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits))
+        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits, room))
         return rid
 
     def gone(self, rid: int) -> None:
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -95,6 +95,11 @@
 LAG_PART, LAG_SPAN, LAG_SLOPE = 0.1, 100 * MS, 0.25
 # Weight of one span, so that one pause does not turn away much, and the most that is turned away.
 LAG_WEIGHT, LAG_SHED_MOST = 0.4, 0.9
+# Under this free share of the node's places the class of least worth is refused, the others the later the
+# more they are worth. A place is a client's connection: where all are taken nobody is heard any more,
+# whatever it is worth, and while a new version takes over the two processes share them. It would do harm
+# where long waits are usual.
+ROOM_FROM = 0.25
 # One that was read late and has less than this part of what its answer takes is turned away at once.
 HOPELESS_PART = 0.5
 # Part of the cold budget that all nodes together plan to use: the rest is slack for chance and uneven
@@ -312,6 +317,11 @@
         self.turned = [0.0] * len(settings.tenants)  # share of answers that are rejections, by tenant
         self.lag_shed = 0.0  # share of the requests that is refused as this node is late itself
         self.lag_class = [0.0] * len(settings.classes)
+        # The free share of places under which a class is refused.
+        self.room_class = [
+            ROOM_FROM * (1.0 - sum(o.worth < c.worth for o in settings.classes) / len(settings.classes))
+            for c in settings.classes
+        ]
         self.lag_since = now
         self.lag_sum = self.lag_count = 0
         self.fastest = 1.0  # size of the largest server
@@ -849,6 +859,7 @@
             (shed > 0.0 and self.random.random() < shed)
             or (late > 0.0 and self.random.random() < late)
             or (event.waited and self._hopeless(event))
+            or event.room < self.room_class[event.cls]
         ):
             self._end(request, Refuse(event.id, self._retry_after(request)))
             return
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -234,6 +234,7 @@
     """A client's request; the node owes it one final answer within time_left.
 
     waited: how long it was here before the node came to read it. It shows that the node itself is late.
+    room: the free share, 0 to 1, of the places that the node has for requests that wait for their answer.
     limits: what its route allows; None: what its class and the settings allow.
     """
 
@@ -246,6 +247,7 @@
     repeat: bool = False
     waited: int = 0
     limits: Limits | None = None
+    room: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -146,3 +146,44 @@
     ask_for(balancer, 5 * SECOND, SECOND, 0)
     again = ask_for(balancer, 6 * SECOND, SECOND, 0)
     assert len(again) == 1000 and not any(refused(again, cls) for cls in range(3))
+
+
+def test_short_of_places_the_least_worth_is_refused_first() -> None:
+    classes = tuple(
+        api.RequestClass(name, api.Effect.SAFE, worth, SECOND, 3 * SECOND)
+        for name, worth in (("most", 10.0), ("least", 1.0), ("some", 3.0))
+    )
+    balancer = Balancer(make_settings(classes=classes), seed=1, now=5 * SECOND)
+    balancer.handle(5 * SECOND, api.ServerList(api.ListKind.FULL, fleet(4), 1))
+
+    def refused(cls: int, room: float, rid: int) -> bool:
+        actions = balancer.handle(6 * SECOND, api.Request(rid, cls, SECOND, room=room))
+        return any(isinstance(action, api.Refuse) for action in actions)
+
+    told = [
+        [refused(cls, room, 10 * n + cls) for cls in range(3)] for n, room in enumerate((0.3, 0.2, 0.1, 0.0))
+    ]
+    assert told == [[False] * 3, [False, True, False], [False, True, True], [True] * 3]
+
+
+def test_a_node_never_holds_all_the_connections_that_clients_have(tmp_path: Path) -> None:
+    async def play() -> None:
+        go = asyncio.Event()
+
+        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+            await go.wait()
+            writer.write(OK)
+
+        server = Backend("s-1", script)
+        async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=CAPS)) as node:
+            third = node.clients.config.sockets // 3
+            asking = [asyncio.ensure_future(node.ask(request("book", rid=f"r-{n}"))) for n in range(third)]
+            await server.until(lambda: len(server.heads) + node.node.tally.refused[2] == third)
+            assert node.node.tally.refused[2]
+            # A third of the descriptors is what clients hold: one is always left to hear a request on.
+            assert node.node.owed < third
+            assert b" 503 " in await node.ask(request("view", rid="v-1"))
+            go.set()
+            await asyncio.gather(*asking)
+
+    asyncio.run(play())
