Long bodies go on as they come, both ways, at the pace of the slower side

Need: answers and bodies of up to 32 MB, written slowly and in pieces.

An answer beyond 64 KiB, or one that may be and still comes after 50 or 250 ms, is passed on; answers that end with their connection are taken. A longer body goes to one server as it comes (elderscale/upload.py); what fits 2 MiB and the room is kept for another attempt, beyond that the client is read at the server's pace and a break before the last byte is refused. The client's wait counts from its last byte. A server whose long answer has begun counts as free in the module (Started). Operator files may set bodies of up to 32 MiB.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -52,7 +52,7 @@
 def assemble(config: Config) -> tuple[Clients, Node, Discovery]:
     """The parts of a node, put together but not yet started."""
     spare = config.sockets - RESERVED - (DOOR if config.admin is not None else 0)
-    servers = Servers(config.settings, config.names, limit=spare * 4 // 9, answer_budget=config.body_budget)
+    servers = Servers(config.settings, config.names, limit=spare * 4 // 9)
     node = Node(config.settings, config.seed, servers)
     clients = Clients(config, node, limit=spare * 5 // 9)
     known = config.known
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -19,6 +19,7 @@
 from . import system
 from .config import MS, SECOND, Config, Names
 from .messages import (
+    LONG_BODY,
     MAX_BODY,
     MAX_HEAD,
     SMALL_BODY,
@@ -32,6 +33,7 @@
     pairs,
 )
 from .ports import Source
+from .upload import Room, Upload
 
 if TYPE_CHECKING:
     # The pure package of the operator file, which a node without one does not import.
@@ -55,11 +57,19 @@
 # that never end and clients that do not read; they do harm where a client needs longer than this for one
 # request of 64 KiB or rests between two requests (it then sends on a new connection).
 SILENT_LIMIT = 2.0  # connected, no byte yet
-UNFINISHED_LIMIT = 2.0  # from a request's first byte to its last
+UNFINISHED_LIMIT = 2.4  # from a request's first byte to the end of its head; a body's time beside BODY_RATE
 IDLE_LIMIT = 2.0  # from an answer to the next request
 THIN_LIMIT = 0.1  # the same, while clients hold more connections than their share
 WRITING_LIMIT = 3.0  # nothing read of an answer
 SWEEP = 0.25
+# The slowest body that is waited for (bytes a second): clients send 64 kB a second at the least. One that is
+# slower, or stands still, holds a descriptor, and a server's connection once it is long.
+BODY_RATE = 48_000
+# The longest time (ns) that the rest of a body may take, whatever it is told.
+UPLOAD_MOST = 30 * SECOND
+# What the kernel takes of an answer that is passed on (bytes): with more, a client that reads slowly would
+# seem not to read at all for seconds.
+SEND_BUFFER = 64 << 10
 # Whoever has said nothing, or only half a request, for this long is taken for one of a crowd when room is
 # short: a client that wants something sends it as soon as it is connected.
 SUSPECT = 0.25
@@ -71,6 +81,9 @@
 # reset, and that could destroy the answer on its way. Who sends for ever is not read for ever.
 LINGER = 1.0
 LINGER_BYTES = 128 << 10
+# The same (s) where the answer came while its client was still sending a long body: a client that first
+# writes all would never read it.
+LINGER_UPLOAD = 4.0
 # For how long at least a request's id is remembered after it came, and the most that are.
 ID_MEMORY = 10.0
 ID_MOST = 20_000
@@ -238,7 +251,9 @@
         self.busy = False  # from a request's last byte to its answer's
         self.ahead = 0  # bytes of the next request that came meanwhile
         self.limits: Effective | None = None  # what the operator's file allows the present request
-        self.most_body = MAX_BODY
+        self.most_body = LONG_BODY
+        self.upload: Upload | None = None  # the long body of the present request
+        self.discarding = False  # answered in the middle of it: the rest is read and dropped
         self.let_in: Effective | None = None  # under which the gate counts it as in flight
         self.source: Source | None = None  # where an answer comes from that is passed on
         self.lingering: asyncio.TimerHandle | None = None
@@ -271,9 +286,12 @@
         self._over()
         self.clients.budget.release(self)
         self.body = []
+        upload, self.upload = self.upload, None
         rid, self.rid = self.rid, 0
         if rid:
             self.clients.node.gone(rid)
+        if upload is not None:
+            upload.close()
 
     def resume_writing(self) -> None:
         super().resume_writing()
@@ -288,7 +306,7 @@
     def received(self, data: memoryview) -> None:
         if self.lingering is not None:
             self.ahead += len(data)
-            if self.ahead > LINGER_BYTES:
+            if self.ahead > LINGER_BYTES and not self.discarding:
                 self.read_on(False)
             return
         self.http.receive_data(data)
@@ -338,7 +356,7 @@
         gate = self.clients.gate
         if gate is None:
             cls = class_of(event.target, config.names)
-            wrong = fault(event, self.headers, self.given, config, cls)
+            wrong = fault(event, self.headers, self.given, config, cls, LONG_BODY)
         else:
             cls, wrong = self._routed(gate, event)
         if wrong is not None:
@@ -355,7 +373,7 @@
         """The class of a request under the operator's file, and what is wrong; its limits are kept."""
         config = self.clients.config
         self.limits = None
-        self.most_body = MAX_BODY
+        self.most_body = LONG_BODY
         plan = gate.plan
         target = event.target
         if target[:8] == b"/health/" and target.split(b"?", 1)[0] in _HEALTH:
@@ -376,17 +394,49 @@
     def _data(self, data: bytes) -> None:
         if self.lingering is not None:
             return
-        self.body.append(data)
         self.size += len(data)
         if self.size > self.most_body:
             self._reject(413, f"the body is longer than {self.most_body} bytes")
             return
+        if self.upload is not None:
+            self.upload.put(data)
+            return
+        self.body.append(data)
+        if self.size > MAX_BODY:
+            self._launch()
+            return
         if self.large or self.size > SMALL_BODY:
             size = len(data) if self.large else self.size
             self.large = True
             if not self.clients.budget.charge(self, size):
                 self.read_on(False)
 
+    def _launch(self) -> None:
+        """A body is longer than what is held whole: its request goes on while it comes."""
+        length = self.given.get(b"content-length")
+        upload = self.upload = Upload(None if length is None else int(length), self, self.clients.bodies)
+        for piece in self.body:
+            upload.put(piece)
+        self.body = []
+        self.clients.budget.release(self)
+        self.large = False
+        self.read_on(True)
+        self._submit(upload)
+
+    def _sending(self, upload: Upload) -> int:
+        """How long (ns) the rest of a long body may take; its client counts its wait from the last byte."""
+        if upload.length is None:
+            return UPLOAD_MOST
+        return min(UPLOAD_MOST, (upload.length - self.size) * SECOND // BODY_RATE)
+
+    def slow(self, now: float) -> bool:
+        """Whether its request comes too slowly, or not at all; not while it is left unread here."""
+        if self.request is None or self.group is None:
+            return True
+        return self.reading and now - self.group[self] > (
+            self.clients.limits["unfinished"] + self.size / BODY_RATE
+        )
+
     def _whole(self) -> None:
         """The last byte of a request has come."""
         event = self.request
@@ -401,6 +451,16 @@
             well = path == b"/health/live" or self.clients.well
             self._respond(200 if well else 503, [], (b"ok\n" if well else b"not ready\n",))
             return
+        if self.upload is not None:
+            self.clients.node.whole(self.rid, self.time_left - self.waited()[1] * MS)
+            self.upload.end()
+        else:
+            self._submit(None)
+
+    def _submit(self, upload: Upload | None) -> None:
+        """Hand a request to the node: one that is whole, or one whose long body is on its way."""
+        event = self.request
+        assert event is not None
         open_yet, waited = self.waited()
         if not open_yet:
             # It has gone while its request waited to be read: what it asked would be work for nobody.
@@ -433,13 +493,15 @@
         headers = end_to_end(self.headers, _FOR_NODE)
         if b"host" not in given:
             headers.append((b"host", self.clients.host))
-        message = Message(event.method, event.target, headers, self.body, self.size)
+        if upload is not None:
+            upload.until = system.monotonic_ns() + self.time_left - waited * MS
+        message = Message(event.method, event.target, headers, self.body, self.size, upload)
         self.rid = -1
         rid = self.clients.node.submit(
             self,
             message,
             self.cls,
-            self.time_left - waited * MS,
+            self.time_left - waited * MS + (0 if upload is None else self._sending(upload)),
             tenant=tenant or 0,
             key=_key(given.get(b"x-session-key", b"")),
             cost=int(hint) * 1000 if hint.isdigit() and len(hint) < 10 else 0,
@@ -507,6 +569,7 @@
 
     def start(self, answer: Answer, source: Source) -> None:
         """Begin to pass on a long answer."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
         headers = answer.headers
         if answer.length is not None:
             headers = [*headers, (b"content-length", b"%d" % answer.length)]
@@ -517,7 +580,9 @@
     def write(self, data: bytes) -> None:
         """Pass on a part of it; its server is read no further while this client takes nothing."""
         self._write(h11.Data(data=data))
-        if self.unsent and self.source is not None:
+        if not self.unsent:
+            self.clients.touch(self)
+        elif self.source is not None:
             self.source.read_on(False)
 
     def finish(self) -> None:
@@ -539,6 +604,12 @@
         self.source = None
         self.clients.budget.release(self)
         self.large = False
+        if self.upload is not None:
+            self.upload.close()
+            self.upload = None
+            # In the middle of its body: nothing more can be asked on this connection.
+            self.discarding = not self.busy
+            self.busy = True
         self.request = None
         self.body = []
         if self.unsent:
@@ -581,7 +652,8 @@
         self._gone()
         self.ahead = 0
         self.clients.move(self, self.clients.ending)
-        self.lingering = self.clients.loop.call_later(LINGER, self.transport.abort)
+        wait = LINGER_UPLOAD if self.discarding else LINGER
+        self.lingering = self.clients.loop.call_later(wait, self.transport.abort)
         self.read_on(True)
         try:
             self.transport.write_eof()
@@ -604,6 +676,7 @@
         self.host = config.listen[0].encode()
         self.loop = asyncio.get_running_loop()
         self.budget = BodyBudget(config.body_budget)
+        self.bodies = Room(config.body_budget // 2)  # for long ones
         self.connections: dict[ClientConnection, None] = {}  # in the order in which they came
         # By what may be dropped first when room is short, each with the longest unmoved first.
         self.ending: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -729,6 +802,8 @@
         suspect = self.loop.time() - SUSPECT
         for group in (self.ending, self.silent, self.unfinished):
             for conn, since in group.items():
+                if conn.upload is not None:
+                    continue  # its request is under way already
                 if group is self.ending or since <= suspect:
                     return conn
                 break
@@ -762,7 +837,8 @@
         self.sweeper = self.loop.call_later(SWEEP, self._sweep)
         now = self.loop.time()
         for conn in self._overdue(self.unfinished, now - self.limits["unfinished"]):
-            conn.give_up()
+            if conn.slow(now):
+                conn.give_up()
         for conn in self._overdue(self.silent, now - self.limits["silent"]):
             conn.rest_over()
         for conn in self._overdue(self.idle, now - self.limits["idle"]):
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -13,6 +13,7 @@
 import h11
 
 from . import system
+from .upload import Upload
 
 log = logging.getLogger("elderscale")
 
@@ -20,11 +21,10 @@
 
 # The longest head of a message; longer ones are answered 431, or count as a break where a server sent them.
 MAX_HEAD = 16 << 10
-# The longest body of a request. Everything is held until it is whole.
+# The longest body, of a request or an answer, that is held until it is whole. Longer ones go on as they come.
 MAX_BODY = 64 << 10
-# The longest body of an answer that is told its length: the page says 64 KiB, servers were seen to send some
-# hundred; beyond the page's size each takes its room from a budget that all share.
-MAX_ANSWER = 2 << 20
+# The longest body that is passed on at all: 32 MB are usual, beyond that somebody means harm.
+LONG_BODY = 40 << 20
 # Bodies up to this size need no room of the body budget.
 SMALL_BODY = 8 << 10
 # One read, and so the most that one connection adds to a buffer before its reading is paused.
@@ -65,6 +65,7 @@
     headers: Headers
     body: Sequence[bytes]
     size: int
+    upload: Upload | None = None  # in place of the body, where that is long
 
 
 @dataclass(slots=True)
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -36,12 +36,12 @@
 
     __slots__ = ("attempts", "client", "cls", "deadline", "done", "id", "message", "out", "stream", "timer")
 
-    def __init__(self, rid: int, client: Client, message: Message, cls: int, deadline: int) -> None:
+    def __init__(self, rid: int, client: Client, message: Message, cls: int) -> None:
         self.id = rid
         self.client = client
         self.message: Message | None = message
         self.cls = cls
-        self.deadline = deadline
+        self.deadline = 0  # ns
         self.attempts: list[Attempt | None] = []
         self.out = 0
         self.done = False
@@ -131,13 +131,25 @@
         rid = self._next_id
         self._next_id += 1
         time_left = max(1, time_left - ANSWER_EARLY)
-        request = Open(rid, client, message, cls, system.monotonic_ns() + time_left)
+        request = Open(rid, client, message, cls)
         self.requests[rid] = request
         self.owed += 1
-        request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
+        self._expires_in(request, time_left)
         self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits, room))
         return rid
 
+    def _expires_in(self, request: Open, time_left: int) -> None:
+        request.deadline = system.monotonic_ns() + time_left
+        request.timer = self.loop.call_later(time_left / 1e9, self._expire, request)
+
+    def whole(self, rid: int, time_left: int) -> None:
+        """The last byte of a long body has come, and with it the client begins to wait: time_left ns."""
+        request = self.requests.get(rid)
+        if request is None or request.done or request.stream is not None:
+            return
+        self._stop_timer(request)
+        self._expires_in(request, max(1, time_left - ANSWER_EARLY))
+
     def gone(self, rid: int) -> None:
         """The client has left."""
         request = self.requests.get(rid)
@@ -189,7 +201,15 @@
             log.error("the module sent a request that is over")
             return
         number = len(request.attempts)
-        if request.done or request.stream or request.message is None or number >= self.settings.max_attempts:
+        message = request.message
+        if (
+            request.done
+            or request.stream
+            or message is None
+            or number >= self.settings.max_attempts
+            # A long body is here for one attempt at a time, and may be gone with the last.
+            or (message.upload is not None and (request.out or message.upload.taken))
+        ):
             request.attempts.append(None)
             self.feed(
                 api.Outcome(action.id, number, action.server, api.Result.NOT_SENT, 0, final=request.done)
@@ -197,7 +217,7 @@
             return
         cls = self.settings.classes[request.cls]
         attempt = Attempt(
-            request.message,
+            message,
             action.server,
             min(request.deadline, system.monotonic_ns() + action.timeout)
             if action.timeout
@@ -300,6 +320,8 @@
             return None
         request.stream = attempt
         self._stop_timer(request)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
         self.feed(
             api.Started(request.id, attempt.number, attempt.server, system.monotonic_ns() - attempt.sent)
         )
@@ -333,7 +355,8 @@
                 attempt.number,
                 attempt.server,
                 result,
-                max(0, system.monotonic_ns() - attempt.sent - attempt.lag),
+                # Of a long answer the first bytes count: the rest comes at its client's pace.
+                max(0, (attempt.began or system.monotonic_ns() - attempt.lag) - attempt.sent),
                 request.done,
                 attempt.report,
             )
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -19,12 +19,13 @@
 from . import system
 from .config import MS, SECOND, Listing, Names
 from .messages import (
-    MAX_ANSWER,
+    LONG_BODY,
     MAX_BODY,
     MAX_HEAD,
     SMALL_BODY,
     TCP_ESTABLISHED,
     Answer,
+    Headers,
     Message,
     Peer,
     end_to_end,
@@ -33,6 +34,7 @@
     pairs,
 )
 from .ports import Client
+from .upload import Upload
 
 log = logging.getLogger("elderscale")
 
@@ -49,11 +51,13 @@
 SWEEP = 0.25  # how often that is looked for
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
 GRACE_PART = 0.75
-# From an answer's first byte to its last. Bodies hold 64 KiB at most and come in one piece, so that an answer
-# that stands still is spoilt: a head without end, a length that does not fit. The longer leaves room for a
-# lost packet to be sent again, as taking a good answer for spoilt costs more where it must not be repeated.
+# Without a byte for so long an answer that has begun is spoilt: a head without end, a length that does not
+# fit. Servers write in pieces, but keep writing. The longer leaves room for a lost packet to be sent again,
+# as taking a good answer for spoilt costs more where it must not be repeated. An answer that may be long
+# and still comes by then is passed on from there.
 ANSWER_LIMIT, ANSWER_LIMIT_SAFE = 0.25, 0.05
-# The most that one answer can bring beside its body: informational answers ahead, framing and trailers.
+# The most that one answer can bring before it is passed on: informational answers ahead, framing and
+# trailers.
 ANSWER_BESIDE = MAX_BODY + 4 * MAX_HEAD
 # A stream that brings nothing for this long is taken for left unfinished.
 STREAM_STALL = 8.0
@@ -82,7 +86,7 @@
     """One attempt at a request. Ends exactly once, with a result."""
 
     __slots__ = (
-        "backend", "conn", "connecting", "deadline", "lag", "listener", "message", "number", "owner",
+        "backend", "began", "conn", "connecting", "deadline", "lag", "listener", "message", "number", "owner",
         "repeatable", "report", "result", "sent", "server", "streamed", "timer", "written",
     )  # fmt: skip
 
@@ -106,6 +110,7 @@
         self.owner = owner
         self.number = number
         self.sent = system.monotonic_ns()
+        self.began = 0  # when the first bytes of an answer that is passed on came, 0: none has
         self.lag = 0  # for how long (ns) the answer's end was here before the node came to read it
         self.written = False  # the kernel has taken the last byte: from here on it may have run
         self.result: api.Result | None = None
@@ -142,7 +147,6 @@
             self.connecting.cancel()
         if self.conn is not None:
             self.conn.attempt = None
-            self.conn.release()
             self.conn.close()
             self.conn = None
         if self.backend is not None:
@@ -183,7 +187,8 @@
         self.pieces: list[bytes] = []
         self.timer: asyncio.TimerHandle | None = None
         self.taken = 0  # bytes of the present answer
-        self.reserved = 0  # room that the budget of long answers holds for it
+        self.upload: Upload | None = None  # the long body that is on its way
+        self.tail = b""  # the last byte so far, held back until it is known whether it is the last one
         self.answered = 0.0  # when the last answer ended
         self.lost = False
 
@@ -218,6 +223,9 @@
     def close(self) -> None:
         """Close at once; what is unsent is dropped."""
         self.stop_timer()
+        if self.upload is not None:
+            self.upload.leave(self)
+            self.upload = None
         self.servers.unpool(self)
         if not self.lost:
             self.transport.abort()
@@ -247,8 +255,12 @@
         self.taken = 0
         self.moved = self.servers.loop.time()
         self.hold = not attempt.repeatable or self.moved - self.answered < HOLD_LAST_BYTE
-        left = max(1, (attempt.deadline - system.monotonic_ns()) // MS)
+        until = attempt.deadline if message.upload is None else min(attempt.deadline, message.upload.until)
+        left = max(1, (until - system.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
+        if message.upload is not None:
+            self._begin_upload(message, message.upload, headers)
+            return
         if message.method != b"GET" or message.size:
             headers.append((b"content-length", b"%d" % message.size))
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
@@ -262,6 +274,46 @@
         self.pieces = pieces
         self._write()
 
+    def _begin_upload(self, message: Message, upload: Upload, headers: Headers) -> None:
+        assert self.attempt is not None
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
+        framing = (b"transfer-encoding", b"chunked")
+        if upload.length is not None:
+            framing = (b"content-length", b"%d" % upload.length)
+        if upload.taken:
+            # A part of it has gone while this connection came up.
+            self.attempt.end(api.Result.NOT_SENT)
+            return
+        self.pieces = []
+        self.tail = b""
+        self.upload = upload
+        upload.open(self)
+        first = b"%s %s HTTP/1.1" % (message.method, message.target)
+        self.transport.write(head(first, [*headers, framing]))
+        self._write()
+
+    def more(self) -> None:
+        """There is more of a long body, or it is whole."""
+        self._write()
+
+    def _feed(self, upload: Upload) -> None:
+        """Write what has come of a long body, at the pace of the server; its last piece stays for _last."""
+        while not self.unsent and not self.transport.is_closing():
+            data = upload.pull()
+            if not data:
+                break
+            if upload.length is None:
+                data = b"%x\r\n%s\r\n" % (len(data), data)
+            else:
+                data = self.tail + data
+                data, self.tail = data[:-1], data[-1:]
+            if data:
+                self.transport.write(data)
+        if upload.exhausted and not self.unsent:
+            self.pieces = [self.tail if upload.length is not None else b"0\r\n\r\n"]
+            self.upload = None
+            upload.leave(self)
+
     def resume_writing(self) -> None:
         super().resume_writing()
         self._write()
@@ -270,6 +322,10 @@
         attempt = self.attempt
         if attempt is None:
             return
+        if self.upload is not None:
+            self._feed(self.upload)
+            if self.upload is not None:
+                return
         while len(self.pieces) > 1 and not self.unsent and not self.transport.is_closing():
             self.transport.write(self.pieces.pop())
         if self.unsent or self.timer is not None:
@@ -311,14 +367,33 @@
         if begins and data[9:10] in _INFORMATIONAL:
             self.http.send(_ASKED)
         self.taken += len(data)
-        if self.taken > ANSWER_BESIDE + self.reserved and not self.attempt.streamed:
+        if self.taken > ANSWER_BESIDE and self.client is None:
             self._broke()
             return
         self.http.receive_data(data)
         self._events()
         if begins and self.attempt is not None and self.timer is None:
             # Most answers are whole by now.
-            self.after(ANSWER_LIMIT_SAFE if self.attempt.repeatable else ANSWER_LIMIT, self._broke)
+            self.after(self._limit(self.attempt), self._stands)
+
+    @staticmethod
+    def _limit(attempt: Attempt) -> float:
+        return ANSWER_LIMIT_SAFE if attempt.repeatable else ANSWER_LIMIT
+
+    def _stands(self) -> None:
+        """An answer is not whole after a while: spoilt where it stands still, long where it may be."""
+        self.timer = None
+        attempt = self.attempt
+        if attempt is None:
+            return
+        limit = self._limit(attempt)
+        left = limit - (self.servers.loop.time() - self.moved)
+        if left <= 0.2 * limit:
+            self._broke()
+        elif self.body and self.head is not None and (self.head.length or LONG_BODY) > MAX_BODY:
+            self._start(attempt)
+        else:
+            self.after(left, self._stands)
 
     def eof_received(self) -> None:
         if self.attempt is not None:
@@ -371,46 +446,32 @@
         if chunked and length is not None:
             # Passed on as it comes it would be told to the client by a length that it does not have.
             raise h11.RemoteProtocolError("two framings")
-        if not attempt.streamed and ((not chunked and length is None) or not self._room(length or 0)):
-            # The one check of an answer's framing. Two lengths are read in two ways, none ends with the
-            # connection, so that a broken one seems whole, and too long a one is no answer here. It would do
-            # harm to servers that end answers by closing, or whose bodies are longer than MAX_ANSWER.
-            raise h11.RemoteProtocolError("no sound length")
+        if length is not None and length > LONG_BODY:
+            # One that says so and goes on coming would be passed on for ever.
+            raise h11.RemoteProtocolError("too long")
         self.head = Answer(200, end_to_end(headers, self.servers.not_for_clients), None, length)
         if attempt.streamed:
             self._start(attempt)
 
-    def _room(self, length: int) -> bool:
-        """Reserve room for a body that is longer than most, before any of it is read."""
-        if length > MAX_BODY:
-            if length > MAX_ANSWER or self.servers.reserved + length > self.servers.answer_budget:
-                return False
-            self.reserved = length
-            self.servers.reserved += length
-            self.after(ANSWER_LIMIT, self._broke)
-        return True
-
-    def release(self) -> None:
-        """Give back what was reserved for the present answer."""
-        self.servers.reserved -= self.reserved
-        self.reserved = 0
-
     def _data(self, attempt: Attempt, data: bytes) -> None:
         if self.verdict is not None:
             return
+        self.size += len(data)
+        if self.size > LONG_BODY:
+            raise h11.RemoteProtocolError("too long")
         if self.client is not None:
             self.client.write(data)
             return
         # Held until it is whole: what has been passed on in part can be neither tried again nor taken back.
         self.body.append(data)
-        self.size += len(data)
-        if self.size > max(MAX_BODY, self.reserved):
-            raise h11.RemoteProtocolError("the body is too long")
+        if self.size > MAX_BODY:
+            self._start(attempt)
 
     def _start(self, attempt: Attempt) -> None:
-        """Pass the answer on from here: only where its class is streamed."""
+        """Pass the answer on from here: where its class is streamed, or it is long."""
         assert self.head is not None
         self.after(STREAM_STALL, self._stalled)
+        attempt.began = system.monotonic_ns()
         self.client = attempt.listener.started(attempt, self.head)
         if self.client is None:
             attempt.cancel()
@@ -437,7 +498,6 @@
         if self.head is not None and self.client is None:
             answer = Answer(200, self.head.headers, self.body)
         self.body = []
-        self.release()
         self.answered = self.servers.loop.time()
         self.attempt = attempt.conn = None
         if reusable:
@@ -459,10 +519,8 @@
 class Servers:
     """All servers that the lists named, and the connections to them."""
 
-    def __init__(self, settings: api.Settings, names: Names, limit: int, answer_budget: int) -> None:
+    def __init__(self, settings: api.Settings, names: Names, limit: int) -> None:
         self.settings = settings
-        self.answer_budget = answer_budget  # for answers longer than MAX_BODY, all together
-        self.reserved = 0
         self.written = 0  # attempts that the kernel has taken whole, since the start
         self.names = names
         self.limit = limit
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -204,7 +204,7 @@
 class _Try:
     """One attempt; result None: still out."""
 
-    __slots__ = ("beside", "cell", "result", "sent", "server", "zone")
+    __slots__ = ("begun", "beside", "cell", "result", "sent", "server", "zone")
 
     def __init__(self, server: _Server, sent: int) -> None:
         self.server = server
@@ -212,6 +212,7 @@
         self.zone = server.zone
         self.cell = server.cell
         self.sent = sent
+        self.begun = False  # a long answer comes: its server is at work on it no more
         self.result: Result | None = None
 
 
@@ -1025,9 +1026,26 @@
             self._end(request, None)
 
     def _started(self, event: Started) -> None:
+        """A long answer has begun: its server has done the work, the rest comes at its client's pace."""
         request = self.requests.get(event.id)
-        if request is not None:
-            request.streaming = True
+        if request is None or event.attempt >= len(request.tries):
+            return
+        request.streaming = True
+        tried = request.tries[event.attempt]
+        if tried.result is None and not tried.begun:
+            tried.begun = True
+            self._one_less(tried.server)
+            self._rest(tried.server)
+
+    @staticmethod
+    def _one_less(s: _Server) -> None:
+        s.held = max(0, s.held - 1)
+
+    def _rest(self, s: _Server) -> None:
+        """Take a server for idle again, once its time has come, if nothing of this node is at work there."""
+        if not s.held and s.group is not None and s.pos < 0 and s.listed:
+            self.ties += 1
+            heappush(s.group.waking, (s.free_at, self.ties, s))
 
     # Outcomes
 
@@ -1040,16 +1058,17 @@
             or request.tries[event.attempt].result is not None
         ):
             return
-        request.tries[event.attempt].result = event.result
+        tried = request.tries[event.attempt]
+        tried.result = event.result
         request.out -= 1
         if s is not None:
-            s.held = max(0, s.held - 1)
+            if not tried.begun:
+                self._one_less(s)
             self._learn(s, request, event)
             if s.state == State.GONE and not s.held:
                 del self.servers[s.id]
-            elif not s.held and s.group is not None and s.pos < 0 and s.listed:
-                self.ties += 1
-                heappush(s.group.waking, (s.free_at, self.ties, s))
+            else:
+                self._rest(s)
         if request.done:
             if not request.out:
                 self.requests.pop(request.id, None)
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -24,6 +24,7 @@
 NODE = "elderscale/node.py"
 SERVERS = "elderscale/servers.py"
 CLIENTS = "elderscale/clients.py"
+UPLOAD = "elderscale/upload.py"
 DISCOVERY = "elderscale/discovery.py"
 
 
@@ -139,10 +140,22 @@
         "unprocessed = event.status_code in (500, 503, 504) or any(",
     ),
     Defect(
-        "no-length-taken",
+        "spent-body-sent-again",
+        UPLOAD,
+        "return self.spent or self.sink is not None",
+        "return self.sink is not None",
+    ),
+    Defect(
+        "uploads-make-room",
+        CLIENTS,
+        "if conn.upload is not None:\n                    continue",
+        "if conn.upload is not None:\n                    pass",
+    ),
+    Defect(
+        "last-byte-of-an-upload-early",
         SERVERS,
-        "((not chunked and length is None) or not self._room(length or 0))",
-        "(not self._room(length or 0))",
+        "data, self.tail = data[:-1], data[-1:]",
+        'data, self.tail = data, b""',
     ),
     Defect(
         "early-answer-taken",
@@ -159,10 +172,10 @@
     ),
     Defect("rests-too-long", SERVERS, "IDLE_PART = 0.8", "IDLE_PART = 2.0"),
     Defect(
-        "budget-of-answers-leaks",
-        SERVERS,
-        "self.servers.reserved -= self.reserved",
-        "self.servers.reserved -= 0",
+        "room-of-bodies-leaks",
+        UPLOAD,
+        "self._room.used -= self._booked",
+        "self._room.used -= 0",
     ),
     Defect(
         "descriptor-leaks",
@@ -182,8 +195,8 @@
     Defect(
         "tells-too-much-time",
         SERVERS,
-        "left = max(1, (attempt.deadline - system.monotonic_ns()) // MS)",
-        "left = max(1, (attempt.deadline - system.monotonic_ns()) // MS) + 500",
+        "left = max(1, (until - system.monotonic_ns()) // MS)",
+        "left = max(1, (until - system.monotonic_ns()) // MS) + 500",
     ),
     # Clients
     Defect("same-id-twice", CLIENTS, "if self.clients.ids.known(", "if not self.clients.ids.known("),
--- a/routing/checks.py
+++ b/routing/checks.py
@@ -19,7 +19,7 @@
 
 MS = 1_000_000
 # The longest body of a request that a node takes, bytes.
-MAX_BODY = 64 << 10
+MAX_BODY = 32 << 20
 # The limits that are durations, in ns.
 DURATIONS = frozenset(("attempt_timeout", "request_timeout", "copy_delay", "repeat_window"))
 # How far a repeat may go: a larger number reaches more servers.
