Upgrades under load in a test: three good builds, one broken, one that dies with the listener

Processes as the platform starts them, on one address, with eight clients that send unsafe requests throughout: every request gets one answer, none has run twice, a build that does not start or dies after it took the listener changes nothing.

--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,249 @@
+"""Two processes of one node on one address: who gets new connections, what an upgrade under load loses."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+from pathlib import Path
+
+from elderscale.__main__ import drain
+from elderscale.config import Config
+from elderscale.handover import Place
+from standins.loopback import (
+    LIMIT,
+    Backend,
+    Listener,
+    Registry,
+    read_message,
+    request,
+    running,
+    write_config,
+)
+
+
+def test_files_that_dead_processes_left_do_not_count(tmp_path: Path) -> None:
+    one, two, three = (Place(tmp_path, "node") for _ in range(3))
+    assert one.others() == 0
+    one.join()
+    two.join()
+    assert (one.others(), two.others(), three.others()) == (1, 1, 2)
+    assert Place(tmp_path, "another").others() == 0
+    assert two._held is not None
+    os.close(two._held)  # as at the end of a process that was killed
+    two._held = None
+    assert one.others() == 0 and len(list(tmp_path.iterdir())) == 1
+    one.leave()
+    assert three.others() == 0 and not list(tmp_path.iterdir())
+
+
+def test_without_a_folder_a_process_is_alone() -> None:
+    place = Place(None, "node")
+    place.join()
+    assert place.others() == 0
+    place.leave()
+
+
+def test_the_new_process_gets_all_new_connections_and_the_old_one_loses_none(tmp_path: Path) -> None:
+    async def play() -> None:
+        old_place, new_place = Place(tmp_path, "node"), Place(tmp_path, "node")
+        first, second = Backend("s-1"), Backend("s-1")
+        (tmp_path / "1").mkdir()
+        (tmp_path / "2").mkdir()
+
+        def shared(config: Config) -> Config:
+            return replace(config, admin=("127.0.0.1", 0))
+
+        async with running(tmp_path / "1" / "c.json", Registry(), first, adjust=shared) as old:
+            old_place.join()
+            old.clients.ready = True
+            kept_reader, kept = await old.connect()
+            kept.write(request(rid="k-1"))
+            assert b" 200 " in (await read_message(kept_reader))[0]
+            new_config = lambda config: replace(shared(config), listen=("127.0.0.1", old.port))  # noqa: E731
+            async with running(tmp_path / "2" / "c.json", Registry(), second, adjust=new_config) as new:
+                assert new.port == old.port
+                assert new.clients.listener is not None
+                assert new_place.claim(new.clients.listener, new_place.others())
+                new_place.join()
+                draining = asyncio.ensure_future(drain(old.clients, old.node, accept_on=0.0, place=old_place))
+                async with asyncio.timeout(LIMIT):
+                    while not old.clients.closing:
+                        await asyncio.sleep(0)
+                    # Whom the old one holds is served there and told to go; the node never seems not ready.
+                    kept.write(b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+                    head, _ = await read_message(kept_reader)
+                    assert b" 200 " in head and b"connection: close" in head
+                    for n in range(50):
+                        assert b" 200 " in await new.ask(request(rid=f"r-{n}"))
+                    await draining
+                assert (len(first.heads), len(second.heads)) == (1, 50)
+                assert old.clients.listener is None
+                for n in range(20):
+                    assert b" 200 " in await new.ask(request(rid=f"q-{n}"))
+            kept.close()
+
+    asyncio.run(play())
+
+
+@contextmanager
+def reserved() -> Iterator[int]:
+    """A port that nobody else gets, and that processes that share it can listen on."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(("127.0.0.1", 0))
+        yield sock.getsockname()[1]
+
+
+class NodeProcess:
+    """`python -m elderscale`, as the platform starts it."""
+
+    def __init__(self, config: Path, scratch: Path) -> None:
+        self.environ = {**os.environ, "BALANCER_CONFIG": str(config), "TMPDIR": str(scratch)}
+        self.said: list[str] = []
+
+    async def start(self, *until: str) -> bool:
+        """Run it until it says one of these, or ends: False."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "elderscale", env=self.environ, stderr=asyncio.subprocess.PIPE
+        )
+        assert self.process.stderr is not None
+        async with asyncio.timeout(LIMIT):
+            while line := (await self.process.stderr.readline()).decode():
+                self.said.append(line)
+                if any(word in line for word in until):
+                    return True
+        return False
+
+    async def end(self, number: signal.Signals) -> int:
+        self.process.send_signal(number)
+        async with asyncio.timeout(LIMIT):
+            _, said = await self.process.communicate()
+        self.said += said.decode().splitlines()
+        assert self.process.returncode is not None
+        return self.process.returncode
+
+
+class Caller:
+    """A client that keeps its connection, sends one unsafe request after another and counts what it gets."""
+
+    def __init__(self, port: int, name: str) -> None:
+        self.port = port
+        self.name = name
+        self.ends: Counter[int] = Counter()
+        self.number = 0
+        self.stop = False
+
+    async def run(self) -> None:
+        streams = None
+        while not self.stop:
+            self.number += 1
+            data = request("send", rid=f"{self.name}-{self.number}")
+            while True:
+                if streams is None:
+                    streams = await asyncio.open_connection("127.0.0.1", self.port)
+                try:
+                    async with asyncio.timeout(LIMIT):
+                        streams[1].write(data)
+                        head, _ = await read_message(streams[0])
+                except (ConnectionError, asyncio.IncompleteReadError) as error:
+                    # A close between two requests may cross one: it is sent once more, on a new connection.
+                    assert not getattr(error, "partial", b"")
+                    streams = None
+                    continue
+                break
+            self.ends[int(head.split()[1])] += 1
+            if b"connection: close" in head.lower():
+                streams[1].close()
+                streams = None
+        if streams is not None:
+            streams[1].close()
+
+
+async def ready(admin: int) -> bool:
+    reader, writer = await asyncio.open_connection("127.0.0.1", admin)
+    writer.write(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    head = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    return b" 200 " in head
+
+
+def test_upgrades_under_load_lose_nothing_and_a_broken_build_changes_nothing(tmp_path: Path) -> None:
+    """Three good builds, one that does not start, and one that dies once it has taken the listener."""
+
+    async def play(port: int, admins: list[int]) -> None:
+        registry = Registry()
+        servers = [Backend(f"s-{n}") for n in range(4)]
+        listeners: list[Listener] = [registry, *servers]
+        for listener in listeners:
+            await listener.start()
+        registry.tell(*servers)
+
+        def config(n: int, **changes: object) -> Path:
+            path = tmp_path / f"{n}.json"
+            listen, admin = f"127.0.0.1:{port}", f"127.0.0.1:{admins[n]}"
+            write_config(path, registry, listen=listen, admin=admin, **changes)
+            return path
+
+        old = NodeProcess(config(0), tmp_path)
+        assert await old.start("listens on")
+        callers = [Caller(port, f"c{n}") for n in range(8)]
+        load = [asyncio.ensure_future(caller.run()) for caller in callers]
+        seen = 0
+
+        async def more(count: int) -> None:
+            nonlocal seen
+            seen = len(servers[0].heads)
+            await servers[0].until(lambda: len(servers[0].heads) >= seen + count)
+
+        await more(50)
+        broken = NodeProcess(config(1, seed="no number"), tmp_path)
+        assert not await broken.start("listens on")
+        await more(50)
+        for n in (2, 3, 4):
+            new = NodeProcess(config(n), tmp_path)
+            assert await new.start("listens on")
+            if n == 3:
+                # It has claimed all new connections, and is gone: they go to the old one again.
+                await new.end(signal.SIGKILL)
+                await more(50)
+                continue
+            async with asyncio.timeout(LIMIT):
+                while not await ready(admins[n]):
+                    await asyncio.sleep(0)
+            assert await old.end(signal.SIGTERM) == 0
+            assert any("0 connections left" in line for line in old.said)
+            old = new
+            await more(50)
+        for caller in callers:
+            caller.stop = True
+        await asyncio.gather(*load)
+        assert await old.end(signal.SIGTERM) == 0
+        for listener in listeners:
+            await listener.stop()
+        ids = Counter(
+            line.split(b": ")[1]
+            for server in servers
+            for head in server.heads
+            for line in head.lower().split(b"\r\n")
+            if line.startswith(b"x-correlation-id")
+        )
+        asked = sum(caller.number for caller in callers)
+        served = sum(caller.ends[200] for caller in callers)
+        assert asked == sum(sum(caller.ends.values()) for caller in callers)
+        # No effect twice, and each one that was answered with 200 has happened.
+        assert set(ids.values()) == {1} and served <= len(ids) <= asked
+        # A process that is killed takes with it what it holds; an upgrade in order does not.
+        assert asked - served <= len(callers)
+
+    with reserved() as port:
+        # One door for each process; they are held so that no other test is given them meanwhile.
+        with reserved() as a, reserved() as b, reserved() as c, reserved() as d, reserved() as e:
+            admins = [a, b, c, d, e]
+        asyncio.run(play(port, admins))
