Refuse at once what would keep better requests waiting; a body on its way keeps no server busy

What waits ahead of a request is known at once. The class of least worth for its work is refused where that would take the shortest aim of the better ones, the next at four times as much, the best never; nothing is refused for it before work is known. And a request whose long body is on its way, or whose long answer has begun, no longer counts as work of its server (Request.sending, Whole, Started); its time counts from its last byte.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -510,6 +510,7 @@
             waited=waited * MS if self.fresh else 0,
             limits=limits.module if limits is not None else None,
             room=self.clients.room,
+            sending=upload is not None,
         )
         if self.rid:  # not answered at once
             self.rid = rid
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -126,6 +126,7 @@
         waited: int = 0,
         limits: api.Limits | None = None,
         room: float = 1.0,
+        sending: bool = False,
     ) -> int:
         """A whole request has come; its number."""
         rid = self._next_id
@@ -135,7 +136,7 @@
         self.requests[rid] = request
         self.owed += 1
         self._expires_in(request, time_left)
-        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits, room))
+        self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits, room, sending))
         return rid
 
     def _expires_in(self, request: Open, time_left: int) -> None:
@@ -149,6 +150,7 @@
             return
         self._stop_timer(request)
         self._expires_in(request, max(1, time_left - ANSWER_EARLY))
+        self.feed(api.Whole(rid))
 
     def gone(self, rid: int) -> None:
         """The client has left."""
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -353,6 +353,9 @@
     def _written(self) -> None:
         if self.attempt is not None and not self.attempt.written and not self.transport.is_closing():
             self.attempt.written = True
+            if self.attempt.message is not None and self.attempt.message.upload is not None:
+                # A server begins with the last byte: how long the body was on its way says nothing of it.
+                self.attempt.sent = system.monotonic_ns()
             self.servers.written += 1
             self.backend.unsent.pop(self.attempt, None)
 
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -10,13 +10,13 @@
 import random
 from bisect import bisect_right
 from heapq import heapify, heappop, heappush
-from math import exp, isfinite, log
+from math import exp, inf, isfinite, log
 from zlib import crc32
 
 from .interface import (  # fmt: skip
     NEVER_RAN, Action, Cancel, Effect, Event, Fail, Gone, Group, Limits, ListKind, Outcome, PeerMessage,
     ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerId, ServerList, SetTimer, Settings,
-    Started, State, Timer, Watch, Weights,
+    Started, State, Timer, Watch, Weights, Whole,
 )  # fmt: skip
 
 __all__ = ["Balancer", "may_refuse", "resend_scope"]
@@ -83,6 +83,13 @@
 # How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
 # shrink.
 SHED_DRAIN = 1.0
+# A class is refused at once where what waits ahead of it would take this part of the shortest aim of those
+# that are worth more for their work, the next better one at so many times as much, the best never.
+#
+# A guard against a jam while it grows: losses tell of it a second later, when every server holds a queue
+# that makes the shortest aim late for all. It takes servers lost, out by hand or cold for what they are,
+# want of room. It would do harm where what waits is worked off much faster than idle servers showed.
+CROWD_PART, CROWD_STEP = 1.0, 4.0
 # A node that reads requests later than this part of the shortest aim is short of its own time; the span over
 # which it is judged, and the share that it turns away for each unit of lateness beyond that. In proportion to
 # what is seen now: a share that had to be wound down would go on turning away after the crowd has gone.
@@ -182,8 +189,8 @@
     """A request this node owes an answer, or whose attempts are still out."""
 
     __slots__ = (
-        "cls", "cost", "deadline", "done", "id", "key", "limits", "out", "streaming", "tenant", "tries",
-        "waiting",
+        "cls", "cost", "deadline", "done", "id", "key", "limits", "out", "sending", "streaming", "tenant",
+        "tries", "waiting",
     )  # fmt: skip
 
     def __init__(self, event: Request, now: int) -> None:
@@ -193,6 +200,7 @@
         self.tenant = event.tenant
         self.cost = event.cost
         self.limits = event.limits
+        self.sending = event.sending
         self.deadline = now + event.time_left
         self.tries: list[_Try] = []
         self.out = 0
@@ -204,7 +212,7 @@
 class _Try:
     """One attempt; result None: still out."""
 
-    __slots__ = ("begun", "beside", "cell", "result", "sent", "server", "zone")
+    __slots__ = ("beside", "cell", "counted", "result", "sent", "server", "zone")
 
     def __init__(self, server: _Server, sent: int) -> None:
         self.server = server
@@ -212,7 +220,7 @@
         self.zone = server.zone
         self.cell = server.cell
         self.sent = sent
-        self.begun = False  # a long answer comes: its server is at work on it no more
+        self.counted = False  # its server is at work on it, as far as this node knows
         self.result: Result | None = None
 
 
@@ -292,6 +300,7 @@
         self.actions: list[Action] = []
         self.servers: dict[ServerId, _Server] = {}
         self.requests: dict[int, _Request] = {}
+        self.back: list[ServerId] = []  # those that came back from a drain and were not used since
         self.near: list[_SpeedClass] = []
         self.far: list[_SpeedClass] = []
         self.near_draw: tuple[list[float], list[_Server]] = ([], [])
@@ -346,6 +355,8 @@
         # Mean time that one request takes at an idle server of size 1, by class, and how many told of it.
         self.work: list[float] = [0.0] * len(settings.classes)
         self.work_seen = [0] * len(settings.classes)
+        self.mean_work = 0.0
+        self.crowd = [inf] * len(settings.classes)
         self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
         self.ask_after = ASK_FIRST
         self.longest_aim = max(c.aim for c in settings.classes)
@@ -371,6 +382,8 @@
             self._gone(event)
         elif type(event) is Started:
             self._started(event)
+        elif type(event) is Whole:
+            self._whole(event)
         elif type(event) is ProbeResult or type(event) is PeerMessage:
             pass
         if self.wakes and (not self.armed or self.wakes[0][0] < self.armed):
@@ -442,6 +455,8 @@
                     s.cold_at = -1
             s.zone = line.zone
             s.cell = line.cell
+            if s.state == State.DRAINING and line.state == State.READY:
+                self.back.append(s.id)
             s.kind = line.kind if line.kind < self.settings.kinds else 0
             s.state = line.state
             if line.weight > 0.0 and isfinite(line.weight) and self.settings.weights != Weights.NONE:
@@ -542,6 +557,23 @@
             self.lag_class[c] = min(1.0, left / self.count[c]) if self.count[c] > 0.0 else 0.0
             left = max(0.0, left - self.count[c])
 
+    def _crowds(self, cls: int, s: _Server) -> bool:
+        """Whether a request would keep better ones waiting for too long at a server that is not idle."""
+        ahead = self.mean_work * max(float(s.held), TOLD_PART * s.load) / (s.size * s.warmth)
+        return ahead > self.crowd[cls]
+
+    def _weigh(self) -> None:
+        """Renew the mean work, and how much (ns) may wait ahead of each class."""
+        classes = self.settings.classes
+        self.mean_work = self._mean_work()
+        least_first = sorted(range(len(classes)), key=lambda c: classes[c].worth / max(self.work[c], 1.0))
+        self.crowd = [inf] * len(classes)
+        if not any(self.work_seen):
+            return
+        for n, c in enumerate(least_first[:-1]):
+            aim = min(classes[better].aim for better in least_first[n + 1 :])
+            self.crowd[c] = CROWD_PART * CROWD_STEP**n * aim
+
     def _hopeless(self, event: Request) -> bool:
         """Whether a request that was read late has too little time left for any server to answer it."""
         takes = self.base[event.cls] * (event.cost or 1) / self.fastest
@@ -597,6 +629,7 @@
             here = sum(s.size for s in zones[True])
             self.near_part = min(1.0, self.settings.zones * here / total)
             self.spill = 1.0 - self.near_part
+        self._weigh()
         self.near, self.near_draw, self.near_load = self._index(zones[True], held[True])
         self.far, self.far_draw, self.far_load = self._index(zones[False], held[False])
 
@@ -667,7 +700,7 @@
             s.cap = s.size * s.warmth * tilt * (1.0 - s.fails)
             if s.trial:
                 s.cap *= TRIAL_PART
-        mean = self._mean_work()
+        mean = self.mean_work
         # In the paper idle servers are known to one dispatcher; in JIQ with several, each idle server joins
         # the list of one of them. Nodes cannot talk, so the lot decides: a server is on the idle lists of
         # about OWNERS nodes of a zone, whose own work there then tells whether it is idle.
@@ -764,8 +797,26 @@
                 best, least = s, burden
         return best
 
+    def _returned(self, request: _Request) -> _Server | None:
+        """A server that came back from a drain, once: how it does is not known yet, and the ordinary path may
+        not come to it for long, if it is slow or far."""
+        while self.back:
+            s = self.servers.get(self.back[-1])
+            if s is None or s.state != State.READY:
+                self.back.pop()
+                continue
+            if s.group is None or s.held or max(s.free_at, s.cold_at) > self.now or self._denies(s, request):
+                return None
+            self.back.pop()
+            return s
+        return None
+
     def _pick(self, request: _Request) -> _Server | None:
         tried = request.tries
+        if self.back and not tried:
+            s = self._returned(request)
+            if s is not None:
+                return s
         if request.key and not tried and self.settings.warm_keys:
             s = self._home(request.key)
             if s is not None and not self._denies(s, request):
@@ -871,6 +922,9 @@
         if s is None:
             self._wait(request)
             return
+        if s.held and self._crowds(event.cls, s):
+            self._end(request, Refuse(event.id, self._retry_after(request)))
+            return
         self._send(request, s)
         cls = self.settings.classes[event.cls]
         if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
@@ -881,10 +935,11 @@
 
     def _send(self, request: _Request, s: _Server) -> None:
         now = self.now
-        request.tries.append(_Try(s, now))
+        tried = _Try(s, now)
+        request.tries.append(tried)
         request.out += 1
-        s.held += 1
-        self._unidle(s)
+        if not request.sending:
+            self._count(tried)
         if s.warmth < 1.0:
             s.cold_at = max(s.cold_at, now) + s.cold_gap
             s.free_at = max(s.free_at, s.cold_at)
@@ -1032,14 +1087,29 @@
             return
         request.streaming = True
         tried = request.tries[event.attempt]
-        if tried.result is None and not tried.begun:
-            tried.begun = True
-            self._one_less(tried.server)
-            self._rest(tried.server)
+        self._uncount(tried)
+        self._rest(tried.server)
+
+    def _whole(self, event: Whole) -> None:
+        """A long body has come to its end, and its server begins."""
+        request = self.requests.get(event.id)
+        if request is None or not request.sending:
+            return
+        request.sending = False
+        for tried in request.tries:
+            if tried.result is None:
+                self._count(tried)
+
+    def _count(self, tried: _Try) -> None:
+        tried.counted = True
+        tried.server.held += 1
+        self._unidle(tried.server)
 
     @staticmethod
-    def _one_less(s: _Server) -> None:
-        s.held = max(0, s.held - 1)
+    def _uncount(tried: _Try) -> None:
+        if tried.counted:
+            tried.counted = False
+            tried.server.held = max(0, tried.server.held - 1)
 
     def _rest(self, s: _Server) -> None:
         """Take a server for idle again, once its time has come, if nothing of this node is at work there."""
@@ -1062,8 +1132,7 @@
         tried.result = event.result
         request.out -= 1
         if s is not None:
-            if not tried.begun:
-                self._one_less(s)
+            self._uncount(tried)
             self._learn(s, request, event)
             if s.state == State.GONE and not s.held:
                 del self.servers[s.id]
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -235,6 +235,7 @@
 
     waited: how long it was here before the node came to read it. It shows that the node itself is late.
     room: the free share, 0 to 1, of the places that the node has for requests that wait for their answer.
+    sending: its body is on its way; a server begins with its last byte, of which Whole tells.
     limits: what its route allows; None: what its class and the settings allow.
     """
 
@@ -248,6 +249,14 @@
     waited: int = 0
     limits: Limits | None = None
     room: float = 1.0
+    sending: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """The last byte of a request has come that was handed over while its body was on its way."""
+
+    id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -305,7 +314,7 @@
     data: bytes
 
 
-Event = ServerList | Request | Started | Outcome | Gone | Timer | ProbeResult | PeerMessage
+Event = ServerList | Request | Whole | Started | Outcome | Gone | Timer | ProbeResult | PeerMessage
 
 
 # Actions
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -87,7 +87,12 @@
         "self.lag_shed += LAG_WEIGHT * (share - self.lag_shed)",
         "self.lag_shed = max(self.lag_shed, share)",
     ),
-    Defect("held-for-ever", BRAIN, "s.held = max(0, s.held - 1)", "s.held = max(0, s.held)"),
+    Defect(
+        "held-for-ever",
+        BRAIN,
+        "tried.server.held = max(0, tried.server.held - 1)",
+        "tried.server.held = max(0, tried.server.held)",
+    ),
     Defect(
         "requests-kept",
         BRAIN,
--- a/simulation/clients.py
+++ b/simulation/clients.py
@@ -268,7 +268,9 @@
                     ):
                         # A stream that has begun has no deadline, nor has a long answer; one that stalls is
                         # ended by the node.
-                        self.clients.streaming(self.calls[0])
+                        # What was sent right behind it waits for its end, too.
+                        for call in self.calls:
+                            self.clients.streaming(call)
                     return
                 self.clients.answered(self.calls.pop(0), message, self)
             if self.reader.begun:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 
 from lynxrouter import interface as api
 from standins.world import MS, SECOND, Node, fleet, make_settings
@@ -364,3 +365,64 @@
         node.ask(rid)
         node.answer(rid, 0)
     assert failed not in {sid for _, rid, sid in node.sent if rid > 1}
+
+
+def test_a_jam_is_kept_from_growing_at_the_cost_of_the_least_worth_for_its_work() -> None:
+    classes = (
+        api.RequestClass("quick", api.Effect.SAFE, 3.0, 200 * MS, SECOND),
+        api.RequestClass("heavy", api.Effect.UNSAFE, 2.0, SECOND, 5 * SECOND),
+        api.RequestClass("dear", api.Effect.KEYED, 10.0, SECOND, 5 * SECOND, window=4 * SECOND),
+    )
+    node = Node(
+        make_settings(
+            classes=classes, zones=1, kinds=1, nodes=1, copies_allowed=False, weights=api.Weights.NOMINAL
+        )
+    )
+    node.tell(servers([1.0]))
+
+    def refused(cls: int, rid: int) -> bool:
+        return any(isinstance(action, api.Refuse) for action in node.ask(rid, cls))
+
+    # Nothing is known of their work yet: nobody is refused for it.
+    assert not any(refused(1, rid) for rid in range(20))
+    balancer = node.balancer
+    for rid in range(20):
+        node.answer(rid, 0)
+    balancer.count = [1.0, 1.0, 1.0]
+    balancer.work, balancer.work_seen = [10.0 * MS, 50.0 * MS, 40.0 * MS], [9, 9, 9]
+    balancer._rebuild()
+    told = {cls: 0 for cls in range(3)}  # how many were ahead when each class was first refused
+    (s,) = balancer.servers.values()
+    for rid in range(100, 400, 3):
+        for cls in (1, 2, 0):
+            if refused(cls, rid + cls) and not told[cls]:
+                told[cls] = s.held
+    # 33 ms each, three in a row: 200 ms for the worst, four times that for the next, no end for the best.
+    assert (told[1], told[2], told[0]) == (9, 25, 0)
+
+
+def test_a_server_that_is_back_from_a_drain_is_used_once_however_slow_it_is() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1, weights=api.Weights.NOMINAL))
+    node.tell(servers([4.0] * 4 + [1.0]))
+    steady(node, 50, 20 * MS, 5 * MS)
+    slow = api.Server(b"s4", weight=1.0)
+    node.tell((replace(slow, state=api.State.DRAINING),), kind=api.ListKind.CHANGES)
+    node.run_to(node.now + SECOND)
+    node.tell((slow,), kind=api.ListKind.CHANGES)
+    sent = steady(node, 20, 20 * MS, 5 * MS, first=1000)
+    assert sent[b"s4"] == 1
+
+
+def test_a_body_on_its_way_keeps_no_server_busy_and_a_long_answer_frees_it() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=1))
+    node.tell(servers([1.0]))
+    (s,) = node.balancer.servers.values()
+    node.balancer.handle(node.now, api.Request(1, 0, 2 * SECOND, sending=True))
+    assert s.held == 0
+    node.balancer.handle(node.now, api.Whole(1))
+    node.balancer.handle(node.now, api.Whole(1))  # told twice it counts once
+    assert s.held == 1
+    node.balancer.handle(node.now, api.Started(1, 0, b"s0", MS))
+    assert s.held == 0
+    node.balancer.handle(node.now, api.Outcome(1, 0, b"s0", api.Result.OK, MS, final=True))
+    assert s.held == 0 and not node.balancer.requests
--- a/tests/test_upload.py
+++ b/tests/test_upload.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from elderscale import servers as servers_module
 from elderscale.messages import MAX_BODY
 from elderscale.upload import KEPT_MOST, WINDOW, Room, Upload
 from standins.loopback import LIMIT, OK, Backend, Listener, Registry, read_message, request, running
@@ -113,6 +114,8 @@
             if b"transfer-encoding: chunked" in low:
                 while size := int(await reader.readuntil(b"\r\n"), 16):
                     body += (await reader.readexactly(size + 2))[:-2]
+                    self.got = len(body)
+                    self.note()
                 await reader.readuntil(b"\r\n")
             else:
                 left = int(low.split(b"content-length:")[1].split(b"\r\n")[0])
@@ -190,6 +193,28 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_the_end_of_a_body_is_held_back_until_the_connection_is_seen_to_live(
+    chunked: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Up to there nothing has run: a server that goes now costs a refusal, not a failure."""
+    monkeypatch.setattr(servers_module, "HOLD_LAST_BYTE", 10 * LIMIT)
+
+    async def play() -> None:
+        server = Taker("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:  # type: ignore[arg-type]
+            node.clients.bodies.total = 0
+            asked = asyncio.ensure_future(node.ask(worded("send", "r-1", chunked)))
+            least = len(BODY) - (0 if chunked else 1)
+            await server.until(lambda: server.got >= least)
+            assert server.got == least and not server.bodies
+            for writer in server.writers:
+                writer.transport.abort()
+            assert b" 503 " in await asked and not server.bodies
+
+    asyncio.run(play())
+
+
 def test_a_client_that_leaves_in_the_middle_leaves_nothing_behind(tmp_path: Path) -> None:
     async def play() -> None:
         server = Taker("s-1")
