--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import subprocess
+import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
 from elderscale import door as door_module
+from elderscale.__main__ import operated as operated_parts
+from elderscale.config import ConfigError, load
 from elderscale.desk import Desk
-from standins.loopback import LIMIT, Backend, Registry, Running, read_message, request, running
+from standins.loopback import LIMIT, Backend, Registry, Running, read_message, request, running, write_config
 
 
 @asynccontextmanager
@@ -209,3 +215,35 @@
             assert status == 200 and b'"id": "s-1"' in body and b'"disabled": true' in body
 
     asyncio.run(play())
+
+
+def test_without_an_address_for_operators_none_of_it_is_loaded(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1")) as node:
+            config = node.clients.config
+            assert config.admin is None and node.node.overlay is None
+            assert await operated_parts(config, node.clients, node.node) == (None, None)
+            assert not node.clients.listener or not node.clients.listener.getsockopt(
+                socket.SOL_SOCKET, socket.SO_REUSEPORT
+            )
+
+    asyncio.run(play())
+    code = (
+        "import sys, elderscale.__main__\n"
+        "print([name for name in sys.modules if name.split('.')[0] in ('operations', 'prometheus_client')])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_an_address_that_is_none_is_refused_by_field(tmp_path: Path) -> None:
+    path = tmp_path / "c.json"
+    registry = Registry()
+    registry.address = "127.0.0.1:1"
+    for admin in ("nowhere", 7, "127.0.0.1:0", "127.0.0.1:99999"):
+        write_config(path, registry, admin=admin)
+        with pytest.raises(ConfigError, match="^admin: "):
+            load({"BALANCER_CONFIG": str(path)})
+    write_config(path, registry)
+    told = load({"BALANCER_CONFIG": str(path), "BALANCER_ADMIN": "127.0.0.1:19000", "TMPDIR": "/t"})
+    assert told.admin == ("127.0.0.1", 19000) and told.scratch == "/t"
