Stand-in clients count no time against a node that their own process waited for a core

The kernel tells how long its threads were ready and had no core (schedstat, 718 ms of a second beside a busy loop, next to nothing alone); that much is no longer counted. A loop that is held up by what runs on it, or a thread that waits for another, is counted as before.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import cast
 
 from lynxrouter import interface as api
@@ -34,6 +35,21 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
+def starved() -> int:
+    """How long (ns) threads of this process were ready to run and had no core, all together since its start.
+
+    A busy machine, that is: a loop that is held up by what runs on it, or a thread that waits for another,
+    counts nothing here. 0 where the kernel does not tell.
+    """
+    total = 0
+    for path in Path("/proc/self/task").glob("*/schedstat"):
+        try:
+            total += int(path.read_text().split()[1])
+        except (OSError, IndexError, ValueError):  # it has ended meanwhile
+            continue
+    return total
+
+
 @dataclass(slots=True)
 class _Call:
     """One request on its way."""
@@ -42,6 +58,7 @@
     mix: Mix
     data: bytes
     repeat: bool
+    starved: int  # of starved(), when it was sent
     fresh: bool = True  # on a connection opened for it
     timer: asyncio.TimerHandle | None = None
 
@@ -185,7 +202,7 @@
         body = b"" if cls.effect == api.Effect.SAFE else b"{}"
         now = time.monotonic_ns()
         entry = self.ledger.asked(rid, mix.cls, now, now + cls.deadline, tenant)
-        call = _Call(entry, mix, b"\r\n".join(lines) + b"\r\n\r\n" + body, repeat)
+        call = _Call(entry, mix, b"\r\n".join(lines) + b"\r\n\r\n" + body, repeat, starved())
         self.out += 1
         self.quiet.clear()
         wait = (cls.deadline + 2 * self.ledger.limits.slack) / SECOND
@@ -221,7 +238,9 @@
         self, line: _Line, call: _Call, status: int, body: bytes, after: float | None, keep: bool
     ) -> None:
         """An answer has come whole."""
-        at = time.monotonic_ns() - line.waited()
+        # Neither what lay here unread nor what this process waited for a core is the node's lateness, which
+        # may live in this process.
+        at = time.monotonic_ns() - max(line.waited(), starved() - call.starved)
         port = self._port_of.get(line)
         if keep and port is not None:
             self.idle.setdefault(port, []).append(line)
