Drop dead state, make one piece of each twin: back-pressure, held servers, passed-on answers

Read again: the mean cost hint was still kept though nothing reads it since the cold budget follows work; the protocol of back-pressure stood twice (now elderscale/flow.py), as did the reader of an attempt, the rule which answers are passed on in the simulation, and a server that holds its answers in seven tests (now standins.loopback.Held). The door's late branch could not be reached. A stand-in client takes off what its process waited for a core only from answers past their deadline, so that told latencies stay what they were.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -42,8 +42,6 @@
 RESERVED = 24 + 3 * ACCEPT_BATCH
 # Further ones where operators call: their connections, the door, files.
 DOOR = 24
-
-
 # How long (s) a new process beside an old one waits to hear from discovery itself before it takes clients;
 # it must be ready within 6 s of its start, whether discovery answers or not.
 FRESH_LIMIT = 2.0
@@ -115,8 +113,8 @@
     port = await clients.listen(port)
     if place is not None:
         place.join()
-    if place is not None and beside and clients.listener is not None:
-        place.claim(clients.listener, beside)
+        if beside and clients.listener is not None:
+            place.claim(clients.listener, beside)
     log.info("%s listens on %s:%d", config.name, config.listen[0], port)
     ready = loop.create_task(_ready(clients, discovery))
     loop.add_signal_handler(signal.SIGHUP, reload, config, discovery, environ, operator, node.tally)
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -18,6 +18,7 @@
 
 from . import system
 from .config import MS, SECOND, Config, Names
+from .flow import Source
 from .messages import (
     LONG_BODY,
     MAX_BODY,
@@ -32,7 +33,6 @@
     not_passed_on,
     pairs,
 )
-from .ports import Source
 from .upload import Room, Upload
 
 if TYPE_CHECKING:
--- a/elderscale/desk.py
+++ b/elderscale/desk.py
@@ -14,7 +14,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 
-from lynxrouter.interface import ListKind, ServerId, ServerList
+from lynxrouter.interface import ListKind, ServerId, ServerList, State
 from operations.bans import Bans, BansError, pack, unpack
 from operations.calls import Call, Kind
 from operations.figures import CONTENT_TYPE, Exposition, Figures
@@ -133,7 +133,7 @@
             self.addresses.clear()
         self.addresses.update(listing.addresses)
         for line in listing.servers.servers:
-            if line.state == line.state.GONE:
+            if line.state == State.GONE:
                 self.addresses.pop(str(line.id), None)
         return Listing(self.bans.told(listing.servers), listing.addresses)
 
--- a/elderscale/door.py
+++ b/elderscale/door.py
@@ -114,10 +114,7 @@
             self._reply(self.door.answer(call))
 
     def _late(self) -> None:
-        if self.over:
-            self.drop()
-        else:
-            self._reply(Reply(408, "the call is not whole in time"))
+        self._reply(Reply(408, "the call is not whole in time"))
 
     def _reply(self, reply: Reply, allow: str = "") -> None:
         if self.over:
--- a/elderscale/ports.py
+++ b/elderscale/ports.py
@@ -1,19 +1,13 @@
-"""What the two sides of the node ask of each other: where answers go, and where a long one comes from."""
+"""What the servers' side of the node asks of the clients' side: where answers go."""
 
 from __future__ import annotations
 
 from typing import Protocol
 
+from .flow import Source
 from .messages import Answer
 
-__all__ = ["Client", "Source"]
-
-
-class Source(Protocol):
-    """What brings a long answer while it is passed on."""
-
-    def read_on(self, reading: bool) -> None:
-        """Back-pressure of the client that the answer is passed on to: go on reading, or pause."""
+__all__ = ["Client"]
 
 
 class Client(Protocol):
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -258,12 +258,12 @@
         until = attempt.deadline if message.upload is None else min(attempt.deadline, message.upload.until)
         left = max(1, (until - system.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         if message.upload is not None:
             self._begin_upload(message, message.upload, headers)
             return
         if message.method != b"GET" or message.size:
             headers.append((b"content-length", b"%d" % message.size))
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         pieces = [head(b"%s %s HTTP/1.1" % (message.method, message.target), headers), *message.body]
         if message.size <= SMALL_BODY:
             pieces = [b"".join(pieces)]
@@ -276,7 +276,6 @@
 
     def _begin_upload(self, message: Message, upload: Upload, headers: Headers) -> None:
         assert self.attempt is not None
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD)
         framing = (b"transfer-encoding", b"chunked")
         if upload.length is not None:
             framing = (b"content-length", b"%d" % upload.length)
--- a/elderscale/upload.py
+++ b/elderscale/upload.py
@@ -10,7 +10,9 @@
 from collections import deque
 from typing import Protocol
 
-__all__ = ["KEPT_MOST", "WINDOW", "Origin", "Room", "Sink", "Upload"]
+from .flow import Source
+
+__all__ = ["KEPT_MOST", "WINDOW", "Room", "Sink", "Upload"]
 
 # Bytes that wait for a server before the client is read no further, once nothing is kept any more.
 WINDOW = 64 << 10
@@ -18,13 +20,6 @@
 KEPT_MOST = 2 << 20
 
 
-class Origin(Protocol):
-    """Where the body comes from."""
-
-    def read_on(self, reading: bool) -> None:
-        """Read on, or leave to the kernel (and so to the sender) what comes."""
-
-
 class Sink(Protocol):
     """Where the body goes: one attempt."""
 
@@ -58,7 +53,7 @@
         "until", "whole",
     )  # fmt: skip
 
-    def __init__(self, length: int | None, source: Origin, room: Room) -> None:
+    def __init__(self, length: int | None, source: Source, room: Room) -> None:
         self.length = length
         self.until = 0
         self.whole = False  # its last byte has come
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -340,7 +340,6 @@
         self.worth_lost = self.worth_asked = 0.0  # worth of late and failed attempts, and of all
         self.heard = 0  # outcomes that tell of load since the last review
         self.missing = 0.0  # the first as a share of the second
-        self.cost = 0.0  # mean cost hint
         self.copies = 0.0
         self.resends = RESEND_SAVED / 5
         self.route_saved: dict[str, float] = {}  # repeats that routes with a retry budget have left
@@ -902,8 +901,6 @@
             self._end(request, Fail(event.id))
             return
         self.count[event.cls] += 1.0
-        if event.cost:
-            self.cost += 0.05 * (event.cost - self.cost)
         self._note_lag(event.waited)
         shed = self.shed_class[event.cls]
         late = self.lag_class[event.cls]
--- a/routing/checks.py
+++ b/routing/checks.py
@@ -18,7 +18,7 @@
 __all__ = ["DURATIONS", "MAX_BODY", "Checked", "faults", "shown"]
 
 MS = 1_000_000
-# The longest body of a request that a node takes, bytes.
+# The longest body that a file may allow, bytes; the node itself takes a little more.
 MAX_BODY = 32 << 20
 # The limits that are durations, in ns.
 DURATIONS = frozenset(("attempt_timeout", "request_timeout", "copy_delay", "repeat_window"))
--- a/simulation/clients.py
+++ b/simulation/clients.py
@@ -262,13 +262,9 @@
             while self.calls:
                 message = self.reader.next()
                 if message is None:
-                    ask = self.calls[0].ask
-                    if self.reader.head is not None and (
-                        self.world.plan.classes[ask.cls].streamed or ask.answer > LONG
-                    ):
-                        # A stream that has begun has no deadline, nor has a long answer; one that stalls is
-                        # ended by the node.
-                        # What was sent right behind it waits for its end, too.
+                    if self.reader.head is not None and self.clients.passed_on(self.calls[0]):
+                        # It has no deadline any more, and what was sent right behind it waits for its end,
+                        # too; one that stalls is ended by the node.
                         for call in self.calls:
                             self.clients.streaming(call)
                     return
@@ -347,6 +343,10 @@
             call.reached = not (far.ended or far.detached)
         self._until(call, 0)
 
+    def passed_on(self, call: _Call) -> bool:
+        """Whether its answer comes as its server gives it: a stream, or a long one."""
+        return self.world.plan.classes[call.ask.cls].streamed or call.ask.answer > LONG
+
     def streaming(self, call: _Call) -> None:
         """An answer that is passed on as it comes has begun."""
         if not call.streaming:
@@ -482,8 +482,7 @@
                 world.loop.create_task(self._open(call))
                 return
             entry.excused = True
-        passed_on = world.plan.classes[call.ask.cls].streamed or call.ask.answer > LONG
-        streamed = passed_on and line.reader.head is not None
+        streamed = line.reader.head is not None and self.passed_on(call)
         self._end(call, Final.FAILED if streamed else Final.BROKEN)
 
     def leave(self, call: _Call) -> None:
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -238,9 +238,11 @@
         self, line: _Line, call: _Call, status: int, body: bytes, after: float | None, keep: bool
     ) -> None:
         """An answer has come whole."""
-        # Neither what lay here unread nor what this process waited for a core is the node's lateness, which
-        # may live in this process.
-        at = time.monotonic_ns() - max(line.waited(), starved() - call.starved)
+        now = time.monotonic_ns()
+        at = now - line.waited()
+        if at > call.entry.deadline:
+            # What this process waited for a core is not the node's lateness, which may live in it.
+            at = min(at, now - (starved() - call.starved))
         port = self._port_of.get(line)
         if keep and port is not None:
             self.idle.setdefault(port, []).append(line)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -23,6 +23,7 @@
     "LIMIT",
     "OK",
     "Backend",
+    "Held",
     "Listener",
     "Registry",
     "Running",
@@ -121,6 +122,18 @@
                 await self.script(head, writer)
 
 
+class Held(Backend):
+    """A server that notes requests and answers none of them before `go` is set."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._wait)
+        self.go = asyncio.Event()
+
+    async def _wait(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        await self.go.wait()
+        writer.write(OK)
+
+
 class Running:
     """A node that runs, with its parts in reach."""
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from standins.loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+from standins.loopback import LIMIT, OK, Backend, Held, Registry, read_message, request, running
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 SPOILT = {
@@ -244,13 +244,7 @@
     """What is being opened counts once against the budget of descriptors."""
 
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(tmp_path / "c.json", Registry(), server) as node:
             servers = node.node.servers
             servers.limit = 30
@@ -258,7 +252,7 @@
             await server.until(lambda: len(server.heads) == 30)
             assert len(servers.connections) == 30 and not servers.opening
             assert (await node.ask(request(rid="q-1"))).startswith(b"HTTP/1.1 503")
-            go.set()
+            server.go.set()
             assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
             assert not node.node.requests and not node.node.balancer.requests
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -9,7 +9,7 @@
 import pytest
 
 from elderscale.clients import RecentIds
-from standins.loopback import LIMIT, OK, Backend, Registry, read_message, request, running
+from standins.loopback import LIMIT, Backend, Held, Registry, read_message, request, running
 
 HEAD = b"POST /send HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: r-1\r\n"
 HIDDEN = b"0\r\n\r\nPOST /send HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: r-2\r\nContent-Length: 0\r\n\r\n"
@@ -65,18 +65,12 @@
 
 def test_an_id_that_another_open_request_has_is_turned_away(tmp_path: Path) -> None:
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(tmp_path / "c.json", Registry(), server) as node:
             first = asyncio.ensure_future(node.ask(request(rid="r-1")))
             await server.until(lambda: len(server.heads) == 1)
             assert (await node.ask(request("send", rid="r-1"))).startswith(b"HTTP/1.1 409")
-            go.set()
+            server.go.set()
             assert b" 200 " in await first
             assert len(server.heads) == 1
 
@@ -141,13 +135,7 @@
 
 def test_a_silent_crowd_does_not_displace_those_who_ask(tmp_path: Path) -> None:
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(tmp_path / "c.json", Registry(), server) as node:
             limit = node.clients.limit
             asking = [asyncio.ensure_future(node.ask(request(rid=f"r-{n}"))) for n in range(20)]
@@ -156,7 +144,7 @@
             asking += [asyncio.ensure_future(node.ask(request(rid=f"q-{n}"))) for n in range(20)]
             await server.until(lambda: len(server.heads) == 40)
             assert len(node.clients.connections) <= limit
-            go.set()
+            server.go.set()
             assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
             for _, writer in crowd:
                 writer.transport.abort()
@@ -209,20 +197,14 @@
 
 def test_nearly_a_third_of_256_descriptors_may_wait_for_the_answers_of_most_worth(tmp_path: Path) -> None:
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(
             tmp_path / "c.json", Registry(), server, adjust=lambda c: replace(c, sockets=256)
         ) as node:
             # Clients hold 85; the last seven are left for who is to hear that there is no room.
             asking = [asyncio.ensure_future(node.ask(request("book", rid=f"r-{n}"))) for n in range(78)]
             await server.until(lambda: len(server.heads) == 78)
-            go.set()
+            server.go.set()
             assert all(b" 200 " in answer for answer in await asyncio.gather(*asking))
 
     asyncio.run(play())
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -8,7 +8,7 @@
 import pytest
 
 from elderscale.__main__ import drain
-from standins.loopback import LIMIT, OK, Backend, Registry, call, read_message, request, running
+from standins.loopback import LIMIT, Backend, Held, Registry, call, read_message, request, running
 
 READY = b"GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -40,13 +40,7 @@
 
 def test_the_end_of_a_drain_answers_what_is_out_and_closes_the_rest(tmp_path: Path) -> None:
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(tmp_path / "c.json", Registry(), server) as node:
             idle, idle_writer = await node.connect()
             reader, writer = await node.connect()
@@ -58,7 +52,7 @@
                 )
                 assert await idle.read() == b""
                 idle_writer.close()
-                go.set()
+                server.go.set()
                 head, _ = await read_message(reader)
                 assert b" 200 " in head and b"connection: close" in head
                 assert await reader.read() == b""
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -10,7 +10,18 @@
 from elderscale.clients import ACCEPT_BATCH
 from lynxrouter import Balancer
 from lynxrouter import interface as api
-from standins.loopback import LIMIT, OK, Backend, Registry, call, read_message, request, running, settings
+from standins.loopback import (
+    LIMIT,
+    OK,
+    Backend,
+    Held,
+    Registry,
+    call,
+    read_message,
+    request,
+    running,
+    settings,
+)
 from standins.world import MS, SECOND, fleet, make_settings
 
 CAPS = {**settings()["caps"], "retry-after": True, "max-retry-after": 2 * SECOND}
@@ -168,13 +179,7 @@
 
 def test_a_node_never_holds_all_the_connections_that_clients_have(tmp_path: Path) -> None:
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=CAPS)) as node:
             third = node.clients.config.sockets // 3
             asking = [asyncio.ensure_future(node.ask(request("book", rid=f"r-{n}"))) for n in range(third)]
@@ -183,7 +188,7 @@
             # A third of the descriptors is what clients hold: one is always left to hear a request on.
             assert node.node.owed < third
             assert b" 503 " in await node.ask(request("view", rid="v-1"))
-            go.set()
+            server.go.set()
             await asyncio.gather(*asking)
 
     asyncio.run(play())
--- a/tests/test_routes_node.py
+++ b/tests/test_routes_node.py
@@ -26,6 +26,7 @@
     LIMIT,
     OK,
     Backend,
+    Held,
     Registry,
     Running,
     read_message,
@@ -106,13 +107,7 @@
     text = "[[route]]\nname = 'r'\npath.prefix = '/view/x'\nlimits.in_flight = 2"
 
     async def play() -> None:
-        go = asyncio.Event()
-
-        async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
-            await go.wait()
-            writer.write(OK)
-
-        server = Backend("s-1", script)
+        server = Held("s-1")
         async with routed(tmp_path, text, server) as (node, operator):
             states = operator.gate.states
             lines = [await node.connect() for _ in range(2)]
@@ -126,7 +121,7 @@
                     await asyncio.sleep(0)
                 third = asyncio.ensure_future(node.ask(get(b"/view/x/2", "r-4")))
                 await server.until(lambda: len(server.heads) == 3)
-                go.set()
+                server.go.set()
                 assert b" 200 " in await third
                 assert b" 200 " in (await read_message(lines[1][0]))[0]
             assert states["r"].in_flight == 0
