--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -105,7 +105,10 @@
                 values[word.strip()] = float(number)
             except ValueError:
                 return ()
-        report = tuple(values.get(word, math.nan) for word in self.report)
+        # A deployment words its reports as its settings do, or as the protocol's page does.
+        report = tuple(
+            values.get(word, values.get(REPORT_WORDS.get(word, word), math.nan)) for word in self.report
+        )
         return report if all(map(math.isfinite, report)) else ()
 
 
@@ -163,7 +166,7 @@
         tenants={t.name: n for n, t in enumerate(parsed.tenants)},
         zones=_numbers(settings.get("zones")),
         kinds=_numbers(settings.get("kinds")),
-        report=tuple(REPORT_WORDS.get(field, field) for field in _report_fields(settings)),
+        report=tuple(_report_fields(settings)),
     )
     limits = data.get("limits", {})
     memory = _whole(limits, "memory_mb", 2048)
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -13,6 +13,9 @@
 from math import exp, inf, isfinite, log
 from zlib import crc32
 
+from fleet import Failures, Reach, cold_gap, heed, place
+from fleet.told import FAILING, SPAN
+
 from .interface import (  # fmt: skip
     NEVER_RAN, Action, Cancel, Effect, Event, Fail, Gone, Group, Limits, ListKind, Outcome, PeerMessage,
     ProbeResult, Refuse, Request, RequestClass, Result, Send, ServerId, ServerList, SetTimer, Settings,
@@ -72,7 +75,7 @@
 TOLD_PART = 0.25
 # Load that the list tells (requests held for each core) under which a server counts as idle when a
 # request's work is learned, and the least weight of one such answer.
-IDLE_LOAD, WORK_WEIGHT = 0.5, 0.02
+IDLE_LOAD, WORK_WEIGHT = 2.0, 0.02
 # Gains of that: per review, and at once.
 SPILL_SLOW, SPILL_FAST = 0.1, 0.7
 # Shedding starts when attempts lose this share of their worth, being late or turned away.
@@ -80,6 +83,9 @@
 # With fewer outcomes than this in a review's span what was lost before is no evidence of the present, and
 # fades: else a share that leaves no request to learn from would be shed for ever.
 SHED_HEARD, SHED_FADE = 8, 0.8
+# Share that may be shed for each request that lists tell servers to hold beyond one, for each core; a larger
+# one falls to that by so much at each review, as lists are old.
+SHED_LOAD, SHED_LET_GO = 0.3, 0.6
 # How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
 # shrink.
 SHED_DRAIN = 1.0
@@ -109,9 +115,8 @@
 ROOM_FROM = 0.25
 # One that was read late and has less than this part of what its answer takes is turned away at once.
 HOPELESS_PART = 0.5
-# Part of the cold budget that all nodes together plan to use: the rest is slack for chance and uneven
-# traffic.
-COLD_PART = 0.5
+# Connects in a row that fail before an answer after which a server is taken for started anew.
+REFUSED_LIMIT = 2
 # Draws by capacity before one takes a server that this node keeps busy already.
 DRAWS = 4
 # Part of its capacity that is offered to a server on trial after a pause.
@@ -142,8 +147,8 @@
 
     __slots__ = (
         "answered", "cap", "cell", "cold_at", "cold_gap", "denied", "fails", "free_at", "group", "held", "id",
-        "kind", "listed", "load", "lot", "nominal", "pause", "paused_until", "pos", "silent", "since",
-        "size", "slow", "state", "trial", "warmth", "weight", "zone",
+        "kind", "listed", "load", "lot", "nominal", "pause", "paused_until", "pos", "refused", "silent",
+        "since", "size", "slow", "state", "told", "told_until", "trial", "warmth", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, sid: ServerId) -> None:
@@ -167,6 +172,9 @@
         self.load = 0.0  # requests held for each core, where the list tells
         self.slow = 1.0  # response time relative to what its size promises
         self.fails = 0.0  # running share of failures
+        self.told = 0.0  # share of failures as the server tells it, in force until told_until
+        self.told_until = 0
+        self.refused = 0  # connects that failed since the last answer
         self.silent = 0  # time-outs since the last answer
         self.answered = 0  # last answer of any kind
         self.paused_until = 0
@@ -312,6 +320,9 @@
         self.reviewed = now
         self.arrived = 0  # requests since the last review
         self.rate = 0.0  # requests a second, smoothed
+        self.failures = Failures(settings.report_fields)
+        self.reach = Reach()
+        self.heed = heed(0.0)  # weight of one answer in what is learned of lateness
         self.near_part = -1.0  # share of requests that need not cross, negative: not known yet
         self.stale = False
         self.crossed = now
@@ -353,6 +364,7 @@
         )  # mean response time x size (x 1/cost hint), by class
         # Mean time that one request takes at an idle server of size 1, by class, and how many told of it.
         self.work: list[float] = [0.0] * len(settings.classes)
+        self.work_time, self.work_share = [0.0] * len(settings.classes), [0.0] * len(settings.classes)
         self.work_seen = [0] * len(settings.classes)
         self.mean_work = 0.0
         self.crowd = [inf] * len(settings.classes)
@@ -443,7 +455,7 @@
                 if line.state == State.GONE:
                     continue
                 s = self.servers[line.id] = _Server(line.id)
-                s.lot = crc32(b"%d " % self.settings.node + repr(line.id).encode()) / 2**32
+                s.lot = place(line.id, self.settings.node, self.settings.nodes)
             seen.add(line.id)
             if line.up_since and line.up_since > s.since:
                 # A new process: what was known of the old one no longer holds.
@@ -484,6 +496,7 @@
         if span > 0:
             measured = self.arrived * SECOND / span
             self.rate = measured if self.rate == 0.0 else 0.5 * (self.rate + measured)
+            self.heed = heed(self.rate)
             self.arrived = 0
             self.reviewed = self.now
             self._cross()
@@ -522,6 +535,10 @@
             self.shed += 0.7 * (min(SHED_MOST, max(0.0, 1.0 - drain * done / offered)) - self.shed)
         else:
             self.shed = 0.7 * self.shed if self.shed > 0.01 else 0.0
+        if self.settings.weights == Weights.LIVE and not self.stale:
+            # Lists tell sooner than this node's few answers that the jam is over.
+            told = SHED_LOAD * (max(self.near_load, self.far_load) - 1.0)
+            self.shed = min(self.shed, max(SHED_LET_GO * self.shed, told))
         # The least worth for each unit of work goes first.
         classes = self.settings.classes
         work = [n * b for n, b in zip(self.count, self.base, strict=True)]
@@ -696,7 +713,9 @@
             if self.stale or not lives:
                 tilt *= (slow / s.slow) ** 0.5
             s.warmth = self._warmth(s)
-            s.cap = s.size * s.warmth * tilt * (1.0 - s.fails)
+            if s.told_until <= now:
+                s.told = 0.0
+            s.cap = s.size * s.warmth * tilt * (1.0 - max(s.fails, s.told))
             if s.trial:
                 s.cap *= TRIAL_PART
         mean = self.mean_work
@@ -715,11 +734,12 @@
             if group is None:
                 group = classes[speed] = _SpeedClass()
             s.group = group
-            s.listed = s.lot < listed or s.trial
+            s.listed = s.lot < listed or s.trial or s.warmth < 1.0
             if s.warmth < 1.0:
-                # The cold budget: this node's part of what a starting server stands, whatever the traffic.
-                budget = COLD_PART * self.settings.fall_multiple * s.warmth / self.settings.nodes
-                s.cold_gap = int(mean / s.size / budget)
+                # This node's part of what a starting server stands, whatever the traffic.
+                s.cold_gap = cold_gap(
+                    mean, s.size, s.warmth, self.settings.fall_multiple, self.settings.nodes
+                )
                 if s.cold_at < 0 or s.cold_at > now + s.cold_gap:
                     # New, or the gap has shrunk since: what a request adds is known better by now.
                     s.cold_at = now + int(self.random.random() * s.cold_gap)
@@ -820,15 +840,16 @@
             s = self._home(request.key)
             if s is not None and not self._denies(s, request):
                 return s
+        away = self._away(tried)
         for _ in range(4):
             s = None
-            if self.spill > 0.0 and self.random.random() < self.spill:
+            if away > 0.0 and self.random.random() < away:
                 s = self._idle_of(self.far) or self._drawn_from(self.far_draw)
             if s is None:
                 s = self._idle_of(self.near)
                 if s is None:
                     s = self._drawn_from(self.near_draw)
-                    if s is not None and s.held and self.far:
+                    if s is not None and s.held and self.far and not self.reach.far_lost:
                         s = self._across(request.cls, s)
             if s is None:
                 s = self._idle_of(self.far)
@@ -840,8 +861,19 @@
             return self._pick_within(request, ANYWHERE) or s
         return s
 
+    def _away(self, tried: list[_Try]) -> float:
+        """The share of requests that go far first: more than the load asks where the near zone is lost."""
+        if not self.far:
+            return 0.0
+        if tried and tried[-1].result == Result.CONNECT_FAILED and tried[-1].zone == self.settings.zone:
+            return 1.0
+        return self.reach.away(self.spill)
+
     def _denies(self, s: _Server, request: _Request) -> bool:
-        """Whether a server lately turned this request's tenant away, and no other."""
+        """Whether a server lately turned this request's tenant away, and no other, or fails too many of those
+        that must not be repeated."""
+        if s.told > FAILING and self.settings.classes[request.cls].effect == Effect.UNSAFE:
+            return True
         return bool(s.denied) and s.denied.get(request.tenant, 0) > self.now
 
     def _turned_away(self, tenant: int, rejected: bool) -> bool:
@@ -1151,38 +1183,55 @@
         with the jam, and cold servers would get ever less, when they are needed most. Until one has come,
         what the others tell is taken: it is too much rather than too little.
         """
-        work = rtt * s.size * s.warmth / (1.0 + beside)
+        work = rtt * s.size * s.warmth
         known = self.work[cls]
-        if not beside and s.load < IDLE_LOAD:
+        if s.load + beside < IDLE_LOAD and not self.stale:
             self.work_seen[cls] += 1
-            self.work[cls] = known + max(WORK_WEIGHT, 1.0 / self.work_seen[cls]) * (work - known)
+            weight = max(WORK_WEIGHT, 1.0 / self.work_seen[cls])
+            self.work_time[cls] += weight * (work - self.work_time[cls])
+            self.work_share[cls] += weight * (1.0 + s.load + beside - self.work_share[cls])
+            self.work[cls] = self.work_time[cls] / self.work_share[cls]
         elif not self.work_seen[cls]:
+            work /= 1.0 + s.load + beside
             self.work[cls] = known + 0.1 * (work - known) if known > 0.0 else work
 
     def _learn(self, s: _Server, request: _Request, event: Outcome) -> None:
         result = event.result
         if result == Result.CANCELLED or result == Result.NOT_SENT:
             return
+        told = self.failures.share(event.report) if event.report else None
+        if told is not None:
+            s.told, s.told_until = told, self.now + SPAN
         if result in (Result.OK, Result.REJECTED) and self._turned_away(
             request.tenant, result == Result.REJECTED
         ):
             s.denied[request.tenant] = self.now + TURNED_PAUSE
             s.answered = self.now
             return
+        near = s.zone == self.settings.zone
+        self.reach.note(near, result == Result.CONNECT_FAILED, self.heed)
+        if result == Result.CONNECT_FAILED:
+            s.refused += 1
+        else:
+            if s.refused >= REFUSED_LIMIT:
+                # It was not there, and is again: a new process, of which no list has told yet.
+                s.since = max(s.since, self.now)
+                s.cold_at = -1
+            s.refused = 0
         late = event.rtt / self.settings.classes[request.cls].aim
         late = LATE_MOST if result == Result.REJECTED or late > LATE_MOST else late
         cls = self.settings.classes[request.cls]
         # A connection that broke says nothing of load, and shedding would not mend it.
         if result != Result.RESET and result != Result.CONNECT_FAILED:
             lost = 1.0 if result != Result.OK else 1.0 - cls.late_worth if late > 1.0 else 0.0
-            self.worth_lost += 0.02 * (cls.worth * lost - self.worth_lost)
-            self.worth_asked += 0.02 * (cls.worth - self.worth_asked)
+            self.worth_lost += self.heed * (cls.worth * lost - self.worth_lost)
+            self.worth_asked += self.heed * (cls.worth - self.worth_asked)
             self.heard += 1
         self.missing = self.worth_lost / self.worth_asked if self.worth_asked > 0.0 else 0.0
-        if s.zone == self.settings.zone:
-            self.near_late += 0.02 * (late - self.near_late)
+        if near:
+            self.near_late += self.heed * (late - self.near_late)
         else:
-            self.far_late += 0.05 * (late - self.far_late)
+            self.far_late += 2.5 * self.heed * (late - self.far_late)
         if result == Result.OK:
             self.failing *= 0.99
             self.done[request.cls] += 1.0
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -21,6 +21,7 @@
 SEEDS = range(200)
 
 BRAIN = "lynxrouter/brain.py"
+SHARES = "fleet/shares.py"
 NODE = "elderscale/node.py"
 SERVERS = "elderscale/servers.py"
 CLIENTS = "elderscale/clients.py"
@@ -61,7 +62,9 @@
     ),
     Defect("refuses-what-ran", BRAIN, "return all(t.result in NEVER_RAN for t in tries)", "return True"),
     Defect("one-attempt-more", BRAIN, "if len(tries) >= most:", "if len(tries) > most:"),
-    Defect("no-cold-gap", BRAIN, "s.cold_gap = int(mean / s.size / budget)", "s.cold_gap = 0"),
+    Defect(
+        "no-cold-gap", SHARES, "return int(work / size / (COLD_PART * multiple * warmth / nodes))", "return 0"
+    ),
     Defect(
         "cold-budget-counts-nothing",
         BRAIN,
--- a/mutation/tree.py
+++ b/mutation/tree.py
@@ -27,6 +27,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGES = (
     "lynxrouter",
+    "fleet",
     "elderscale",
     "routing",
     "simulation",
--- /dev/null
+++ b/tests/test_fleet_shares.py
@@ -0,0 +1,227 @@
+"""What a node takes of what all share, and what it learns from few answers: many nodes, no bench."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from elderscale.config import Names
+from fleet import Failures, Reach, heed, place
+from lynxrouter import interface as api
+from standins.world import MS, SECOND, UNSAFE, Node, make_settings
+
+ONE = (api.RequestClass("w", api.Effect.SAFE, 1.0, SECOND, 3 * SECOND),)
+WORK = 50 * MS  # at a server of size 1
+
+
+def tier(count: int, **changes: object) -> list[Node]:
+    return [
+        Node(make_settings(**{"classes": ONE, "kinds": 1, "nodes": count, "node": n, **changes}), seed=n + 1)
+        for n in range(count)
+    ]
+
+
+def lines(count: int, load: float = 0.0, zones: int = 2, **changes: object) -> tuple[api.Server, ...]:
+    """Servers of size 1, and what they hold for each core as live weights tell it."""
+    return tuple(
+        api.Server(b"s%02d" % n, zone=n % zones, cell=n, weight=1.0 / (1.0 + load), **changes)  # type: ignore[arg-type]
+        for n in range(count)
+    )
+
+
+def play(node: Node, until: int, every: int, down: frozenset[object] = frozenset(), first: int = 0) -> None:
+    """Requests at an even pace until a time; servers answer after WORK, no connect to those down succeeds."""
+    rid = first
+    while node.now < until:
+        node.ask(rid)
+        rid += 1
+        node.run_to(node.now + every)
+        settle(node, down)
+
+
+def settle(node: Node, down: frozenset[object] = frozenset()) -> None:
+    for rid, book in list(node.books.items()):
+        for n, tried in enumerate(book.attempts):
+            if tried.result is None and tried.server in down:
+                node.answer(rid, n, api.Result.CONNECT_FAILED)
+            elif tried.result is None and node.now - tried.sent >= WORK:
+                node.answer(rid, n)
+
+
+@given(st.integers(1, 60), st.integers(1, 60), st.text(max_size=12))
+def test_every_part_of_the_nodes_is_the_same_number_at_each_server(nodes: int, part: int, name: str) -> None:
+    held = sum(place(name, n, nodes) < part / nodes for n in range(nodes))
+    assert held == min(part, nodes)
+
+
+@given(st.integers(1, 50), st.text(max_size=12))
+def test_one_node_more_moves_a_place_by_one_at_most(nodes: int, name: str) -> None:
+    before = [round(place(name, n, nodes) * nodes - 0.5) for n in range(nodes)]
+    after = [round(place(name, n, nodes + 1) * (nodes + 1) - 0.5) for n in range(nodes)]
+    assert all(b - a in (0, 1) for a, b in zip(before, after, strict=True))
+
+
+def test_a_cold_server_is_used_by_all_nodes_together_within_its_budget() -> None:
+    """Known to a few nodes only, a cold server gets a part of what it stands while the warm ones are full."""
+    nodes = tier(40, weights=api.Weights.LIVE, zones=1)
+    began = nodes[0].now
+    cold = [b"s%02d" % n for n in range(12)]
+    for node in nodes:
+        node.tell(lines(24, zones=1))
+        play(node, began + 2 * SECOND, 80 * MS)
+        new = tuple(api.Server(s, cell=n, up_since=node.now) for n, s in enumerate(cold))
+        node.tell(new + lines(24, zones=1)[12:])
+        play(node, began + 6 * SECOND, 80 * MS, first=1000)
+    settings = nodes[0].settings
+    sent = sorted((at, sid) for node in nodes for at, _, sid in node.sent if sid in cold and at > began)
+    got = Counter(sid for at, sid in sent if at >= began + 2 * SECOND)
+    for sid in cold:
+        at = [when for when, s in sent if s == sid and when >= began + 2 * SECOND]
+        for start in at:
+            span = sum(start <= when < start + settings.fall_span for when in at) * WORK
+            assert span <= settings.fall_multiple * settings.cold_share * settings.fall_span
+    # At its age a server can do 0.3 of 4 s, or 24 requests, at the least: most of that is asked of them.
+    assert sum(got.values()) / len(cold) > 0.7 * 24
+
+
+def test_a_lost_zone_is_left_by_a_node_with_few_requests_and_found_again() -> None:
+    node = tier(40)[0]
+    node.tell(lines(40))
+    near = frozenset(s.id for s in lines(40) if s.zone == 0)
+    began = node.now
+    play(node, began + 2 * SECOND, 50 * MS)
+    play(node, began + 4 * SECOND, 50 * MS, down=near, first=1000)
+    late = [sid for at, _, sid in node.sent if at >= began + 3 * SECOND]
+    assert sum(sid in near for sid in late) < 0.3 * len(late)
+    assert not any(kind == "Refuse" for rid, kind in node.finals if rid >= 1000)
+    play(node, began + 7 * SECOND, 50 * MS, first=2000)
+    late = [sid for at, _, sid in node.sent if at >= began + 6 * SECOND]
+    assert sum(sid in near for sid in late) > 0.5 * len(late)
+
+
+def test_a_request_whose_connect_failed_near_is_tried_far() -> None:
+    node = tier(40)[0]
+    node.tell(lines(40))
+    node.ask(1)
+    first = node.books[1].attempts[0]
+    assert node.lines[first.server].zone == 0
+    node.answer(1, 0, api.Result.CONNECT_FAILED)
+    assert node.lines[node.books[1].attempts[1].server].zone == 1
+
+
+def test_nothing_crosses_into_a_zone_that_is_lost() -> None:
+    reach = Reach()
+    for _ in range(40):
+        reach.note(near=False, failed=True, weight=0.1)
+    assert reach.far_lost and reach.away(0.8) < 0.1
+    reach.note(near=False, failed=False, weight=0.1)
+    for _ in range(8):
+        reach.note(near=False, failed=False, weight=0.1)
+    assert reach.away(0.8) == 0.8
+
+
+def test_a_fifth_of_a_zone_down_is_no_lost_zone() -> None:
+    reach = Reach()
+    for n in range(500):
+        reach.note(near=True, failed=n % 5 == 0, weight=0.1)
+        assert reach.away(0.0) == 0.0
+
+
+def test_a_server_that_is_there_again_is_cold_before_a_list_tells() -> None:
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=4))
+    node.tell(lines(4, zones=1))
+    play(node, node.now + SECOND, 20 * MS)
+    down = frozenset([b"s00"])
+    play(node, node.now + 4 * SECOND, 20 * MS, down=down, first=1000)
+    assert sum(a.result == api.Result.CONNECT_FAILED for b in node.books.values() for a in b.attempts) >= 2
+    back = node.now
+    play(node, node.now + 2 * SECOND, 20 * MS, first=2000)
+    again = sum(sid == b"s00" for at, _, sid in node.sent if at >= back)
+    others = sum(sid != b"s00" for at, _, sid in node.sent if at >= back) / 3
+    settings = node.settings
+    assert 0 < again < others
+    assert again * WORK <= settings.fall_multiple * settings.cold_share * 2 * SECOND / settings.nodes + WORK
+
+
+def test_nothing_unsafe_goes_to_a_server_that_tells_of_its_failures() -> None:
+    settings = make_settings(
+        classes=(UNSAFE,),
+        zones=1,
+        kinds=1,
+        nodes=40,
+        report_mode=api.ReportMode.ANSWERS,
+        report_fields=("errors", "rate", "queued"),
+    )
+    node = Node(settings)
+    node.tell(lines(10, zones=1))
+    for rid in range(40):
+        node.ask(rid)
+        tried = node.books[rid].attempts[0]
+        failing = tried.server == b"s03"
+        node.run_to(node.now + 20 * MS)
+        node.answer(rid, 0, report=(6.0, 10.0, 0.0) if failing else (0.0, 16.0, 0.0))
+    seen = [rid for _, rid, sid in node.sent if sid == b"s03"]
+    assert len(seen) == 1  # one answer, itself a good one, told enough
+    node.run_to(node.now + 5 * SECOND)
+    for rid in range(100, 200):
+        node.ask(rid)
+        node.run_to(node.now + 20 * MS)
+        node.answer(rid, 0)
+    assert any(sid == b"s03" for _, rid, sid in node.sent if rid >= 100)  # what it told is old
+
+
+@pytest.mark.parametrize(
+    "report", [(), (1.0,), (float("nan"), 1.0, 0.0), (-1.0, 9.0, 0.0), (0.5, float("nan"), 1.0)]
+)
+def test_a_report_that_says_nothing_is_none(report: api.Report) -> None:
+    assert Failures(("errors", "rate", "queued")).share(report) is None
+    assert Failures(("queued",)).share((3.0,)) is None
+
+
+def test_reports_are_read_in_the_words_of_the_settings_and_of_the_protocol() -> None:
+    names = Names({}, {}, {}, {}, ("fail_rate", "rate", "q"))
+    assert names.load_report("TEXT fail_rate=0.5, rate=11.04, q=2") == (0.5, 11.04, 2.0)
+    assert names.load_report("TEXT eps=0.5, qps=11.04, queue=2") == (0.5, 11.04, 2.0)
+    assert names.load_report("TEXT eps=0.5, queue=2") == ()
+
+
+def test_shedding_ends_when_lists_tell_that_nothing_waits() -> None:
+    """A node with few requests hears from its own answers seconds late that a jam is over."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=40, weights=api.Weights.LIVE))
+    node.tell(lines(8, zones=1))  # the most that is told of a kind is its size
+    node.tell(lines(8, load=9.0, zones=1))
+    for rid in range(200):
+        node.ask(rid)
+        node.run_to(node.now + 40 * MS)
+        if rid >= 50:  # answers that come 2 s late
+            for n, tried in enumerate(node.books[rid - 50].attempts):
+                if tried.result is None:
+                    node.answer(rid - 50, n)
+    assert node.balancer.shed > 0.3
+    settle(node)
+    node.tell(lines(8, zones=1))
+    play(node, node.now + 1500 * MS, 40 * MS, first=1000)
+    before = len(node.finals)
+    play(node, node.now + 1000 * MS, 40 * MS, first=2000)
+    assert sum(kind == "Refuse" for _, kind in node.finals[before:]) < 0.2 * 25
+
+
+def test_the_weight_of_an_answer_follows_the_rate() -> None:
+    assert heed(300.0) == pytest.approx(0.02)
+    assert heed(25.0) == pytest.approx(0.08)
+    assert heed(0.0) == pytest.approx(0.1)
+
+
+def test_the_work_of_a_request_is_not_what_others_make_it_wait() -> None:
+    """Of 40 nodes each finds others' requests at servers that it holds nothing at."""
+    node = Node(make_settings(classes=ONE, zones=1, kinds=1, nodes=40, weights=api.Weights.LIVE))
+    node.tell(lines(10, zones=1))
+    node.tell(lines(10, load=1.0, zones=1))
+    for rid in range(60):
+        node.ask(rid)
+        node.run_to(node.now + 2 * WORK)  # one of another node is ahead of each
+        node.answer(rid, 0)
+    assert node.balancer.work[0] == pytest.approx(WORK, rel=0.1)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -18,7 +18,7 @@
         assert all(len(line) <= 110 for line in path.read_text().splitlines()), path
 
 
-def test_module_imports_only_the_standard_library_and_the_interface() -> None:
+def test_module_imports_only_the_standard_library_the_interface_and_the_shares() -> None:
     for node in ast.walk(ast.parse(BRAIN.read_text())):
         if isinstance(node, ast.Import):
             assert all(name.name in sys.stdlib_module_names for name in node.names)
@@ -26,12 +26,21 @@
             assert (
                 node.module == "interface"
                 if node.level
-                else node.module in sys.stdlib_module_names | {"__future__"}
+                else str(node.module).split(".")[0] in sys.stdlib_module_names | {"__future__", "fleet"}
             )
     text = BRAIN.read_text()
     assert not any(word in text for word in ("time.time", "monotonic", "open(", "threading", "global "))
 
 
+def test_the_shares_import_only_the_standard_library_and_one_another() -> None:
+    for path in (ROOT / "fleet").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                assert all(name.name in sys.stdlib_module_names for name in node.names), path
+            elif isinstance(node, ast.ImportFrom) and not node.level:
+                assert str(node.module).split(".")[0] in sys.stdlib_module_names | {"__future__"}, path
+
+
 def test_the_readme_example_runs() -> None:
     readme = (ROOT / "README.md").read_text()
     code = readme.split("```python\n")[1].split("```")[0]
