--- a/fleet/reach.py
+++ b/fleet/reach.py
@@ -44,5 +44,5 @@
         if self.far_lost:
             return (1.0 - LOST_MOST) * spill
         if self.near > LOST_FROM and self.near > 2.0 * self.far:
-            return max(spill, LOST_MOST * self.near)
+            return max(spill, min(LOST_MOST, (self.near - LOST_FROM) / LOST_FROM))
         return spill
--- a/fleet/shares.py
+++ b/fleet/shares.py
@@ -9,7 +9,7 @@
 # Part of the budget of a cold server (the rule's multiple of its present capacity) that all nodes together
 # plan to use. It is above what the server can do at its age at the least, as it often does more; the rest is
 # slack for chance, for uneven traffic, and for what a request adds being taken for too little.
-COLD_PART = 0.3
+COLD_PART = 0.4
 
 # Weight of one answer in what a node learns of lateness: such that answers of HEED_SPAN seconds decide,
 # within bounds, as one answer is no evidence. With a fixed number of answers a node that gets few of them
--- a/fleet/told.py
+++ b/fleet/told.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Sequence
 
-__all__ = ["FAILING", "Failures"]
+__all__ = ["BAD", "FADE", "FAILING", "SPAN", "Failures"]
 
 # Share of failures from which a server gets nothing that must not be repeated.
 FAILING = 0.1
+# The share from which it gets nothing at all while others are there, and is not taken for idle.
+BAD = 0.4
 # For how long (ns) a report counts: a server that is avoided sends few new ones, and must be able to return.
 SPAN = 4_000_000_000
+# What each review leaves of the share after that.
+FADE = 0.8
 # Answers a second, failures included, of which a report must be made to tell anything.
 LEAST = 1.0
 
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -13,8 +13,8 @@
 from math import exp, inf, isfinite, log
 from zlib import crc32
 
-from fleet import Failures, Reach, cold_gap, heed, place
-from fleet.told import FAILING, SPAN
+from fleet import Failures, Pressure, Reach, cold_gap, first_call, heed, next_call, place
+from fleet.told import BAD, FADE, FAILING, SPAN
 
 from .interface import (  # fmt: skip
     NEVER_RAN, Action, Cancel, Effect, Event, Fail, Gone, Group, Limits, ListKind, Outcome, PeerMessage,
@@ -40,12 +40,9 @@
 PAUSE_FIRST, PAUSE_MOST = SECOND, 8 * SECOND
 # A failure's weight in the running share of failures, and the share at which a server is paused.
 FAIL_WEIGHT, FAIL_LIMIT = 0.2, 0.45
-# Under this share a paused server that answers is taken back at once.
-FAIL_WELL = 0.3
+FAIL_WELL = 0.3  # under this a paused server that answers is taken back at once
 # Resends per request on average, and the most that may be saved up.
 RESEND_BUDGET, RESEND_SAVED = 0.5, 50.0
-# First pause before the list is asked for again, doubled up to half of what the rules allow.
-ASK_FIRST = SECOND // 2
 # Nodes of a zone on whose idle lists a server is, on average: with one, chance leaves a third of the servers
 # on none, with three a twentieth; with many, none of them knows what the others do there.
 OWNERS = 3.0
@@ -76,16 +73,15 @@
 # Load that the list tells (requests held for each core) under which a server counts as idle when a
 # request's work is learned, and the least weight of one such answer.
 IDLE_LOAD, WORK_WEIGHT = 2.0, 0.02
-# Gains of that: per review, and at once.
-SPILL_SLOW, SPILL_FAST = 0.1, 0.7
+SPILL_SLOW, SPILL_FAST = 0.1, 0.7  # gains of that: per review, and at once
 # Shedding starts when attempts lose this share of their worth, being late or turned away.
 SHED_FROM, SHED_MOST = 0.15, 0.98
 # With fewer outcomes than this in a review's span what was lost before is no evidence of the present, and
 # fades: else a share that leaves no request to learn from would be shed for ever.
 SHED_HEARD, SHED_FADE = 8, 0.8
-# Share that may be shed for each request that lists tell servers to hold beyond one, for each core; a larger
-# one falls to that by so much at each review, as lists are old.
-SHED_LOAD, SHED_LET_GO = 0.3, 0.6
+# Share that may be shed for each shortest aim that an attempt takes now beyond a part of it; a larger one
+# falls to that by so much at each review.
+SHED_WAIT, SHED_WAIT_FROM, SHED_LET_GO = 0.5, 0.5, 0.6
 # How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
 # shrink.
 SHED_DRAIN = 1.0
@@ -322,6 +318,7 @@
         self.rate = 0.0  # requests a second, smoothed
         self.failures = Failures(settings.report_fields)
         self.reach = Reach()
+        self.pressure = Pressure(now)
         self.heed = heed(0.0)  # weight of one answer in what is learned of lateness
         self.near_part = -1.0  # share of requests that need not cross, negative: not known yet
         self.stale = False
@@ -356,12 +353,10 @@
         self.route_saved: dict[str, float] = {}  # repeats that routes with a retry budget have left
         self.ratio = 1.0  # mean of response times relative to their class's mean
         self.size_of_kind = [0.0] * settings.kinds
-        self.slow_of_kind = [
-            1.0
-        ] * settings.kinds  # response time of a kind relative to what its listed size promises
-        self.base: list[float] = [0.0] * len(
-            settings.classes
-        )  # mean response time x size (x 1/cost hint), by class
+        # Response time of a kind relative to what its listed size promises.
+        self.slow_of_kind = [1.0] * settings.kinds
+        # Mean response time x size (x 1/cost hint), by class.
+        self.base = [0.0] * len(settings.classes)
         # Mean time that one request takes at an idle server of size 1, by class, and how many told of it.
         self.work: list[float] = [0.0] * len(settings.classes)
         self.work_time, self.work_share = [0.0] * len(settings.classes), [0.0] * len(settings.classes)
@@ -369,9 +364,10 @@
         self.mean_work = 0.0
         self.crowd = [inf] * len(settings.classes)
         self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
-        self.ask_after = ASK_FIRST
+        self.ask_failed = 0  # calls for the list that failed in a row
         self.longest_aim = max(c.aim for c in settings.classes)
-        self.lag_aim = LAG_PART * min(c.aim for c in settings.classes)
+        self.shortest_aim = min(c.aim for c in settings.classes)
+        self.lag_aim = LAG_PART * self.shortest_aim
         self.ring: tuple[list[int], list[_Server]] = ([], [])
         self.ring_of: list[tuple[ServerId, float]] = []
 
@@ -426,24 +422,26 @@
             elif what == 2:
                 request = self.requests.get(rid)
                 if request is not None and not request.done and request.waiting:
-                    self._retry_waiting(request)
+                    request.waiting = False
+                    self._again(request)
             elif what == 3:
                 self.actions.append(Watch(True))
 
     def _server_list(self, event: ServerList) -> None:
-        now = self.now
+        now, nodes = self.now, self.settings.nodes
         if not self.started:
             self.started = True
             self._wake(now + REVIEW, 0, 0)
             if self.settings.must_ask:
-                self.actions.append(Watch(True))
+                turn = place("calls", self.settings.node, nodes)
+                self._wake(now + first_call(turn, nodes, self.settings.must_ask_within), 3, 0)
         if event.kind == ListKind.FAILED:
-            # All nodes lose the list at once: they ask again later and later, and apart from each other.
-            self._wake(now + int(self.ask_after * (0.5 + self.random.random())), 3, 0)
-            self.ask_after = min(2 * self.ask_after, max(SECOND, self.settings.must_ask_within // 2))
+            self.ask_failed += 1
+            within = self.settings.must_ask_within
+            self._wake(now + next_call(self.ask_failed, nodes, within, self.random.random()), 3, 0)
             return
         if event.kind != ListKind.CACHED:
-            self.ask_after = ASK_FIRST
+            self.ask_failed = 0
         seen = set()
         self.list_every += 0.2 * (min(now - self.listed, 2 * SECOND) - self.list_every)
         self.listed = now
@@ -455,7 +453,7 @@
                 if line.state == State.GONE:
                     continue
                 s = self.servers[line.id] = _Server(line.id)
-                s.lot = place(line.id, self.settings.node, self.settings.nodes)
+                s.lot = place(line.id, self.settings.node, nodes)
             seen.add(line.id)
             if line.up_since and line.up_since > s.since:
                 # A new process: what was known of the old one no longer holds.
@@ -535,12 +533,11 @@
             self.shed += 0.7 * (min(SHED_MOST, max(0.0, 1.0 - drain * done / offered)) - self.shed)
         else:
             self.shed = 0.7 * self.shed if self.shed > 0.01 else 0.0
-        if self.settings.weights == Weights.LIVE and not self.stale:
-            # Lists tell sooner than this node's few answers that the jam is over.
-            told = SHED_LOAD * (max(self.near_load, self.far_load) - 1.0)
-            self.shed = min(self.shed, max(SHED_LET_GO * self.shed, told))
-        # The least worth for each unit of work goes first.
+        # What is out tells sooner than answers, and much sooner than lists, that a jam is over.
+        most = SHED_WAIT * (self.pressure.wait(self.now) / self.shortest_aim - SHED_WAIT_FROM)
+        self.shed = min(self.shed, max(SHED_LET_GO * self.shed, most))
         classes = self.settings.classes
+        # The least worth for each unit of work goes first.
         work = [n * b for n, b in zip(self.count, self.base, strict=True)]
         left = self.shed * sum(work)
         by_worth = sorted(range(len(classes)), key=lambda c: classes[c].worth / max(self.base[c], 1.0))
@@ -590,6 +587,13 @@
             aim = min(classes[better].aim for better in least_first[n + 1 :])
             self.crowd[c] = CROWD_PART * CROWD_STEP**n * aim
 
+    def _sheds(self, cls: int, s: _Server | None) -> bool:
+        """Whether a request is refused for the load: by its class's share, or by what waits already."""
+        shed = max(self.shed_class[cls], self.pressure.refuses(self.now, self.crowd[cls]))
+        if shed > 0.0 and self.random.random() < shed:
+            return True
+        return s is not None and s.held > 0 and self._crowds(cls, s)
+
     def _hopeless(self, event: Request) -> bool:
         """Whether a request that was read late has too little time left for any server to answer it."""
         takes = self.base[event.cls] * (event.cost or 1) / self.fastest
@@ -714,8 +718,8 @@
                 tilt *= (slow / s.slow) ** 0.5
             s.warmth = self._warmth(s)
             if s.told_until <= now:
-                s.told = 0.0
-            s.cap = s.size * s.warmth * tilt * (1.0 - max(s.fails, s.told))
+                s.told *= FADE  # else a server that is avoided could not show that it is well again
+            s.cap = s.size * s.warmth * tilt * (1.0 - (s.told if s.told_until > now else s.fails))
             if s.trial:
                 s.cap *= TRIAL_PART
         mean = self.mean_work
@@ -727,6 +731,7 @@
         bounds: list[float] = []
         drawn: list[_Server] = []
         reach = 0.0
+        bad = all(s.told >= BAD for s in servers)
         scale = log(CLASS_RATIO)
         for s in servers:
             speed = round(log(s.size) / scale)
@@ -734,7 +739,7 @@
             if group is None:
                 group = classes[speed] = _SpeedClass()
             s.group = group
-            s.listed = s.lot < listed or s.trial or s.warmth < 1.0
+            s.listed = s.trial or (s.told < BAD and (s.lot < listed or s.warmth < 1.0))
             if s.warmth < 1.0:
                 # This node's part of what a starting server stands, whatever the traffic.
                 s.cold_gap = cold_gap(
@@ -752,7 +757,7 @@
                 else:
                     self.ties += 1
                     group.waking.append((s.free_at, self.ties, s))
-            if not s.trial:
+            if not s.trial and (s.told < BAD or bad):
                 reach += s.cap
                 bounds.append(reach)
                 drawn.append(s)
@@ -770,7 +775,7 @@
         Not the response time: under overload that is mostly queue, and a fleet that has just been replaced
         would be kept from its cold servers by the jam of the few warm ones.
         """
-        # Classes without an answer yet are left out: taken for free they would leave a cold server unguarded.
+        # Classes without an answer yet are left out: taken for free they would unguard a cold server.
         seen = [(n, b) for n, b in zip(self.count, self.work, strict=True) if b > 0.0]
         total = sum(n for n, _ in seen)
         if total <= 0.0:
@@ -870,9 +875,10 @@
         return self.reach.away(self.spill)
 
     def _denies(self, s: _Server, request: _Request) -> bool:
-        """Whether a server lately turned this request's tenant away, and no other, or fails too many of those
-        that must not be repeated."""
-        if s.told > FAILING and self.settings.classes[request.cls].effect == Effect.UNSAFE:
+        """Whether a server lately turned this tenant away, or may fail what must not be repeated."""
+        unsafe = self.settings.classes[request.cls].effect == Effect.UNSAFE
+        # Where all others are full the chance that it fails is better than a refusal.
+        if unsafe and s.told > FAILING and self.pressure.wait(self.now) < self.shortest_aim:
             return True
         return bool(s.denied) and s.denied.get(request.tenant, 0) > self.now
 
@@ -934,11 +940,9 @@
             return
         self.count[event.cls] += 1.0
         self._note_lag(event.waited)
-        shed = self.shed_class[event.cls]
         late = self.lag_class[event.cls]
         if (
-            (shed > 0.0 and self.random.random() < shed)
-            or (late > 0.0 and self.random.random() < late)
+            (late > 0.0 and self.random.random() < late)
             or (event.waited and self._hopeless(event))
             or event.room < self.room_class[event.cls]
         ):
@@ -948,12 +952,13 @@
         if limits is not None and limits.retry_share >= 0.0:
             self._save(limits)
         s = self._pick(request)
+        # What a cold server is to be given at its age was set apart for it, and keeps nobody waiting.
+        if (s is None or s.warmth >= 1.0) and self._sheds(event.cls, s):
+            self._end(request, Refuse(event.id, self._retry_after(request)))
+            return
         if s is None:
             self._wait(request)
             return
-        if s.held and self._crowds(event.cls, s):
-            self._end(request, Refuse(event.id, self._retry_after(request)))
-            return
         self._send(request, s)
         cls = self.settings.classes[event.cls]
         if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
@@ -1018,10 +1023,6 @@
             return
         self._wake(self.now + step, 2, request.id)
 
-    def _retry_waiting(self, request: _Request) -> None:
-        request.waiting = False
-        self._again(request)
-
     def _again(self, request: _Request) -> None:
         """A request with nothing out: another attempt where the guard allows it, else the final answer."""
         cls = self.settings.classes[request.cls]
@@ -1131,13 +1132,14 @@
 
     def _count(self, tried: _Try) -> None:
         tried.counted = True
+        self.pressure.begin()
         tried.server.held += 1
         self._unidle(tried.server)
 
-    @staticmethod
-    def _uncount(tried: _Try) -> None:
+    def _uncount(self, tried: _Try) -> None:
         if tried.counted:
             tried.counted = False
+            self.pressure.end()
             tried.server.held = max(0, tried.server.held - 1)
 
     def _rest(self, s: _Server) -> None:
@@ -1228,9 +1230,9 @@
             self.worth_asked += self.heed * (cls.worth - self.worth_asked)
             self.heard += 1
         self.missing = self.worth_lost / self.worth_asked if self.worth_asked > 0.0 else 0.0
-        if near:
+        if near and result != Result.CONNECT_FAILED:  # which says nothing of load
             self.near_late += self.heed * (late - self.near_late)
-        else:
+        elif result != Result.CONNECT_FAILED:
             self.far_late += 2.5 * self.heed * (late - self.far_late)
         if result == Result.OK:
             self.failing *= 0.99
@@ -1283,7 +1285,12 @@
         if (
             (s.trial and request.tries[event.attempt].sent >= s.paused_until)
             or s.silent >= SILENT_LIMIT
-            or (not s.trial and s.fails >= FAIL_LIMIT and s.fails > FAIL_EXCESS * self.failing)
+            or (
+                not s.trial
+                and s.fails >= FAIL_LIMIT
+                and s.fails > FAIL_EXCESS * self.failing
+                and (s.told >= FAIL_LIMIT or s.told_until <= self.now)  # it tells better than so few answers
+            )
         ):
             s.paused_until = self.now + s.pause
             s.pause = min(2 * s.pause, PAUSE_MOST)
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
+from itertools import pairwise
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from elderscale.config import Names
-from fleet import Failures, Reach, heed, place
+from fleet import Failures, Pressure, Reach, first_call, heed, next_call, place
+from fleet.calls import EACH
 from lynxrouter import interface as api
 from standins.world import MS, SECOND, UNSAFE, Node, make_settings
 
@@ -225,3 +228,163 @@
         node.run_to(node.now + 2 * WORK)  # one of another node is ahead of each
         node.answer(rid, 0)
     assert node.balancer.work[0] == pytest.approx(WORK, rel=0.1)
+
+
+def test_the_wait_is_what_is_out_by_what_is_sent() -> None:
+    pressure = Pressure(0)
+    assert pressure.wait(0) == 0.0
+    for n in range(200):  # 40 a second, each out for 50 ms
+        now = n * 25 * MS
+        pressure.begin()
+        if n >= 2:
+            pressure.end()
+        pressure.wait(now)
+    assert pressure.wait(now) == pytest.approx(50 * MS, rel=0.1)
+    for _ in range(8):  # a stall: nothing comes back, and no answer tells of it
+        pressure.begin()
+    assert pressure.wait(now) == pytest.approx(250 * MS, rel=0.1)
+    assert pressure.refuses(now, 300 * MS) == 0.0
+    assert 0.0 < pressure.refuses(now, 120 * MS) < 1.0
+    assert pressure.refuses(now, 80 * MS) == 1.0
+    assert pressure.refuses(now, float("inf")) == 0.0
+    for _ in range(30):
+        pressure.end()
+    assert pressure.out == 0
+
+
+VIEW = api.RequestClass("view", api.Effect.SAFE, 3.0, 120 * MS, 400 * MS, 0.25)
+CALL = api.RequestClass("call", api.Effect.UNSAFE, 2.0, 720 * MS, 3 * SECOND, 0.2)
+
+
+def two_classes() -> Node:
+    """A node of 40 that has learned that a view takes 20 ms and a call 80 ms."""
+    settings = make_settings(
+        classes=(VIEW, CALL), zones=1, kinds=1, nodes=40, weights=api.Weights.LIVE, copies_allowed=False
+    )
+    node = Node(settings)
+    node.tell(lines(20, zones=1))
+    for rid in range(100):
+        node.ask(rid, rid % 2)
+        node.run_to(node.now + (20 if rid % 2 == 0 else 80) * MS)
+        node.answer(rid, 0)
+    return node
+
+
+def test_the_least_worth_is_refused_before_any_answer_or_list_tells_of_a_jam() -> None:
+    node = two_classes()
+    mark = len(node.finals)
+    for rid in range(1000, 1018):  # 50 a second, and nothing comes back
+        node.ask(rid, rid % 2)
+        node.run_to(node.now + 20 * MS)
+    refused = [rid for rid, kind in node.finals[mark:] if kind == "Refuse" and rid >= 1000]
+    assert len(refused) >= 3
+    assert all(rid % 2 == 1 for rid in refused)
+
+
+def test_a_cold_server_s_part_goes_to_what_is_shed_elsewhere() -> None:
+    node = two_classes()
+    cold = tuple(api.Server(b"c%02d" % n, cell=n, up_since=node.now) for n in range(12))
+    node.tell(lines(20, load=9.0, zones=1) + cold)
+    for rid in range(1000, 1050):  # what the warm ones get stays out
+        node.ask(rid, 1)
+        node.run_to(node.now + 100 * MS)
+        for n, tried in enumerate(node.books[rid].attempts):
+            if tried.server in {s.id for s in cold} and tried.result is None:
+                node.answer(rid, n)
+    late = range(1025, 1050)
+    assert any(kind == "Refuse" and rid in late for rid, kind in node.finals)
+    kept = [sid for _, rid, sid in node.sent if rid in late]
+    # The warm ones are spared; the cold ones' parts go on being used.
+    assert sum(sid in {s.id for s in cold} for sid in kept) > 0.6 * len(kept) > 0
+
+
+def test_a_server_that_fails_nearly_always_is_left_until_that_is_old() -> None:
+    settings = make_settings(
+        classes=ONE, zones=1, kinds=1, nodes=1, report_mode=api.ReportMode.ANSWERS,
+        report_fields=("errors", "rate"),
+    )  # fmt: skip
+    node = Node(settings)
+    node.tell(lines(4, zones=1))
+    rid = 0
+    while not any(sid == b"s02" for _, _, sid in node.sent):
+        node.ask(rid)
+        node.run_to(node.now + 10 * MS)
+        tried = node.books[rid].attempts[0]
+        told = (9.0, 2.0) if tried.server == b"s02" else (0.0, 10.0)
+        node.answer(rid, 0, report=told)
+        rid += 1
+    node.run_to(node.now + SECOND)  # a review
+    mark = node.now
+    while node.now < mark + 9 * SECOND:
+        rid += 1
+        node.ask(rid)
+        node.run_to(node.now + 50 * MS)
+        node.answer(rid, 0)
+    met = [at - mark for at, _, sid in node.sent if sid == b"s02" and at >= mark]
+    assert met and met[0] > 2.5 * SECOND
+
+
+def test_a_connect_that_fails_is_no_answer_that_is_late() -> None:
+    """It would keep a zone that is back from being used for seconds."""
+    node = tier(40)[0]
+    node.tell(lines(40))
+    far = frozenset(s.id for s in lines(40) if s.zone == 1)
+    near = frozenset(s.id for s in lines(40) if s.zone == 0)
+    play(node, node.now + 4 * SECOND, 50 * MS, down=near | far)
+    assert node.balancer.far_late == 0.0 and node.balancer.near_late == 0.0
+
+
+def test_calls_for_lists_do_not_meet_when_all_nodes_start_at_once() -> None:
+    nodes = 40
+    at = sorted(first_call(place("calls", n, nodes), nodes, 10 * SECOND) for n in range(nodes))
+    assert at[0] == 0
+    assert min(b - a for a, b in pairwise(at)) >= EACH * 0.99
+    assert at[-1] < 7 * SECOND  # well within what the rules allow
+    assert first_call(0.5, 1, 10 * SECOND) == 0
+
+
+def asking(node: int) -> Node:
+    """A node of 40 that is told that discovery must be asked."""
+    settings = make_settings(classes=ONE, kinds=1, nodes=40, node=node, must_ask=True)
+    return Node(replace(settings, must_ask_within=10 * SECOND), seed=node + 1)
+
+
+def queue(per_second: float, limit: int, seconds: int) -> tuple[int, int]:
+    """40 nodes start at once before a discovery that works through calls in turn, those too, on which their
+    callers have given up; what came of them: calls answered and calls that failed."""
+    tier40 = [asking(n) for n in range(40)]
+    began = tier40[0].now
+    for node in tier40:
+        node.tell(lines(4), api.ListKind.CACHED)
+    free, answered, failed, step = began, 0, 0, 10 * MS
+    due: list[tuple[int, Node, bool]] = []
+    watched = dict.fromkeys(range(40), 0)
+    for now in range(began, began + seconds * SECOND, step):
+        for n, node in enumerate(tier40):
+            node.run_to(now)
+            asked = sum(isinstance(a, api.Watch) for a in node.actions)
+            if asked > watched[n]:
+                watched[n] = asked
+                free = max(free, now) + int(SECOND / per_second)
+                late = free - now > limit
+                due.append((now + limit if late else free, node, not late))
+        for end in [d for d in due if d[0] <= now]:
+            due.remove(end)
+            answered, failed = answered + end[2], failed + (not end[2])
+            end[1].tell(lines(4) if end[2] else (), api.ListKind.FULL if end[2] else api.ListKind.FAILED)
+    return answered, failed
+
+
+@pytest.mark.parametrize("per_second", [5.0, 8.0, 20.0])
+def test_a_discovery_that_works_through_calls_in_turn_answers_nearly_all_nodes(per_second: float) -> None:
+    """With all calls at once 16 of 40 are in time, and every round of repeats waits behind the last one."""
+    answered, failed = queue(per_second, 2 * SECOND, 20)
+    assert answered == 40
+    assert failed <= 8
+
+
+def test_calls_that_fail_for_all_are_repeated_apart() -> None:
+    at = sorted(next_call(1, 40, 10 * SECOND, chance / 100) for chance in range(100))
+    assert at[0] >= 2 * SECOND and at[-1] - at[0] >= 5 * SECOND
+    assert next_call(1, 4, 10 * SECOND, 0.5) < next_call(4, 4, 10 * SECOND, 0.5) <= 10 * SECOND
+    assert next_call(10_000, 4, 0, 1.0) <= 2 * SECOND
