--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -54,9 +54,12 @@
         self._tasks: dict[asyncio.Task[None], None] = {}
 
     def start(self) -> None:
-        """Begin; where the module must ask, it will."""
+        """Begin. Where the module must ask, it will, once it has a list from before; without one it hears of
+        none, and the first call is made for it."""
         if not self.asked:
             self._watching = self._spawn(self._follow())
+        elif self.version < 0:
+            self._watching = self._spawn(self._subscribe())
 
     def watch(self, active: bool) -> None:
         """The module subscribes, or no longer."""
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -432,7 +432,7 @@
         if not self.started:
             self.started = True
             self._wake(now + REVIEW, 0, 0)
-            if self.settings.must_ask:
+            if self.settings.must_ask and event.kind == ListKind.CACHED:
                 turn = place("calls", self.settings.node, nodes)
                 self._wake(now + first_call(turn, nodes, self.settings.must_ask_within), 3, 0)
         if event.kind == ListKind.FAILED:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from elderscale.discovery import NOTHING_NEW_PAUSE
-from standins.loopback import Backend, Registry, read_message, request, running
+from standins.loopback import Backend, Registry, read_message, request, running, settings
 
 
 class Scripted(Registry):
@@ -78,3 +78,17 @@
             assert loop.time() - began >= 2 * NOTHING_NEW_PAUSE
 
     asyncio.run(play())
+
+
+def test_a_node_without_any_list_asks_until_one_comes(tmp_path: Path) -> None:
+    """Where discovery is asked the module asks once it has a list: with none from before it never did."""
+
+    async def play() -> None:
+        registry = Scripted(NONSENSE["an error"])
+        registry.calls = 1  # the first call meets the script
+        asked = settings(**{"membership-mode": "subscribe"})
+        async with running(tmp_path / "c.json", registry, Backend("s-1"), settings=asked) as node:
+            assert registry.calls >= 3
+            assert b" 200 " in await node.ask(request())
+
+    asyncio.run(play())
