--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -1211,10 +1211,11 @@
             s.answered = self.now
             return
         near = s.zone == self.settings.zone
-        self.reach.note(near, result == Result.CONNECT_FAILED, self.heed)
         if result == Result.CONNECT_FAILED:
+            self.reach.note(near, True, self.heed)
             s.refused += 1
-        else:
+        elif result != Result.TIMEOUT:  # which on an old connection tells nothing of new ones
+            self.reach.note(near, False, self.heed)
             if s.refused >= REFUSED_LIMIT:
                 # It was not there, and is again: a new process, of which no list has told yet.
                 s.since = max(s.since, self.now)
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -388,3 +388,21 @@
     assert at[0] >= 2 * SECOND and at[-1] - at[0] >= 5 * SECOND
     assert next_call(1, 4, 10 * SECOND, 0.5) < next_call(4, 4, 10 * SECOND, 0.5) <= 10 * SECOND
     assert next_call(10_000, 4, 0, 1.0) <= 2 * SECOND
+
+
+def test_a_time_out_on_an_old_connection_does_not_show_that_a_zone_is_there() -> None:
+    """A machine that vanished says nothing on what was open, and takes no new connection."""
+    node = tier(40)[0]
+    node.tell(lines(40))
+    near = frozenset(s.id for s in lines(40) if s.zone == 0)
+    play(node, node.now + 2 * SECOND, 50 * MS, down=near)
+    share = node.balancer.reach.near
+    assert share > 0.25
+    rid, silent = 1000, None
+    while silent is None:
+        rid += 1
+        node.ask(rid)
+        silent = next((n for n, a in enumerate(node.books[rid].attempts) if a.server in near), None)
+    node.answer(rid, silent, api.Result.TIMEOUT)
+    assert node.balancer.reach.near == share
+    assert all(s.since == 0 for s in node.balancer.servers.values())
