Take out the homes of keys, which no setting of the platform or of a node turns on

What is taken out: the ring of homes and its look-up, choice by a request's key (57 lines of brain.py), the setting warm_keys and their test.

Both cost a test per request and tables per list. Where operators want homes for keys, it is a matter of routes, in the operator file.

--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -11,7 +11,6 @@
 from bisect import bisect_right
 from heapq import heapify, heappop, heappush
 from math import exp, inf, isfinite, log
-from zlib import crc32
 
 from fleet import Failures, Pressure, Reach, cold_gap, first_call, heed, next_call, place
 from fleet.told import BAD, FADE, FAILING, SPAN
@@ -46,14 +45,6 @@
 # Nodes of a zone on whose idle lists a server is, on average: with one, chance leaves a third of the servers
 # on none, with three a twentieth; with many, none of them knows what the others do there.
 OWNERS = 3.0
-# Points on the ring of warm keys for a server of mean size; more spread keys more evenly, fewer build faster.
-RING_POINTS = 24
-# Homes of a key that are tried in turn.
-HOMES = 3
-# A home that holds this many times the mean counts as busy.
-HOME_LOAD = 2.0
-# Zones are one where a crossing costs less than this: a warm key saves more.
-CHEAP_CROSSING = 0.05
 # Weight of one answer in what is learned of its kind of machine.
 KIND_WEIGHT = 0.005
 # Time-outs in a row, with no answer between, after which a server is taken for silent.
@@ -193,14 +184,13 @@
     """A request this node owes an answer, or whose attempts are still out."""
 
     __slots__ = (
-        "cls", "cost", "deadline", "done", "id", "key", "limits", "out", "sending", "streaming", "tenant",
-        "tries", "waiting",
+        "cls", "cost", "deadline", "done", "id", "limits", "out", "sending", "streaming", "tenant", "tries",
+        "waiting",
     )  # fmt: skip
 
     def __init__(self, event: Request, now: int) -> None:
         self.id = event.id
         self.cls = event.cls
-        self.key = event.key
         self.tenant = event.tenant
         self.cost = event.cost
         self.limits = event.limits
@@ -363,13 +353,10 @@
         self.work_seen = [0] * len(settings.classes)
         self.mean_work = 0.0
         self.crowd = [inf] * len(settings.classes)
-        self.warm_zones = settings.warm_keys and settings.prices.crossing < CHEAP_CROSSING
         self.ask_failed = 0  # calls for the list that failed in a row
         self.longest_aim = max(c.aim for c in settings.classes)
         self.shortest_aim = min(c.aim for c in settings.classes)
         self.lag_aim = LAG_PART * self.shortest_aim
-        self.ring: tuple[list[int], list[_Server]] = ([], [])
-        self.ring_of: list[tuple[ServerId, float]] = []
 
     # Events
 
@@ -630,7 +617,7 @@
                 s.load = max(0.0, s.nominal / s.weight - 1.0) * fresh
             s.size = s.nominal / self.slow_of_kind[s.kind]
             ready.append(s)
-            held[self.warm_zones or s.zone == self.settings.zone] += s.load * s.size
+            held[s.zone == self.settings.zone] += s.load * s.size
             total += s.size
             if s.paused_until > now:
                 paused += s.size
@@ -640,7 +627,7 @@
         for s in ready:
             if ejecting and s.paused_until > now:
                 continue
-            zones[self.warm_zones or s.zone == self.settings.zone].append(s)
+            zones[s.zone == self.settings.zone].append(s)
         if not zones[True]:
             zones = {True: zones[False], False: []}
             held = {True: held[False], False: 0.0}
@@ -653,49 +640,6 @@
         self.near, self.near_draw, self.near_load = self._index(zones[True], held[True])
         self.far, self.far_draw, self.far_load = self._index(zones[False], held[False])
 
-        if self.settings.warm_keys:
-            self._build_ring(zones[True])
-
-    def _build_ring(self, servers: list[_Server]) -> None:
-        """The homes of keys: the same at every node that sees the same servers, moved little by a change."""
-        of = [(s.id, s.nominal) for s in servers if not s.trial]
-        if of == self.ring_of or not of:
-            return
-        self.ring_of = of
-        mean = sum(size for _, size in of) / len(of)
-        points: list[tuple[int, int, _Server]] = []
-        for s in servers:
-            name = repr(s.id).encode()
-            for n in range(max(1, round(RING_POINTS * s.nominal / mean))):
-                points.append((crc32(b"%d " % n + name), len(points), s))
-        points.sort()
-        self.ring = ([p[0] for p in points], [p[2] for p in points])
-
-    def _home(self, key: int) -> _Server | None:
-        """The first of a key's homes that is idle. Acts where keys lately met cost less work."""
-        points, servers = self.ring
-        if not points:
-            return None
-        at = bisect_right(points, crc32(key.to_bytes(8, "little")))
-        homes: list[_Server] = []
-        for n in range(len(points)):
-            s = servers[(at + n) % len(points)]
-            if s in homes:
-                continue
-            homes.append(s)
-            if (
-                s.group is not None
-                and not s.held
-                and not s.trial
-                and s.warmth >= 1.0
-                and s.load <= HOME_LOAD * (1.0 + self.near_load)
-                and s.free_at <= self.now
-            ):
-                return s
-            if len(homes) >= HOMES:
-                break
-        return None
-
     def _index(
         self, servers: list[_Server], held: float
     ) -> tuple[list[_SpeedClass], tuple[list[float], list[_Server]], float]:
@@ -841,10 +785,6 @@
             s = self._returned(request)
             if s is not None:
                 return s
-        if request.key and not tried and self.settings.warm_keys:
-            s = self._home(request.key)
-            if s is not None and not self._denies(s, request):
-                return s
         away = self._away(tried)
         for _ in range(4):
             s = None
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -137,7 +137,6 @@
     copies_allowed: bool = False
     cancel_allowed: bool = True
     probes_allowed: bool = False
-    warm_keys: bool = False
     over_share_worth: float = 1.0
     worth_by_work: bool = False
     connect_timeout: int = 250_000_000
--- a/lynxrouter/wiresettings.py
+++ b/lynxrouter/wiresettings.py
@@ -124,7 +124,6 @@
         copies_allowed=r.flag("caps.may-duplicate", False),
         cancel_allowed=r.flag("caps.cancel", False),
         probes_allowed=r.flag("caps.probes", False),
-        warm_keys=r.flag("extra.warm-keys", False),
         over_share_worth=r.number("over-share-worth", 1.0),
         worth_by_work=r.choice("counted-by", {"request": False, "work": True}, "request"),
         connect_timeout=r.whole("caps.connect-timeout", 250_000_000, least=1),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -245,22 +245,6 @@
     assert far > 60
 
 
-def test_warm_keys_stay_at_their_homes() -> None:
-    node = Node(make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL, warm_keys=True))
-    other = Node(
-        make_settings(classes=ONE, zones=1, kinds=1, weights=api.Weights.NOMINAL, warm_keys=True, node=1), 77
-    )
-    homes: dict[int, set[object]] = {}
-    for n in (node, other):
-        n.tell(servers([1.0] * 20))
-        for rid in range(600):
-            n.ask(rid, key=1 + rid % 30)
-            n.run_to(n.now + 20 * MS)
-            homes.setdefault(rid % 30, set()).add(n.books[rid].attempts[0].server)
-            n.answer(rid, 0)
-    assert sum(len(h) for h in homes.values()) / 30 < 4
-
-
 def test_overload_sheds_the_least_worth_for_its_work_first() -> None:
     low = api.RequestClass("low", api.Effect.SAFE, 1.0, 100 * MS, 400 * MS)
     high = api.RequestClass("high", api.Effect.SAFE, 10.0, 100 * MS, 400 * MS)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -67,7 +67,7 @@
 @pytest.mark.parametrize("copies", [True, False])
 def test_random_walk_keeps_the_rules(seed: int, copies: bool) -> None:
     weights = list(api.Weights)[seed % 4]
-    settings = make_settings(copies_allowed=copies, weights=weights, warm_keys=seed % 2 == 0)
+    settings = make_settings(copies_allowed=copies, weights=weights)
     node = walk(seed, settings)
     assert {kind for _, kind in node.finals} >= {"Served", "Fail", "Refuse"}
 
