--- /dev/null
+++ b/lynxrouter/repeats.py
@@ -0,0 +1,125 @@
+"""The guard over repeats and refusals, and the budgets of further attempts."""
+
+from __future__ import annotations
+
+from .interface import NEVER_RAN, Effect, Group, Limits, RequestClass, Settings
+from .records import Owed, Server, Try
+
+__all__ = ["ANYWHERE", "Repeats", "Scope", "may_refuse", "resend_scope"]
+
+# Further copies per request: enough for rare stragglers, too few to make a storm.
+COPY_BUDGET, COPY_SAVED = 0.1, 10.0
+# Resends per request on average, and the most that may be saved up.
+RESEND_BUDGET, RESEND_SAVED = 0.5, 50.0
+# Repeats that the retry budget of a route saves up at most, and how many budgets are kept: those of routes
+# that reloads have taken away go first.
+ROUTE_SAVED, ROUTE_BUDGETS = 10.0, 4096
+
+
+class Scope:
+    """Where a further attempt may go: anywhere, or within one zone or cell."""
+
+    __slots__ = ("cell", "zone")
+
+    def __init__(self, zone: int = -1, cell: int = -1) -> None:
+        self.zone = zone
+        self.cell = cell
+
+    def allows(self, server: Server) -> bool:
+        return (self.zone < 0 or server.zone == self.zone) and (self.cell < 0 or server.cell == self.cell)
+
+
+ANYWHERE = Scope()
+
+
+def resend_scope(
+    cls: RequestClass, tries: list[Try], now: int, copies_allowed: bool, most: int, slack: int = 0
+) -> Scope | None:
+    """The guard of every further attempt: where it may go, or None. Against effects that happen twice."""
+    if len(tries) >= most:
+        return None
+    first: Try | None = None
+    for t in tries:
+        if t.result is None and not copies_allowed:
+            return None
+        if first is None and t.result not in NEVER_RAN:
+            first = t
+    if first is None or cls.effect == Effect.SAFE:
+        return ANYWHERE
+    if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:
+        return None
+    if cls.group == Group.CELL:
+        return Scope(cell=first.cell)
+    if cls.group == Group.ZONE:
+        return Scope(zone=first.zone)
+    return ANYWHERE
+
+
+def limited_scope(
+    cls: RequestClass, tries: list[Try], now: int, scope: Scope | None, limits: Limits, slack: int
+) -> Scope | None:
+    """What an operator's limits leave of a further attempt that the guard allows; they only narrow it."""
+    if scope is None or (limits.attempts and len(tries) >= limits.attempts):
+        return None
+    first = next((t for t in tries if t.result not in NEVER_RAN), None)
+    if first is None or cls.effect != Effect.KEYED:
+        return scope
+    if limits.repeat_window and now - first.sent >= limits.repeat_window - slack:
+        return None
+    if limits.repeat_group == Group.CELL:
+        return Scope(scope.zone, first.cell)
+    if limits.repeat_group == Group.ZONE and scope.cell < 0:
+        return Scope(zone=first.zone)
+    return scope
+
+
+def may_refuse(cls: RequestClass, tries: list[Try]) -> bool:
+    """The guard of every refusal, which tells the client that trying again is harmless."""
+    if cls.effect == Effect.SAFE:
+        return True
+    if cls.effect == Effect.KEYED and cls.group == Group.ALL:
+        return True
+    return all(t.result in NEVER_RAN for t in tries)
+
+
+class Repeats:
+    """What further attempts a node has left, of its own and by route."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.copies = 0.0
+        self.resends = RESEND_SAVED / 5
+        self.route_saved: dict[str, float] = {}  # repeats that routes with a retry budget have left
+
+    def arrived(self) -> None:
+        """Each request adds to the node's budgets."""
+        self.copies = min(self.copies + COPY_BUDGET, COPY_SAVED)
+        self.resends = min(self.resends + RESEND_BUDGET, RESEND_SAVED)
+
+    def scope(self, request: Owed, now: int, copies_allowed: bool) -> Scope | None:
+        """Where a further attempt of a request may go by its class, the settings and its route."""
+        settings = self.settings
+        cls, tries, slack = settings.classes[request.cls], request.tries, settings.tick
+        scope = resend_scope(cls, tries, now, copies_allowed, settings.max_attempts, slack)
+        if request.limits is not None:
+            scope = limited_scope(cls, tries, now, scope, request.limits, slack)
+        return scope
+
+    def save(self, limits: Limits | None) -> None:
+        """A request adds to its route's retry budget, where there is one."""
+        if limits is None or limits.retry_share < 0.0:
+            return
+        saved = self.route_saved.pop(limits.budget, 1.0) + limits.retry_share
+        self.route_saved[limits.budget] = min(saved, ROUTE_SAVED)
+        if len(self.route_saved) > ROUTE_BUDGETS:
+            del self.route_saved[next(iter(self.route_saved))]
+
+    def spend(self, limits: Limits | None) -> bool:
+        """Take a repeat from its route's retry budget, where there is one; False: none is left."""
+        if limits is None or limits.retry_share < 0.0:
+            return True
+        saved = self.route_saved.get(limits.budget, 0.0)
+        if saved < 1.0:
+            return False
+        self.route_saved[limits.budget] = saved - 1.0
+        return True
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -21,6 +21,11 @@
 SEEDS = range(200)
 
 BRAIN = "lynxrouter/brain.py"
+REPEATS = "lynxrouter/repeats.py"
+CHOICE = "lynxrouter/choice.py"
+ADMISSION = "lynxrouter/admission.py"
+LEARNING = "lynxrouter/learning.py"
+ROSTER = "lynxrouter/roster.py"
 SHARES = "fleet/shares.py"
 NODE = "elderscale/node.py"
 SERVERS = "elderscale/servers.py"
@@ -43,50 +48,50 @@
     # The decision module
     Defect(
         "unsafe-repeat",
-        BRAIN,
+        REPEATS,
         "if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:",
         "if cls.effect == Effect.KEYED and now - first.sent >= cls.window - slack:",
     ),
     Defect(
         "window-ignored",
-        BRAIN,
+        REPEATS,
         "if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:",
         "if cls.effect == Effect.UNSAFE:",
     ),
-    Defect("cell-ignored", BRAIN, "return Scope(cell=first.cell)", "return ANYWHERE"),
+    Defect("cell-ignored", REPEATS, "return Scope(cell=first.cell)", "return ANYWHERE"),
     Defect(
         "zone-ignored",
-        BRAIN,
+        REPEATS,
         "    if cls.group == Group.ZONE:\n        return Scope(zone=first.zone)",
         "    if cls.group == Group.ZONE:\n        return ANYWHERE",
     ),
-    Defect("refuses-what-ran", BRAIN, "return all(t.result in NEVER_RAN for t in tries)", "return True"),
-    Defect("one-attempt-more", BRAIN, "if len(tries) >= most:", "if len(tries) > most:"),
+    Defect("refuses-what-ran", REPEATS, "return all(t.result in NEVER_RAN for t in tries)", "return True"),
+    Defect("one-attempt-more", REPEATS, "if len(tries) >= most:", "if len(tries) > most:"),
     Defect(
         "no-cold-gap", SHARES, "return int(work / size / (COLD_PART * multiple * warmth / nodes))", "return 0"
     ),
     Defect(
         "cold-budget-counts-nothing",
         BRAIN,
-        "s.cold_at = max(s.cold_at, now) + s.cold_gap",
-        "s.cold_at = now",
+        "s.cold_at = max(s.cold_at, self.now) + s.cold_gap",
+        "s.cold_at = self.now",
     ),
     Defect(
         "draining-used",
-        BRAIN,
+        CHOICE,
         "            if s.state != State.READY:\n                continue",
         "            if s.state == State.GONE:\n                continue",
     ),
     Defect(
         "missing-is-not-gone",
-        BRAIN,
+        ROSTER,
         "                if s.id not in seen:\n                    s.state = State.GONE",
         "                if s.id not in seen:\n                    pass",
     ),
-    Defect("loss-never-fades", BRAIN, "SHED_FADE = 8, 0.8", "SHED_FADE = 8, 1.0"),
+    Defect("loss-never-fades", LEARNING, "SHED_FADE = 8, 0.8", "SHED_FADE = 8, 1.0"),
     Defect(
         "lateness-never-fades",
-        BRAIN,
+        ADMISSION,
         "self.lag_shed += LAG_WEIGHT * (share - self.lag_shed)",
         "self.lag_shed = max(self.lag_shed, share)",
     ),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -374,9 +374,9 @@
     balancer = node.balancer
     for rid in range(20):
         node.answer(rid, 0)
-    balancer.count = [1.0, 1.0, 1.0]
-    balancer.work, balancer.work_seen = [10.0 * MS, 50.0 * MS, 40.0 * MS], [9, 9, 9]
-    balancer._rebuild()
+    balancer.learned.count = [1.0, 1.0, 1.0]
+    balancer.learned.work, balancer.learned.work_seen = [10.0 * MS, 50.0 * MS, 40.0 * MS], [9, 9, 9]
+    balancer.choice.rebuild(node.now)
     told = {cls: 0 for cls in range(3)}  # how many were ahead when each class was first refused
     (s,) = balancer.servers.values()
     for rid in range(100, 400, 3):
--- a/tests/test_fleet_shares.py
+++ b/tests/test_fleet_shares.py
@@ -203,7 +203,7 @@
             for n, tried in enumerate(node.books[rid - 50].attempts):
                 if tried.result is None:
                     node.answer(rid - 50, n)
-    assert node.balancer.shed > 0.3
+    assert node.balancer.admission.shed > 0.3
     settle(node)
     node.tell(lines(8, zones=1))
     play(node, node.now + 1500 * MS, 40 * MS, first=1000)
@@ -227,7 +227,7 @@
         node.ask(rid)
         node.run_to(node.now + 2 * WORK)  # one of another node is ahead of each
         node.answer(rid, 0)
-    assert node.balancer.work[0] == pytest.approx(WORK, rel=0.1)
+    assert node.balancer.learned.work[0] == pytest.approx(WORK, rel=0.1)
 
 
 def test_the_wait_is_what_is_out_by_what_is_sent() -> None:
@@ -331,7 +331,7 @@
     far = frozenset(s.id for s in lines(40) if s.zone == 1)
     near = frozenset(s.id for s in lines(40) if s.zone == 0)
     play(node, node.now + 4 * SECOND, 50 * MS, down=near | far)
-    assert node.balancer.far_late == 0.0 and node.balancer.near_late == 0.0
+    assert node.balancer.learned.far_late == 0.0 and node.balancer.learned.near_late == 0.0
 
 
 def test_calls_for_lists_do_not_meet_when_all_nodes_start_at_once() -> None:
@@ -396,7 +396,7 @@
     node.tell(lines(40))
     near = frozenset(s.id for s in lines(40) if s.zone == 0)
     play(node, node.now + 2 * SECOND, 50 * MS, down=near)
-    share = node.balancer.reach.near
+    share = node.balancer.learned.reach.near
     assert share > 0.25
     rid, silent = 1000, None
     while silent is None:
@@ -404,5 +404,5 @@
         node.ask(rid)
         silent = next((n for n, a in enumerate(node.books[rid].attempts) if a.server in near), None)
     node.answer(rid, silent, api.Result.TIMEOUT)
-    assert node.balancer.reach.near == share
+    assert node.balancer.learned.reach.near == share
     assert all(s.since == 0 for s in node.balancer.servers.values())
--- a/tests/test_found_by_seeds.py
+++ b/tests/test_found_by_seeds.py
@@ -11,7 +11,8 @@
 
 from elderscale import system
 from lynxrouter import interface as api
-from lynxrouter.brain import LAG_SPAN, REVIEW
+from lynxrouter.admission import LAG_SPAN
+from lynxrouter.learning import REVIEW
 from standins.loopback import CLASSES, Backend, Registry, request, running, settings
 from standins.world import MS, SAFE, SECOND, Node, fleet, make_settings
 
@@ -69,47 +70,49 @@
 def test_what_was_shed_is_served_again_after_a_calm_in_which_nothing_was_heard() -> None:
     node = Node(make_settings(classes=(SAFE,)))
     shedding(node)
-    node.balancer.shed = 0.98
-    node.balancer.missing = 0.9
-    node.balancer.worth_lost = 0.9 * node.balancer.worth_asked
+    node.balancer.admission.shed = 0.98
+    node.balancer.learned.missing = 0.9
+    node.balancer.learned.worth_lost = 0.9 * node.balancer.learned.worth_asked
     node.run_to(node.now + 12 * SECOND)
-    assert node.balancer.missing < 0.15 and node.balancer.shed == 0.0
+    assert node.balancer.learned.missing < 0.15 and node.balancer.admission.shed == 0.0
     assert any(isinstance(action, api.Send) for action in node.ask(1000))
 
 
 def test_evidence_does_not_fade_while_it_is_heard() -> None:
     node = Node(make_settings(classes=(SAFE,)))
     shedding(node)
-    before = node.balancer.missing
+    before = node.balancer.learned.missing
     assert before > 0.3
-    node.balancer.heard = 8
+    node.balancer.learned.heard = 8
     node.run_to(node.now + REVIEW)
-    assert node.balancer.missing == pytest.approx(before)
+    assert node.balancer.learned.missing == pytest.approx(before)
 
 
 def test_lateness_is_as_old_as_the_time_without_requests() -> None:
     node = Node(make_settings(classes=(SAFE,)))
     node.tell(fleet(4))
     balancer = node.balancer
-    balancer.lag_shed = 0.9
+    balancer.admission.lag_shed = 0.9
     node.run_to(node.now + 20 * LAG_SPAN)
     node.ask(1)
-    assert balancer.lag_shed == 0.0
-    balancer.lag_shed = 0.9
-    balancer.lag_since = node.now
+    assert balancer.admission.lag_shed == 0.0
+    balancer.admission.lag_shed = 0.9
+    balancer.admission.lag_since = node.now
     node.run_to(node.now + LAG_SPAN)
     node.ask(2)
-    assert balancer.lag_shed == pytest.approx(0.54)
+    assert balancer.admission.lag_shed == pytest.approx(0.54)
 
 
 def test_a_class_without_an_answer_does_not_free_the_cold_budget() -> None:
     node = Node(make_settings())
     balancer = node.balancer
     longest = max(c.aim for c in balancer.settings.classes)
-    balancer.count = [5.0, 9.0, 0.0, 0.0, 0.0]
-    assert balancer._mean_work() == longest
-    balancer.work[0] = 40 * MS
-    assert balancer._mean_work() == 40 * MS
+    balancer.learned.count = [5.0, 9.0, 0.0, 0.0, 0.0]
+    balancer.learned.renew_work()
+    assert balancer.learned.mean_work == longest
+    balancer.learned.work[0] = 40 * MS
+    balancer.learned.renew_work()
+    assert balancer.learned.mean_work == 40 * MS
 
 
 def test_a_jam_does_not_teach_what_a_request_adds() -> None:
@@ -117,18 +120,18 @@
     node.tell(fleet(4))
     balancer = node.balancer
     s = next(iter(balancer.servers.values()))
-    balancer._learn_work(s, 0, 90 * MS, beside=0)
-    assert balancer.work[0] == pytest.approx(90 * MS * s.size)
+    balancer.learned.learn_work(s, 0, 90 * MS, beside=0, stale=False)
+    assert balancer.learned.work[0] == pytest.approx(90 * MS * s.size)
     for _ in range(50):  # idle servers answer faster: the first was chance
-        balancer._learn_work(s, 0, 30 * MS, beside=0)
-    learned = balancer.work[0]
+        balancer.learned.learn_work(s, 0, 30 * MS, beside=0, stale=False)
+    learned = balancer.learned.work[0]
     assert learned < 35 * MS * s.size
     for _ in range(50):  # as many wait before it
-        balancer._learn_work(s, 0, 900 * MS, beside=9)
+        balancer.learned.learn_work(s, 0, 900 * MS, beside=9, stale=False)
     s.load = 8.0
     for _ in range(50):  # the list tells of a queue of others
-        balancer._learn_work(s, 0, 900 * MS, beside=0)
-    assert balancer.work[0] == learned
+        balancer.learned.learn_work(s, 0, 900 * MS, beside=0, stale=False)
+    assert balancer.learned.work[0] == learned
 
 
 def test_a_gap_that_shrinks_frees_a_cold_server_at_once() -> None:
@@ -137,7 +140,7 @@
     balancer = node.balancer
     cold = list(balancer.servers.values())
     assert all(s.cold_gap > SECOND // 4 for s in cold)  # nothing is known yet
-    balancer.count = [9.0] * len(balancer.count)
-    balancer.work = [10.0 * MS] * len(balancer.work)
-    balancer._rebuild()
+    balancer.learned.count = [9.0] * len(balancer.learned.count)
+    balancer.learned.work = [10.0 * MS] * len(balancer.learned.work)
+    balancer.choice.rebuild(node.now)
     assert all(s.cold_at <= node.now + s.cold_gap < node.now + SECOND // 4 for s in cold)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -7,19 +7,20 @@
 import pytest
 
 from lynxrouter import interface as api
-from lynxrouter.brain import _Server, _Try, may_refuse, resend_scope
+from lynxrouter.records import Server, Try
+from lynxrouter.repeats import may_refuse, resend_scope
 from standins.world import MS, NEVER_RAN, SECOND
 
 WINDOW = 2 * SECOND
 RESULTS = [None, *api.Result]
 
 
-def tries_of(results: tuple[api.Result | None, ...]) -> list[_Try]:
+def tries_of(results: tuple[api.Result | None, ...]) -> list[Try]:
     tries = []
     for n, result in enumerate(results):
-        server = _Server(b"%d" % n)
+        server = Server(b"%d" % n)
         server.zone, server.cell = 1, 7
-        t = _Try(server, n * MS)
+        t = Try(server, n * MS)
         t.result = result
         tries.append(t)
     return tries
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -94,7 +94,7 @@
                 pass  # the answer is there, the loop is busy with something else
             conn.read_on(True)
             assert b" 200 " in await asking
-            assert 0 < node.node.balancer.base[0] < 100 * MS
+            assert 0 < node.node.balancer.learned.base[0] < 100 * MS
             go.set()
 
     asyncio.run(play())
