--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -27,8 +27,9 @@
 # Nodes of a zone on whose idle lists a server is, on average: with one, chance leaves a third of the servers
 # on none, with three a twentieth; with many, none of them knows what the others do there.
 OWNERS = 3.0
-# Draws by capacity before one takes a server that this node keeps busy already.
-DRAWS = 4
+# Draws by capacity in search of a server to which this node has a connection at rest, and the part of the
+# idle limit for which one is taken to be kept.
+DRAWS, KEPT_PART = 4, 0.8
 # Part of its capacity that is offered to a server on trial after a pause.
 TRIAL_PART = 0.1
 # Above this share of paused capacity a shared cause is likelier than bad servers: nobody is paused any more.
@@ -55,6 +56,7 @@
         self.far: list[SpeedClass] = []
         self.near_draw: _Table = ([], [])
         self.far_draw: _Table = ([], [])
+        self.kept = int(KEPT_PART * settings.idle_timeout)
         self.fastest = 1.0  # size of the largest server
 
     # Tables
@@ -203,27 +205,24 @@
         return None
 
     def _drawn_from(self, table: _Table, now: int) -> Server | None:
-        """A draw by capacity, repeated a few times for the server that this node's own requests burden least.
+        """A draw by capacity: of a few the first with a kept connection and nothing of this node in hand.
 
-        Where few nodes share few servers most of what a server holds is this node's own, so that the capacity
-        that is left there is known at once, long before lists or answers tell.
+        A connection costs the server work, its first request time, and all nodes together a price: a draw
+        from all servers comes back to each only after its connection was closed as idle.
         """
         bounds, servers = table
         if not servers:
             return None
-        best: Server | None = None
-        least = 0.0
+        first: Server | None = None
         for _ in range(DRAWS):
             at = bisect_right(bounds, self.random.random() * bounds[-1])
             s = servers[min(at, len(servers) - 1)]
             if s.warmth < 1.0 and s.cold_at > now:
                 continue
-            if not s.held:
+            if not s.held and s.answered > now - self.kept:
                 return s
-            burden = (s.held + 1) / s.cap
-            if best is None or burden < least:
-                best, least = s, burden
-        return best
+            first = first or s
+        return first
 
     def _far(self, now: int) -> Server | None:
         return self._idle_of(self.far, now) or self._drawn_from(self.far_draw, now)
