Say once how a share is dealt by worth, what stands ahead, and when a connection is closed as idle

Read again, the split module held twins, and the draw had brought one more: - the share that is refused was dealt to classes by the same loop for load and for the node's lateness: Admission._deal serves both; - what is likely at a server (its own requests, or a part of those a list told) stood in admission and in crossing: crossing.ahead; - the part of the idle limit for which a connection is kept stood in the module as well as in the node that closes it: interface.IDLE_PART, read by both, so that neither can be changed without the other; - pick_within ranked the best server anew for each candidate: one min over those that fit; - the first pause of a server had a second figure as a default in records.py, which only a test used.

The planted defect of connections that rest too long changes the place of use.

--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -46,8 +46,6 @@
 # class: a server that sends more than belongs to an answer (a second copy, noise) sends it right behind, and
 # the next request must not be written before that shows. What comes before the last byte is no answer to it.
 HOLD_LAST_BYTE = 0.003
-# Part of the idle limit after which the node closes a connection itself: the rest is for clocks and the wire.
-IDLE_PART = 0.8
 SWEEP = 0.25  # how often that is looked for
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
 GRACE_PART = 0.75
@@ -665,7 +663,7 @@
     def _sweep(self) -> None:
         """Close what has rested for nearly as long as its server lets it; one timer for all of them."""
         self.sweeper = None
-        before = self.loop.time() + SWEEP - IDLE_PART * self.settings.idle_timeout / SECOND
+        before = self.loop.time() + SWEEP - api.IDLE_PART * self.settings.idle_timeout / SECOND
         for conn in list(takewhile(lambda conn: self.resting[conn] <= before, self.resting)):
             conn.close()
         if self.resting:
--- a/lynxrouter/admission.py
+++ b/lynxrouter/admission.py
@@ -7,7 +7,7 @@
 
 from fleet import Pressure
 
-from .crossing import TOLD_PART
+from .crossing import ahead
 from .interface import Request, Settings
 from .learning import Learning
 from .records import MS, Owed, Server
@@ -85,6 +85,15 @@
         classes = self.settings.classes
         return sorted(range(len(classes)), key=lambda c: classes[c].worth / max(costs[c], 1.0))
 
+    def _deal(self, share: float, amounts: list[float], costs: list[float]) -> list[float]:
+        """A share of all amounts as one share of each class's, the least worth for its cost first."""
+        shares = [0.0] * len(amounts)
+        left = share * sum(amounts)
+        for c in self._by_worth(costs):
+            shares[c] = min(1.0, left / amounts[c]) if amounts[c] > 0.0 else 0.0
+            left = max(0.0, left - amounts[c])
+        return shares
+
     def steer(self, now: int) -> None:
         """Renew the share that is shed."""
         learned = self.learned
@@ -100,10 +109,8 @@
         # What is out tells sooner than answers, and much sooner than lists, that a jam is over.
         most = SHED_WAIT * (self.pressure.wait(now) / self.shortest_aim - SHED_WAIT_FROM)
         self.shed = min(self.shed, max(SHED_LET_GO * self.shed, most))
-        left = self.shed * offered
-        for c in self._by_worth(learned.base):
-            self.shed_class[c] = min(1.0, left / work[c]) if work[c] > 0.0 else 0.0
-            left = max(0.0, left - work[c])
+        self.shed_class = self._deal(self.shed, work, learned.base)
+        for c in range(len(work)):
             learned.count[c] *= COUNT_FADE
             learned.done[c] *= COUNT_FADE
 
@@ -136,10 +143,7 @@
         self.lag_sum = self.lag_count = 0
         # Here each request costs about the same, whatever its work at a server.
         count = self.learned.count
-        left = self.lag_shed * sum(count)
-        for c in self._by_worth([1.0] * len(count)):
-            self.lag_class[c] = min(1.0, left / count[c]) if count[c] > 0.0 else 0.0
-            left = max(0.0, left - count[c])
+        self.lag_class = self._deal(self.lag_shed, count, [1.0] * len(count))
 
     def turns_away(self, event: Request, fastest: float, now: int) -> bool:
         """Whether a request is refused for the node's own want of time or places.
@@ -164,8 +168,7 @@
         if s is None or not s.held:
             return False
         # It would keep better ones waiting for too long.
-        ahead = self.learned.mean_work * max(float(s.held), TOLD_PART * s.load) / (s.size * s.warmth)
-        return ahead > self.crowd[cls]
+        return self.learned.mean_work * ahead(s) / (s.size * s.warmth) > self.crowd[cls]
 
     def retry_after(self, request: Owed) -> int:
         """When (ns) a client that is refused for want of room or time may come back."""
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -163,7 +163,8 @@
             self._wait(request)
             return
         self._send(request, s)
-        if limits is not None and (limits.copies > 0 or (limits.copies and limits.copy_delay)):
+        # A delay alone asks for a copy, too.
+        if limits is not None and (limits.copies if limits.copies >= 0 else limits.copy_delay):
             cls = self.settings.classes[event.cls]
             if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
                 self._wake(self.now + (limits.copy_delay or cls.aim // 2), WAKE_COPY, event.id)
--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -16,7 +16,7 @@
 
 from .admission import Admission
 from .crossing import CLASS_RATIO, Crossing
-from .interface import Effect, Settings, State, Weights
+from .interface import IDLE_PART, Effect, Settings, State, Weights
 from .learning import Learning
 from .records import SECOND, Owed, Server, SpeedClass
 from .repeats import ANYWHERE, Scope
@@ -27,9 +27,8 @@
 # Nodes of a zone on whose idle lists a server is, on average: with one, chance leaves a third of the servers
 # on none, with three a twentieth; with many, none of them knows what the others do there.
 OWNERS = 3.0
-# Draws by capacity in search of a server to which this node has a connection at rest, and the part of the
-# idle limit for which one is taken to be kept.
-DRAWS, KEPT_PART = 4, 0.8
+# Draws by capacity in search of a server to which this node has a connection at rest.
+DRAWS = 4
 # Part of its capacity that is offered to a server on trial after a pause.
 TRIAL_PART = 0.1
 # Above this share of paused capacity a shared cause is likelier than bad servers: nobody is paused any more.
@@ -56,7 +55,7 @@
         self.far: list[SpeedClass] = []
         self.near_draw: _Table = ([], [])
         self.far_draw: _Table = ([], [])
-        self.kept = int(KEPT_PART * settings.idle_timeout)
+        self.kept = int(IDLE_PART * settings.idle_timeout)
         self.fastest = 1.0  # size of the largest server
 
     # Tables
@@ -270,16 +269,13 @@
 
     def pick_within(self, request: Owed, scope: Scope, now: int) -> Server | None:
         """A server of one cell or zone that has not been tried: keyed repeats are rare, so a scan is fine."""
-        best: Server | None = None
-        for s in self.roster.servers.values():
-            if s.group is None or s.trial or s.warmth < 1.0 or not scope.allows(s):
-                continue
-            if any(t.server is s for t in request.tries):
-                continue
-            order = (self._denies(s, request, now), s.held, -s.cap)
-            if best is None or order < (self._denies(best, request, now), best.held, -best.cap):
-                best = s
-        return best
+        tried = [t.server for t in request.tries]
+        fit = [
+            s
+            for s in self.roster.servers.values()
+            if not (s.group is None or s.trial or s.warmth < 1.0) and scope.allows(s) and s not in tried
+        ]
+        return min(fit, key=lambda s: (self._denies(s, request, now), s.held, -s.cap)) if fit else None
 
     def _denies(self, s: Server, request: Owed, now: int) -> bool:
         """Whether a server lately turned this tenant away, or may fail what must not be repeated."""
--- a/lynxrouter/crossing.py
+++ b/lynxrouter/crossing.py
@@ -8,7 +8,7 @@
 from .learning import REVIEW, Learning
 from .records import Server, Try
 
-__all__ = ["CLASS_RATIO", "TOLD_PART", "Crossing"]
+__all__ = ["CLASS_RATIO", "Crossing", "ahead"]
 
 # Speeds within this ratio make one class, and loads within it are the same: less is within the noise of the
 # estimates.
@@ -24,6 +24,11 @@
 TOLD_PART = 0.25
 
 
+def ahead(s: Server) -> float:
+    """Requests likely at a server now: this node's own, or what is left of those that a list told."""
+    return max(float(s.held), TOLD_PART * s.load)
+
+
 class Crossing:
     """How much of a node's traffic goes to the other zones first."""
 
@@ -80,5 +85,5 @@
     def _late(self, cls: int, s: Server) -> float:
         """How likely one more request there is late, were response times exponential."""
         work = self.learned.work[cls]
-        mean = work * (1.0 + max(float(s.held), TOLD_PART * s.load)) / (s.size * s.warmth)
+        mean = work * (1.0 + ahead(s)) / (s.size * s.warmth)
         return exp(-self.settings.classes[cls].aim / mean) if mean > 0.0 else 0.0
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -10,6 +10,10 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
+# Part of the settings' idle limit after which a node closes a connection itself: the rest is for clocks and
+# the wire. Until then the module may take one that has rested for kept.
+IDLE_PART = 0.8
+
 ServerId = Hashable
 Report = tuple[float, ...]
 
--- a/lynxrouter/records.py
+++ b/lynxrouter/records.py
@@ -22,7 +22,7 @@
         "since", "size", "slow", "state", "told", "told_until", "trial", "warmth", "weight", "zone",
     )  # fmt: skip
 
-    def __init__(self, sid: ServerId, pause: int = SECOND) -> None:
+    def __init__(self, sid: ServerId, pause: int) -> None:
         self.id = sid
         self.zone = self.kind = self.cell = 0
         self.state = State.READY
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -183,7 +183,7 @@
         "self.http.their_state is h11.DONE and not self.http.trailing_data[0]",
         "self.http.their_state is h11.DONE",
     ),
-    Defect("rests-too-long", SERVERS, "IDLE_PART = 0.8", "IDLE_PART = 2.0"),
+    Defect("rests-too-long", SERVERS, "api.IDLE_PART * self", "2.0 * self"),
     Defect(
         "room-of-bodies-leaks",
         UPLOAD,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -59,7 +59,7 @@
     assert len(opened) <= 24  # 33 of 40 were each draw taken as it comes
     # All are closed when they have rested for too long, and none of them is better than another.
     node.run_to(node.now + 5 * SECOND)
-    later = {sid for sid, _ in steady(node, 8, 600 * MS, 5 * MS, first=1000).items()}
+    later = steady(node, 8, 600 * MS, 5 * MS, first=1000)
     assert len(later) >= 4
     # One that has a request of this node in hand is no better, either.
     assert len(steady(node, 200, MS, SECOND, first=2000)) > 35
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -18,7 +18,7 @@
 def tries_of(results: tuple[api.Result | None, ...]) -> list[Try]:
     tries = []
     for n, result in enumerate(results):
-        server = Server(b"%d" % n)
+        server = Server(b"%d" % n, pause=SECOND)
         server.zone, server.cell = 1, 7
         t = Try(server, n * MS)
         t.result = result
