--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -163,11 +163,9 @@
             self._wait(request)
             return
         self._send(request, s)
-        cls = self.settings.classes[event.cls]
-        if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
-            if limits is None:
-                self._wake(self.now + cls.aim // 2, WAKE_COPY, event.id)
-            elif limits.copies:
+        if limits is not None and (limits.copies > 0 or (limits.copies and limits.copy_delay)):
+            cls = self.settings.classes[event.cls]
+            if self.settings.copies_allowed and cls.effect != Effect.UNSAFE:
                 self._wake(self.now + (limits.copy_delay or cls.aim // 2), WAKE_COPY, event.id)
 
     def _send(self, request: Owed, s: Server) -> None:
@@ -223,7 +221,9 @@
         self._send(request, s)
 
     def _copy(self, request: Owed) -> None:
-        """A second copy of a request that takes long, where the guard and the budget allow it."""
+        """A second copy of a request that takes long, where its route asks for one, the guard and the budget
+        allow it. Unasked it cost more than it saved on every day (docs/DESIGN-decisions.md).
+        """
         if request.out != 1 or request.streaming or self.repeats.copies < 1.0:
             return
         # Slow answers everywhere mean overload, and copies would feed it; a server that answers others is
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -212,7 +212,8 @@
     """What an operator allows a request, within what its class and the settings allow; durations in ns.
 
     attempts, attempt_timeout, copy_delay, repeat_window: 0 where nothing is said. copies: -1 where nothing is
-    said, else the second copies. repeat_group: where a keyed repeat may go, None as the class says.
+    said, else the second copies; without a word on it or on copy_delay there are none.
+    repeat_group: where a keyed repeat may go, None as the class says.
     retry_share: repeats and copies as a share of the requests of the same budget, negative: no such limit.
     retry_after: between which bounds Retry-After of a refusal is drawn, (0, 0) as the settings say.
     """
