Read typed TOML tables in a module of its own, routing/forms.py

Cause: plans of the tier are to be checked as strictly as operator files (all problems at once: table, key, value, reason, nearest known key), and that reader was tied to the operator file's own tables.

No change of behaviour; the tests of the operator file pass as they are, but for one import.

--- a/tests/test_routing_file.py
+++ b/tests/test_routing_file.py
@@ -384,8 +384,9 @@
     max_leaves=12,
 ))  # fmt: skip
 def test_any_tables_are_read_or_refused(value: Any) -> None:
+    from routing.forms import _struct
     from routing.plan import compile_plan
-    from routing.schema import OperatorFile, _struct
+    from routing.schema import OperatorFile
 
     found: list[Any] = []
     tables = _struct(OperatorFile, value, "", found)
