--- a/standins/callers.py
+++ b/standins/callers.py
@@ -17,7 +17,7 @@
 from .fleet import body_for
 from .ledger import Asked, Final, Ledger
 
-__all__ = ["Callers", "Mix"]
+__all__ = ["Call", "Callers", "Line", "Mix", "starved"]
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -51,7 +51,7 @@
 
 
 @dataclass(slots=True)
-class _Call:
+class Call:
     """One request on its way."""
 
     entry: Asked
@@ -63,12 +63,13 @@
     timer: asyncio.TimerHandle | None = None
 
 
-class _Line(asyncio.Protocol):
+class Line(asyncio.Protocol):
     """One client connection; it carries one request at a time."""
 
-    def __init__(self, callers: Callers, call: _Call) -> None:
+    def __init__(self, callers: Callers, call: Call, port: int) -> None:
         self.callers = callers
-        self.call: _Call | None = call
+        self.call: Call | None = call
+        self.port = port
         self.buffer = b""
         self.transport: asyncio.Transport | None = None
 
@@ -80,10 +81,11 @@
         else:
             self.send(self.call)
 
-    def send(self, call: _Call) -> None:
+    def send(self, call: Call) -> None:
         assert self.transport is not None
         self.call = call
         self.buffer = b""
+        self.callers.posted(call, self.port)
         self.transport.write(call.data)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -148,8 +150,8 @@
     retries: float = 0.0
     pause: float = 0.2
     prefix: str = "r"
-    lines: set[_Line] = field(default_factory=set)
-    idle: dict[int, list[_Line]] = field(default_factory=dict)
+    lines: set[Line] = field(default_factory=set)
+    idle: dict[int, list[Line]] = field(default_factory=dict)
     out: int = 0
     sent: int = 0
     late: float = 0.0  # the most that an arrival came after its time, seconds
@@ -159,7 +161,6 @@
         self.loop = asyncio.get_running_loop()
         self.quiet = asyncio.Event()
         self.quiet.set()
-        self._port_of: dict[_Line, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
@@ -202,7 +203,7 @@
         body = b"" if cls.effect == api.Effect.SAFE else b"{}"
         now = time.monotonic_ns()
         entry = self.ledger.asked(rid, mix.cls, now, now + cls.deadline, tenant)
-        call = _Call(entry, mix, b"\r\n".join(lines) + b"\r\n\r\n" + body, repeat, starved())
+        call = Call(entry, mix, b"\r\n".join(lines) + b"\r\n\r\n" + body, repeat, starved())
         self.out += 1
         self.quiet.clear()
         wait = (cls.deadline + 2 * self.ledger.limits.slack) / SECOND
@@ -210,7 +211,7 @@
         self._send(call, self.random.choice(self.ports))
         return entry
 
-    def _send(self, call: _Call, port: int) -> None:
+    def _send(self, call: Call, port: int) -> None:
         idle = self.idle.setdefault(port, [])
         while idle:
             line = idle.pop()
@@ -220,22 +221,22 @@
                 return
         self._open_anew(call, port)
 
-    async def _open(self, call: _Call, port: int) -> None:
+    async def _open(self, call: Call, port: int) -> None:
         try:
-            _, line = await self.loop.create_connection(lambda: _Line(self, call), "127.0.0.1", port)
+            await self.loop.create_connection(lambda: Line(self, call, port), "127.0.0.1", port)
         except OSError:
             self._end(call, Final.BROKEN)
-            return
-        self._port_of[line] = port
 
-    def forget(self, line: _Line) -> None:
+    def forget(self, line: Line) -> None:
         """A connection is gone."""
-        port = self._port_of.pop(line, None)
-        if port is not None and line in self.idle.get(port, ()):
-            self.idle[port].remove(line)
+        if line in self.idle.get(line.port, ()):
+            self.idle[line.port].remove(line)
+
+    def posted(self, call: Call, port: int) -> None:
+        """A request's bytes go to a node. For those who keep books of it."""
 
     def whole(
-        self, line: _Line, call: _Call, status: int, body: bytes, after: float | None, keep: bool
+        self, line: Line, call: Call, status: int, body: bytes, after: float | None, keep: bool
     ) -> None:
         """An answer has come whole."""
         now = time.monotonic_ns()
@@ -243,9 +244,8 @@
         if at > call.entry.deadline:
             # What this process waited for a core is not the node's lateness, which may live in it.
             at = min(at, now - (starved() - call.starved))
-        port = self._port_of.get(line)
-        if keep and port is not None:
-            self.idle.setdefault(port, []).append(line)
+        if keep:
+            self.idle.setdefault(line.port, []).append(line)
         elif line.transport is not None:
             line.transport.close()
         final = Final.FAILED
@@ -258,20 +258,20 @@
         if final is Final.REFUSED and not call.repeat and self.random.random() < self.retries:
             self.loop.call_later(self.pause if after is None else after, self.ask, call.mix, True)
 
-    def broke(self, call: _Call, part: bytes) -> None:
+    def broke(self, call: Call, part: bytes) -> None:
         """The connection ended. One that the node closed between requests may have crossed this one."""
         if not call.fresh and not part and not call.entry.arrived:
             self._open_anew(call, self.random.choice(self.ports))
             return
         self._end(call, Final.BROKEN)
 
-    def _open_anew(self, call: _Call, port: int) -> None:
+    def _open_anew(self, call: Call, port: int) -> None:
         call.fresh = True
         task = self.loop.create_task(self._open(call, port))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _silent(self, call: _Call) -> None:
+    def _silent(self, call: Call) -> None:
         for line in [line for line in self.lines if line.call is call]:
             line.call = None
             if line.transport is not None:
@@ -279,7 +279,7 @@
         self._end(call, Final.SILENT)
 
     def _end(
-        self, call: _Call, final: Final, at: int = 0, status: int = 0, after: float | None = None
+        self, call: Call, final: Final, at: int = 0, status: int = 0, after: float | None = None
     ) -> None:
         if call.timer is None:
             if final in (Final.SERVED, Final.REFUSED, Final.FAILED, Final.WRONG):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -187,23 +187,37 @@
 
     async def start(self, cold: bool = False) -> None:
         """Listen, at the address of an earlier life if there was one."""
+        await self.listen()
+        self.state, self.cut, self.up = "SERVING", False, True
+        self.started_ms = time.time_ns() // 1_000_000 if cold else 0
+        self._start = self.ledger.started(self.name, time.monotonic_ns(), self.kind.capacity, cold)
+
+    async def listen(self) -> None:
+        """Open its port. OSError: that of an earlier life is taken."""
         loop = asyncio.get_running_loop()
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", self.port))
-        self._server = await loop.create_server(lambda: _Connection(self), sock=sock, backlog=256)
+        self._server = await loop.create_server(self.connection, sock=sock, backlog=256)
         self.port = sock.getsockname()[1]
         self.address = f"127.0.0.1:{self.port}"
-        self.state, self.cut, self.up = "SERVING", False, True
-        self.started_ms = time.time_ns() // 1_000_000 if cold else 0
-        self._start = self.ledger.started(self.name, time.monotonic_ns(), self.kind.capacity, cold)
 
-    def crash(self) -> None:
-        """The process dies: connections are reset, new ones refused, what ran stops where it was."""
-        self.up = False
+    def connection(self) -> asyncio.Protocol:
+        """The server's end of a new connection."""
+        return _Connection(self)
+
+    def shut(self) -> None:
+        """Close its port."""
         if self._server is not None:
             self._server.close()
             self._server = None
+
+    def crash(self) -> None:
+        """The process dies: connections are reset, new ones refused, what ran stops where it was."""
+        self.up = False
+        self.shut()
+        for lost in (*self.running, *self.waiting):
+            self._left(lost, False)
         for conn in list(self.connections):
             job, conn.job = conn.job, None
             if job is not None and job.timer is not None:
@@ -280,6 +294,8 @@
         while self.waiting and len(self.running) < self.kind.cores:
             job = self.waiting.popleft()
             self.running.add(job)
+            if self._start is not None:
+                self.ledger.work_began(job.rid, self._start, time.monotonic_ns())
             took = job.work / (self.kind.speed * self.warmth)
             job.timer = asyncio.get_running_loop().call_later(took, self._done, job)
 
@@ -287,6 +303,7 @@
         if job not in self.running:
             return
         self.running.discard(job)
+        self._left(job, True)
         conn = job.conn
         if conn is not None and conn.job is job:
             conn.job = None
@@ -303,9 +320,15 @@
             job.timer.cancel()
         if job in self.running:
             self.running.discard(job)
+            self._left(job, False)
             self._next()
         elif job in self.waiting:
             self.waiting.remove(job)
+            self._left(job, False)
+
+    def _left(self, job: _Job, done: bool) -> None:
+        if self._start is not None:
+            self.ledger.work_ended(job.rid, self._start, time.monotonic_ns(), done)
 
     def _load(self) -> bytes:
         """Its load report, renewed every half second."""
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -184,6 +184,12 @@
                 self.faults.append(Fault("dup", rid, reason))
             entry.ran.append(place)
 
+    def work_began(self, rid: str, start: Start, at: int) -> None:
+        """A core of the server has begun with a request. For books that follow queues; no rule asks."""
+
+    def work_ended(self, rid: str, start: Start, at: int, done: bool) -> None:
+        """A request is no more at the server: done, or given up."""
+
     # Discovery
 
     def told(self, server: str, ready: bool, at: int, node: str = "") -> None:
--- /dev/null
+++ b/tier/evenness.py
@@ -0,0 +1,334 @@
+"""How evenly a tier spread its load, from what its servers saw. Pure; times in ns, work in ns at speed 1.
+
+What chance alone does is taken out: the counts of a Poisson stream vary, and the largest of many counts lies
+far above their mean. Figures that are named `over` chance are 1 where the spread is that of a Poisson stream.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from itertools import pairwise
+from math import exp, log, sqrt
+
+__all__ = [
+    "FIGURES",
+    "Evenness",
+    "Life",
+    "Spread",
+    "Visit",
+    "chance_most",
+    "evenness",
+    "herd",
+    "idle_series",
+    "settle_time",
+    "share_time",
+    "spread",
+    "unused",
+]
+
+SECOND = 1_000_000_000
+STEP = 50_000_000
+
+# The figures that a plan may bound, and what they say; all are better when smaller.
+FIGURES = {
+    "idle_while_queued": "part of server time without work while requests wait elsewhere (0 to 1)",
+    "idle_over_floor": "the same, less that of one node that sees everything on the same arrivals",
+    "work_cv": "variation of work over capacity by server and second, Poisson noise taken out",
+    "work_by_server_cv": "the same over the whole run",
+    "herd_over_chance": "most nodes at one server within a service time, over what chance gives",
+    "unused_over_chance": "longest time that a fit server got nothing while others queued, over chance",
+    "settle_s": "seconds after a fault until idle while queued is as before",
+    "share_s": "seconds until a server that is new or back has half of its share",
+    "lost_worth": "part of the worth asked for that was not answered within its aim",
+    "refused": "part of the requests that were refused",
+    "failed": "part of the requests that failed or broke off, none of them excused",
+    "p99_ms": "99th percentile of the class with the shortest aim, in ms",
+    "p99_over_floor": "the same, over that of one node that sees everything on the same arrivals",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Visit:
+    """A request at a server. began and left: 0 where it did not come to that."""
+
+    rid: str
+    server: str
+    node: str
+    at: int
+    began: int
+    left: int
+    work: int
+    runs: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """A server, and when it was up and fit to work.
+
+    capacity: seconds of work a second, over all its cores; fit: spans in which it was up and sound.
+    """
+
+    name: str
+    capacity: float
+    cores: int
+    fit: tuple[tuple[int, int], ...]
+
+    def fit_at(self, at: int) -> bool:
+        """Whether it is fit at this moment."""
+        return any(begin <= at < end for begin, end in self.fit)
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """Work over capacity: cv with the counting noise taken out, the least and the largest."""
+
+    cv: float
+    least: float
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class Evenness:
+    """All figures of one span; see FIGURES."""
+
+    idle_while_queued: float
+    by_second: Spread
+    by_server: Spread
+    herd: int
+    herd_chance: int
+    unused_s: float
+    unused_chance_s: float
+
+    def figures(self) -> dict[str, float]:
+        """Those that a plan may bound."""
+        return {
+            "idle_while_queued": self.idle_while_queued,
+            "work_cv": self.by_second.cv,
+            "work_by_server_cv": self.by_server.cv,
+            "herd_over_chance": self.herd / self.herd_chance,
+            "unused_over_chance": self.unused_s / self.unused_chance_s if self.unused_chance_s else 0.0,
+        }
+
+
+class _Counts:
+    """Requests at work and waiting, by server, as time goes on."""
+
+    def __init__(self, visits: Iterable[Visit]) -> None:
+        events: list[tuple[int, int, str, int, int]] = []
+        for v in visits:
+            if not v.runs:
+                continue
+            events.append((v.at, 0, v.server, 1, 0))
+            if v.began:
+                events.append((v.began, 1, v.server, -1, 1))
+            if v.left:
+                events.append((v.left, 2, v.server, 0 if v.began else -1, -1 if v.began else 0))
+        events.sort()
+        self.events = deque(events)
+        self.waiting: Counter[str] = Counter()
+        self.working: Counter[str] = Counter()
+
+    def advance(self, to: int) -> None:
+        """Take in all that happened up to a moment."""
+        events = self.events
+        while events and events[0][0] <= to:
+            _, _, server, waits, works = events.popleft()
+            self.waiting[server] += waits
+            self.working[server] += works
+
+
+def idle_series(
+    visits: Sequence[Visit], lives: Sequence[Life], since: int, until: int, step: int = STEP
+) -> list[tuple[int, float]]:
+    """At each step the part of the fit servers without work for which a request waits elsewhere.
+
+    The lesser of "servers with nothing" and "requests in waiting rooms beyond one a server", over all that
+    are fit then: one waiting request a server is what lets it go on without a pause.
+    """
+    counts = _Counts(visits)
+    series = []
+    for at in range(since, until, step):
+        counts.advance(at)
+        fit = [life.name for life in lives if life.fit_at(at)]
+        nothing = sum(counts.working[name] + counts.waiting[name] == 0 for name in fit)
+        beyond = sum(max(0, counts.waiting[life.name] - 1) for life in lives)
+        series.append((at, min(nothing, beyond) / len(fit) if fit else 0.0))
+    return series
+
+
+def spread(
+    visits: Iterable[Visit], lives: Sequence[Life], since: int, until: int, span: int = SECOND
+) -> Spread:
+    """Work that came, over capacity, by fit server and span.
+
+    The variance of a compound Poisson stream is the sum of the squares of its works: that much is expected
+    of chance, and taken out. 0 where nothing came.
+    """
+    works: dict[tuple[str, int], list[int]] = defaultdict(list)
+    for v in visits:
+        if v.runs and since <= v.at < until:
+            works[v.server, (v.at - since) // span].append(v.work)
+    loads, noise = [], []
+    for life in lives:
+        for n in range((until - since) // span):
+            begin = since + n * span
+            if not any(b <= begin and begin + span <= e for b, e in life.fit):
+                continue
+            came = works.get((life.name, n), ())
+            loads.append(sum(came) / (life.capacity * span))
+            noise.append(sum(work * work for work in came) / (life.capacity * span) ** 2)
+    mean = sum(loads) / len(loads) if loads else 0.0
+    if mean <= 0.0:
+        return Spread(0.0, 0.0, 0.0)
+    variance = sum((load - mean) ** 2 for load in loads) / max(1, len(loads) - 1)
+    # As much of the noise as one count has of all: the mean itself was drawn from the same stream.
+    expected = sum(noise) / len(noise) * (1.0 - 1.0 / len(loads))
+    return Spread(sqrt(max(0.0, variance - expected)) / mean, min(loads) / mean, max(loads) / mean)
+
+
+def chance_most(mean: float, windows: float) -> int:
+    """What the largest of so many Poisson counts of this mean reaches once on average; at least 1."""
+    term = exp(-mean)
+    below = term
+    count = 0
+    # Above the mean the terms fall, and a count beyond 700 deviations is never met.
+    while windows * max(0.0, 1.0 - below) > 1.0 and count < mean + 40.0 * sqrt(mean) + 40.0:
+        count += 1
+        term *= mean / count
+        below += term
+    return max(1, count)
+
+
+def herd(visits: Iterable[Visit], lives: Sequence[Life], since: int, until: int) -> tuple[int, int]:
+    """Most nodes whose requests reached one server within one of its service times, and what chance gives.
+
+    A node's second request within the time is no herd, but its own doing.
+    """
+    by_server: dict[str, list[Visit]] = defaultdict(list)
+    for v in visits:
+        if v.runs and since <= v.at < until:
+            by_server[v.server].append(v)
+    most, chance = 0, 1
+    for life in lives:
+        came = sorted(by_server.get(life.name, ()), key=lambda v: v.at)
+        up = sum(max(0, min(e, until) - max(b, since)) for b, e in life.fit)
+        if not came or not up:
+            continue
+        service = sum(v.work for v in came) / len(came) * life.cores / life.capacity
+        # A window begins at an arrival: one is there, the others are a Poisson count.
+        expected = chance_most(len(came) * service / up, len(came) * len(lives)) + 1
+        inside: deque[Visit] = deque()
+        nodes: Counter[str] = Counter()
+        for v in came:
+            inside.append(v)
+            nodes[v.node] += 1
+            while inside[0].at <= v.at - service:
+                old = inside.popleft()
+                nodes[old.node] -= 1
+                if not nodes[old.node]:
+                    del nodes[old.node]
+            if len(nodes) / expected > most / chance:
+                most, chance = len(nodes), expected
+    return most, chance
+
+
+def unused(visits: Sequence[Visit], lives: Sequence[Life], since: int, until: int) -> tuple[float, float]:
+    """The longest time (s) that a fit server got nothing while others queued, and what chance gives it.
+
+    Only time counts in which a request beyond one a server waited elsewhere. By chance the longest gap of a
+    Poisson stream of its share of requests is ln(n) mean gaps; a server's share is that of its capacity.
+    """
+    counts = _Counts(visits)
+    queued: list[int] = []  # moments at which something waited
+    for at in range(since, until, STEP):
+        counts.advance(at)
+        if any(waits > 1 for waits in counts.waiting.values()):
+            queued.append(at)
+    came = [v for v in visits if v.runs and since <= v.at < until]
+    arrivals: dict[str, list[int]] = defaultdict(list)
+    for v in came:
+        arrivals[v.server].append(v.at)
+    total = sum(life.capacity for life in lives)
+    worst, chance = 0.0, 0.0
+    for life in lives:
+        rate = len(came) * life.capacity / total / ((until - since) / SECOND)
+        for begin, end in life.fit:
+            begin, end = max(begin, since), min(end, until)
+            if end <= begin or not rate:
+                continue
+            marks = [begin, *(at for at in sorted(arrivals[life.name]) if begin < at < end), end]
+            usual = max(1.0, log(max(2.0, rate * (end - begin) / SECOND * len(lives)))) / rate
+            for one, other in pairwise(marks):
+                gap = (bisect_left(queued, other) - bisect_right(queued, one)) * STEP / SECOND
+                if chance == 0.0 or gap / usual > worst / chance:
+                    worst, chance = gap, usual
+    return worst, chance
+
+
+def evenness(visits: Sequence[Visit], lives: Sequence[Life], since: int, until: int) -> Evenness:
+    """All figures between two moments."""
+    series = idle_series(visits, lives, since, until)
+    most, chance = herd(visits, lives, since, until)
+    gap, usual = unused(visits, lives, since, until)
+    return Evenness(
+        sum(part for _, part in series) / len(series) if series else 0.0,
+        spread(visits, lives, since, until),
+        spread(visits, lives, since, until, until - since),
+        most,
+        chance,
+        gap,
+        usual,
+    )
+
+
+def share_time(
+    visits: Iterable[Visit],
+    life: Life,
+    up: int,
+    until: int,
+    share: float,
+    warmth: Mapping[int, float] | None = None,
+    span: int = 2 * SECOND,
+) -> float | None:
+    """Seconds from a server's start until it gets half of its share; None: never before `until`.
+
+    share: requests a second that its capacity stands for when warm; warmth: the part of it, by whole second
+    of its age. A span counts as served with half of what is expected, less two deviations of the count.
+    """
+    came = sorted(v.at for v in visits if v.server == life.name and v.runs and up <= v.at < until)
+    for begin in range(up, until - span + 1, STEP):
+        age = (begin - up) // SECOND
+        part = 1.0 if warmth is None else warmth.get(age, 1.0)
+        expected = share * part * span / SECOND
+        wanted = max(1.0, 0.5 * expected - 2.0 * sqrt(0.5 * expected))
+        if bisect_left(came, begin + span) - bisect_left(came, begin) >= wanted:
+            return (begin - up) / SECOND
+    return None
+
+
+def settle_time(
+    series: Sequence[tuple[int, float]],
+    before: float,
+    since: int,
+    span: int = 2 * SECOND,
+    margin: float = 0.03,
+) -> float | None:
+    """Seconds from a moment until a span begins in which the mean is as before, within a margin; None: never.
+
+    series: as idle_series gives it; before: its mean in sound times.
+    """
+    times = [at for at, _ in series]
+    sums = [0.0]
+    for _, part in series:
+        sums.append(sums[-1] + part)
+    limit = max(1.25 * before, before + margin)
+    for n in range(bisect_left(times, since), len(times)):
+        end = bisect_left(times, times[n] + span)
+        if end >= len(times) and times[-1] + STEP < times[n] + span:
+            return None
+        if (sums[end] - sums[n]) / (end - n) <= limit:
+            return (times[n] - since) / SECOND
+    return None
--- /dev/null
+++ b/tier/plan.py
@@ -0,0 +1,344 @@
+"""A plan of a run: who is there, what load comes, which faults happen when, and what must hold.
+
+Typed by msgspec, read with all problems at once (routing/forms.py), then checked for its meaning here: groups
+that exist, faults that end within the run, links that the rig has, as many processes as the machine bears.
+Durations are nanoseconds. Source of the form: docs/MAINTAINERS-tier.md.
+"""
+
+from __future__ import annotations
+
+import difflib
+import os
+import random
+import resource
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+
+from routing.forms import Duration, Table, read_tables
+from routing.problems import OperatorError, Problem
+
+from .evenness import FIGURES
+from .links import State
+
+__all__ = ["Fault", "Plan", "compile_plan", "members", "refuse_too_large"]
+
+SECOND = 1_000_000_000
+Count = Annotated[int, msgspec.Meta(ge=1, le=2000)]
+Part = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Moment = Annotated[int, msgspec.Meta(ge=0, le=3600 * SECOND, extra={"parse": "duration"})]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z][a-z0-9-]{0,31}$")]
+
+# What one process of each sort takes: MiB of memory of its own, measured on a node after 20 s, and so much
+# that a machine with less is told before the start.
+NODE_MB, WORKER_MB, BASE_MB = 20, 60, 300
+# Descriptors of the rig's own that one server connection and one node take.
+WHO = ("nodes", "servers", "clients", "discovery")
+LINKS = (("nodes", "servers"), ("nodes", "discovery"), ("clients", "nodes"))
+PROCESS_KINDS = ("kill", "stop", "restart", "starve", "few-files")
+SERVER_KINDS = ("crash", "slow", "fail", "drain", "absent")
+LINK_KINDS = ("cut", "lose-up", "lose-down", "hold", "lag", "throttle", "reset")
+LIST_KINDS = ("lists-late",)
+
+
+class RunTable(Table, frozen=True):
+    """How long, how large, how much."""
+
+    seconds: Duration = 20 * SECOND
+    warm: Duration = 4 * SECOND  # before this nothing is counted
+    nodes: Count = 40
+    configured: Count | None = None  # the number of nodes that their settings tell; None: the true one
+    servers: Count = 24
+    zones: Annotated[int, msgspec.Meta(ge=1, le=8)] = 1
+    load: Annotated[float, msgspec.Meta(gt=0, le=5)] = 0.7  # of what all servers can do when warm
+    list_every: Duration = SECOND
+    retries: Part = 0.0
+    uneven: Annotated[float, msgspec.Meta(ge=1, le=100)] = (
+        1.0  # so many times the mean goes to the first node
+    )
+    connections: Annotated[int, msgspec.Meta(ge=4, le=4000)] = 400  # that one server holds
+    sockets: Annotated[int, msgspec.Meta(ge=192, le=65536)] = 512  # of one node
+    # Where the clients of a node that refuses connections go: to any other, or all to its neighbour.
+    move: Literal["any", "neighbour"] = "any"
+    start_late: Moment = 0  # the last node to start begins so much later than the first
+
+
+class RigTable(Table, frozen=True):
+    """Processes beside the nodes, and when the rig is not to be trusted."""
+
+    server_processes: Annotated[int, msgspec.Meta(ge=1, le=16)] = 2
+    client_processes: Annotated[int, msgspec.Meta(ge=1, le=16)] = 2
+    late: Duration = 40_000_000  # a beat later than this counts
+    late_part: Part = 0.02  # of all beats of one process that may
+    starved_part: Part = 0.15  # of a process's time that it may be ready without a core
+
+
+class GroupTable(Table, frozen=True):
+    """Some nodes or servers: those from one part of their order to another."""
+
+    all_or_nothing = True
+
+    of: Literal["nodes", "servers"]
+    begin: Part = 0.0
+    end: Part = 1.0
+    drawn: bool = False  # drawn by the run's seed, not in order
+
+
+class FaultTable(Table, frozen=True):
+    """One fault: what, on whom or between whom, from when, for how long."""
+
+    all_or_nothing = True
+
+    kind: Annotated[str, msgspec.Meta(max_length=32)]
+    at: Moment
+    lasts: Moment = 0
+    on: str = ""
+    between: Annotated[list[str], msgspec.Meta(min_length=2, max_length=2)] | None = None
+    by: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+
+
+class PlanFile(Table, frozen=True):
+    """The whole file."""
+
+    run: RunTable = RunTable()
+    rig: RigTable = RigTable()
+    group: dict[str, GroupTable] = msgspec.field(default_factory=dict)
+    faults: list[FaultTable] = msgspec.field(default_factory=list, name="fault")
+    most: dict[str, float] = msgspec.field(default_factory=dict)
+
+
+class Fault(msgspec.Struct, frozen=True):
+    """A fault with its members by name. Times in ns from the run's start; state: of the links, if any."""
+
+    kind: str
+    at: int
+    until: int
+    nodes: tuple[str, ...]
+    servers: tuple[str, ...]
+    link: str  # "", or one of nodes-servers, nodes-discovery, clients-nodes
+    state: State
+    by: float
+
+    def __str__(self) -> str:
+        whom = f"{len(self.nodes)} nodes" if self.nodes else ""
+        if self.servers:
+            whom = f"{whom} and {len(self.servers)} servers" if whom else f"{len(self.servers)} servers"
+        return f"{self.kind} {self.link + ' of ' if self.link else ''}{whom}"
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """A plan that holds, for one seed."""
+
+    name: str
+    seed: int
+    run: RunTable
+    rig: RigTable
+    nodes: tuple[str, ...]
+    servers: tuple[str, ...]
+    faults: tuple[Fault, ...]
+    most: dict[str, float]
+
+    @property
+    def sides(self) -> dict[str, int]:
+        """For each node the number of its side: nodes that the faults between nodes and servers treat alike.
+
+        A server listens once for each side, so that what happens to one does not happen to another.
+        """
+        touched = [set(f.nodes) for f in self.faults if f.link == "nodes-servers"]
+        known: dict[tuple[bool, ...], int] = {}
+        return {
+            node: known.setdefault(tuple(node in nodes for nodes in touched), len(known))
+            for node in self.nodes
+        }
+
+
+def members(names: tuple[str, ...], group: GroupTable, seed: int, label: str) -> tuple[str, ...]:
+    """The names of a group; at least one where its part is not empty."""
+    order = list(names)
+    if group.drawn:
+        random.Random(f"{seed} {label}").shuffle(order)
+    begin, end = round(group.begin * len(order)), round(group.end * len(order))
+    if group.end > group.begin:
+        end = max(end, begin + 1)
+    return tuple(sorted(order[begin:end]))
+
+
+def _near(word: str, known: Iterable[str]) -> str:
+    found = difflib.get_close_matches(word, list(known), n=1, cutoff=0.0)
+    return f"; the nearest known one is {found[0]!r}" if found else ""
+
+
+_STATES: dict[str, Callable[[float], State]] = {
+    "cut": lambda by: State(cut=True),
+    "lose-up": lambda by: State(lost_up=True),
+    "lose-down": lambda by: State(lost_down=True),
+    "hold": lambda by: State(hold=True),
+    "lag": lambda by: State(lag=min(by, 60.0)),
+    "throttle": lambda by: State(rate=by),
+    "reset": lambda by: State(reset=True),
+}
+# What `by` must be, for the kinds that need it.
+_BY = {
+    "lag": (1e-4, 60.0, "seconds of delay"),
+    "throttle": (1.0, 1e6, "bytes a second"),
+    "starve": (0.01, 0.95, "the part of the time that the process is stopped"),
+    "few-files": (48.0, 65536.0, "descriptors that the process may have"),
+    "slow": (1.01, 1000.0, "so many times the work"),
+    "fail": (0.01, 1.0, "the part of requests that fail"),
+    "lists-late": (0.1, 60.0, "seconds that lists come later"),
+}
+
+
+def compile_plan(text: str | bytes, file: str, seed: int = 1, nodes: int = 0, load: float = 0.0) -> Plan:
+    """The plan of a file for one seed; nodes and load: in place of the file's own.
+
+    OperatorError: all that does not hold, each with table, key, value and reason.
+    """
+    tables, problems = read_tables(PlanFile, text, file)
+    run = tables.run
+    if nodes:
+        run = msgspec.structs.replace(run, nodes=nodes, configured=run.configured and nodes)
+    if load:
+        run = msgspec.structs.replace(run, load=load)
+    if run.warm >= run.seconds:
+        problems.append(Problem("run", "warm", run.warm, f"is not before the end ({run.seconds} ns)"))
+    names = {
+        "nodes": tuple(f"n{n:03d}" for n in range(run.nodes)),
+        "servers": tuple(f"s-{n:03d}" for n in range(run.servers)),
+    }
+    groups: dict[str, tuple[str, tuple[str, ...]]] = {who: (who, names[who]) for who in names}
+    groups |= {"clients": ("clients", ()), "discovery": ("discovery", ())}
+    for label, group in tables.group.items():
+        if label in WHO:
+            problems.append(Problem("group", label, None, "is a name that stands for all of them"))
+        elif group.end <= group.begin:
+            problems.append(
+                Problem(f"group.{label}", "end", group.end, f"is not above begin ({group.begin})")
+            )
+        else:
+            groups[label] = (group.of, members(names[group.of], group, seed, label))
+    faults = []
+    for number, table in enumerate(tables.faults, 1):
+        fault = _fault(table, f"fault {number}", run, groups, problems)
+        if fault is not None:
+            faults.append(fault)
+    _clash(faults, problems)
+    for figure, value in tables.most.items():
+        if figure not in FIGURES:
+            problems.append(Problem("most", figure, value, f"unknown figure{_near(figure, FIGURES)}"))
+    if problems:
+        raise OperatorError(file, problems)
+    return Plan(
+        Path(file).stem, seed, run, tables.rig, names["nodes"], names["servers"], tuple(faults), tables.most
+    )
+
+
+def _fault(
+    table: FaultTable,
+    at: str,
+    run: RunTable,
+    groups: dict[str, tuple[str, tuple[str, ...]]],
+    problems: list[Problem],
+) -> Fault | None:
+    known = len(problems)
+    kinds = (*PROCESS_KINDS, *SERVER_KINDS, *LINK_KINDS, *LIST_KINDS)
+    kind = table.kind
+    if kind not in kinds:
+        problems.append(Problem(at, "kind", kind, f"unknown kind{_near(kind, kinds)}"))
+        return None
+    until = table.at + table.lasts
+    if until > run.seconds or table.at >= run.seconds:
+        reason = f"outlasts the run of {run.seconds / SECOND:g} s"
+        problems.append(Problem(at, "lasts" if table.at < run.seconds else "at", until / SECOND, reason))
+    if kind in _BY:
+        least, largest, what = _BY[kind]
+        if not least <= table.by <= largest:
+            problems.append(Problem(at, "by", table.by, f"must be from {least:g} to {largest:g}: {what}"))
+    elif table.by:
+        problems.append(Problem(at, "by", table.by, f"means nothing for {kind!r}"))
+    found: dict[str, tuple[str, ...]] = {}
+    link = ""
+    if kind in LINK_KINDS:
+        if table.on or table.between is None:
+            problems.append(Problem(at, "between", table.between, "a fault of a link names its two ends"))
+            return None
+        for name in table.between:
+            if name not in groups:
+                problems.append(Problem(at, "between", name, f"no such group{_near(name, groups)}"))
+        if len(problems) > known:
+            return None
+        ends = tuple(groups[name][0] for name in table.between)
+        if ends not in LINKS:
+            pairs = ", ".join("-".join(pair) for pair in LINKS)
+            problems.append(Problem(at, "between", table.between, f"no link of the rig: these are {pairs}"))
+            return None
+        link = "-".join(ends)
+        found = dict(groups[name] for name in table.between)
+        if not table.lasts:
+            problems.append(Problem(at, "lasts", None, "missing: a fault of a link has an end"))
+    else:
+        if table.between is not None:
+            problems.append(Problem(at, "between", table.between, f"means nothing for {kind!r}: use on"))
+        if table.on not in groups:
+            problems.append(Problem(at, "on", table.on, f"no such group{_near(table.on, groups)}"))
+            return None
+        wanted = "servers" if kind in SERVER_KINDS else "nodes"
+        who, names = groups[table.on]
+        if who != wanted:
+            problems.append(Problem(at, "on", table.on, f"holds {who}, and {kind!r} is for {wanted}"))
+        found = {who: names}
+        if not table.lasts and kind not in ("kill", "restart", "crash"):
+            problems.append(Problem(at, "lasts", None, "missing: this fault has an end"))
+    if len(problems) > known:
+        return None
+    state = _STATES[kind](table.by) if kind in _STATES else State()
+    return Fault(
+        kind, table.at, until, found.get("nodes", ()), found.get("servers", ()), link, state, table.by
+    )
+
+
+def _clash(faults: list[Fault], problems: list[Problem]) -> None:
+    """Two faults of one sort on one member at once would undo each other."""
+    for n, one in enumerate(faults):
+        for number, other in enumerate(faults[n + 1 :], n + 2):
+            if max(one.at, other.at) >= min(one.until, other.until) or one.link != other.link:
+                continue
+            both = set(one.nodes) & set(other.nodes) or set(one.servers) & set(other.servers)
+            if one.link == "nodes-servers":
+                both = set(one.nodes) & set(other.nodes)
+                both = both if set(one.servers) & set(other.servers) else set()
+            if both:
+                reason = f"at the same time as fault {n + 1} on {sorted(both)[0]}"
+                problems.append(Problem(f"fault {number}", "at", other.at / SECOND, reason))
+
+
+def refuse_too_large(plan: Plan, memory_mb: int | None = None, files: int | None = None) -> str | None:
+    """Why this machine cannot carry the plan, with the figures; None: it can, as far as can be told.
+
+    memory_mb: what is available, files: descriptors that one process may have; None: asked of the system.
+    """
+    if memory_mb is None:
+        memory_mb = _available_mb()
+    if files is None:
+        files = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    run, rig = plan.run, plan.rig
+    need = BASE_MB + NODE_MB * run.nodes + WORKER_MB * (rig.server_processes + rig.client_processes + 1)
+    if need > memory_mb:
+        return f"{run.nodes} nodes and the rig take {need} MiB of memory, {memory_mb} MiB are available"
+    sides = len(set(plan.sides.values()))
+    # A server process holds its servers' connections, up to what each takes, and one listener a side.
+    each = -(-run.servers // rig.server_processes)
+    connections = min(run.connections * each, run.nodes * each * 4)
+    need = max(connections + each * sides, 3 * run.nodes, run.sockets) + 64
+    if need > files:
+        return f"one process of the rig needs {need} descriptors, {files} are allowed"
+    return None
+
+
+def _available_mb() -> int:
+    for line in Path("/proc/meminfo").read_text().splitlines():
+        if line.startswith("MemAvailable:"):
+            return int(line.split()[1]) // 1024
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE") >> 20
--- /dev/null
+++ b/tier/planted.py
@@ -0,0 +1,73 @@
+"""Defects of balance that a run must be able to see, each planted in a node's process before it serves."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+from lynxrouter import choice
+from lynxrouter.records import Server
+
+__all__ = ["DEFECTS", "plant"]
+
+
+def _same_numbers() -> None:
+    """All nodes draw the same random numbers, and begin them anew with each request."""
+    old = choice.Choice.pick
+
+    def pick(self: choice.Choice, request: Any, now: int) -> Server | None:
+        self.random.seed(now // 1_000_000_000)
+        return old(self, request, now)
+
+    choice.Choice.pick = pick  # type: ignore[method-assign]
+
+
+def _least_loaded() -> None:
+    """Every node takes the server that the list tells to have the least in hand."""
+
+    def pick(self: choice.Choice, request: Any, now: int) -> Server | None:
+        fit = [s for s in self.roster.servers.values() if s.group is not None]
+        return min(fit, key=lambda s: (s.load, s.id)) if fit else None
+
+    choice.Choice.pick = pick  # type: ignore[method-assign]
+
+
+def _avoids_returned() -> None:
+    """A server that was started anew is never used again."""
+    old = choice.Choice.rebuild
+
+    def rebuild(self: choice.Choice, now: int) -> None:
+        for s in self.roster.servers.values():
+            if s.since:
+                s.paused_until = now + 3_600_000_000_000
+        old(self, now)
+
+    choice.Choice.rebuild = rebuild  # type: ignore[method-assign]
+
+
+def _few_for_all() -> None:
+    """Every node keeps to the first quarter of the servers."""
+    old = choice.Choice.pick
+
+    def pick(self: choice.Choice, request: Any, now: int) -> Server | None:
+        names = sorted(str(s) for s, server in self.roster.servers.items() if server.group is not None)
+        if not names:
+            return old(self, request, now)
+        few = names[: max(1, len(names) // 4)]
+        return self.roster.servers[random.choice(few)]
+
+    choice.Choice.pick = pick  # type: ignore[method-assign]
+
+
+DEFECTS: dict[str, Callable[[], None]] = {
+    "same-numbers": _same_numbers,
+    "least-loaded": _least_loaded,
+    "avoids-returned": _avoids_returned,
+    "few-for-all": _few_for_all,
+}
+
+
+def plant(name: str) -> None:
+    """Change this process as a defect says. KeyError: there is none of that name."""
+    DEFECTS[name]()
--- /dev/null
+++ b/tier/report.py
@@ -0,0 +1,267 @@
+"""What a run says: its figures, whether they hold, and as tables, JSON and a plot."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+from rich.table import Table
+
+from standins.ledger import Final
+
+from .evenness import FIGURES, evenness, idle_series, settle_time, share_time
+from .models import Played, drawn, one
+from .rig import Outcome
+
+__all__ = ["ClassFigures", "Report", "plot", "report_of", "tables"]
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class ClassFigures:
+    """One class of requests; times in ms, shares from 0 to 1."""
+
+    name: str
+    asked: int
+    served: int
+    refused: int
+    failed: int
+    excused: int
+    p50_ms: float
+    p99_ms: float
+    in_time: float  # worth that came in time, over worth asked for
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """All figures. beside: the same of the two models on the same arrivals; broken: bounds not held."""
+
+    name: str
+    seed: int
+    nodes: int
+    servers: int
+    load: float
+    figures: dict[str, float]
+    beside: dict[str, dict[str, float]]
+    classes: tuple[ClassFigures, ...]
+    rules: dict[str, int]
+    faults: tuple[str, ...]
+    excused: dict[str, int]
+    trusted: bool
+    reasons: tuple[str, ...]
+    broken: tuple[str, ...]
+    up_seconds: float
+    node_cpu: float
+    node_memory_mb: float
+    rig_cpu: float
+    series: tuple[tuple[float, float], ...]  # seconds, idle while queued, mean of half a second
+
+    @property
+    def exit_status(self) -> int:
+        """0 held, 1 a rule or a bound broken, 3 not to be trusted."""
+        return 3 if not self.trusted else 1 if self.broken or any(self.rules.values()) else 0
+
+    def as_json(self) -> dict[str, Any]:
+        """Everything, for a file; without figures where the run is not to be trusted."""
+        data = asdict(self)
+        if not self.trusted:
+            for key in ("figures", "beside", "classes", "series", "broken"):
+                data[key] = None
+        return data
+
+
+class _Times:
+    """Response times, to three figures."""
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(1, 120_000_000, 3)  # microseconds
+
+    def add(self, ns: int) -> None:
+        self.histogram.record_value(max(1, ns // 1000))
+
+    def ms(self, percentile: float) -> float:
+        return float(self.histogram.get_value_at_percentile(percentile)) / 1000
+
+
+def _model_figures(played: Played, aim_class: set[str], outcome: Outcome, since: int) -> dict[str, float]:
+    even = evenness(played.visits, outcome.books.lives, since, outcome.ended)
+    times = _Times()
+    for rid in aim_class:
+        if rid in played.took:
+            times.add(played.took[rid])
+    return {**even.figures(), "p99_ms": times.ms(99.0), "p50_ms": times.ms(50.0)}
+
+
+def report_of(outcome: Outcome) -> Report:
+    """Work out all figures of a run, between the end of its warm-up and its end."""
+    plan, books = outcome.plan, outcome.books
+    since = outcome.began + plan.run.warm
+    until = outcome.ended
+    counted = {rid: e for rid, e in books.ledger.requests.items() if since <= e.at < until}
+    rows, lost_worth = _classes(outcome, counted)
+    even = evenness(books.visits, books.lives, since, until)
+    classes = books.ledger.limits.classes
+    quick = min(range(len(classes)), key=lambda n: classes[n].aim)
+    aimed = {rid for rid, entry in counted.items() if entry.cls == quick}
+    beside = {
+        name: _model_figures(model(books.arrivals, books.lives, plan.seed), aimed, outcome, since)
+        for name, model in (("one", one), ("drawn", drawn))
+    }
+    figures = even.figures()
+    p99 = rows[quick].p99_ms
+    asked = max(1, len(counted))
+    figures |= {
+        "idle_over_floor": max(0.0, even.idle_while_queued - beside["one"]["idle_while_queued"]),
+        "lost_worth": lost_worth,
+        "refused": sum(row.refused for row in rows) / asked,
+        "failed": sum(row.failed - row.excused for row in rows) / asked,
+        "p99_ms": p99,
+        "p99_over_floor": p99 / beside["one"]["p99_ms"] if beside["one"]["p99_ms"] else 0.0,
+    }
+    series = idle_series(books.visits, books.lives, outcome.began, until)
+    figures |= _after_faults(outcome, series, len(books.arrivals))
+    broken = tuple(
+        f"{name}: {figures.get(name, float('inf')):.4g}, at most {most:g}"
+        for name, most in sorted(plan.most.items())
+        if not figures.get(name, float("inf")) <= most
+    )
+    return Report(
+        plan.name,
+        plan.seed,
+        plan.run.nodes,
+        plan.run.servers,
+        plan.run.load,
+        figures,
+        beside,
+        rows,
+        books.verdict.counts,
+        tuple(f"{f.rule}: {f.subject}: {f.reason}" for f in books.verdict.faults[:50]),
+        dict(books.excused),
+        bool(outcome.trust),
+        outcome.trust.reasons,
+        broken,
+        outcome.up_seconds,
+        outcome.node_cpu,
+        outcome.node_memory_mb,
+        outcome.rig_cpu,
+        tuple(_halves(series, outcome.began)),
+    )
+
+
+def _halves(series: list[tuple[int, float]], began: int) -> list[tuple[float, float]]:
+    of: dict[int, list[float]] = {}
+    for at, part in series:
+        of.setdefault((at - began) * 2 // SECOND, []).append(part)
+    return [(n / 2, sum(parts) / len(parts)) for n, parts in sorted(of.items())]
+
+
+def _classes(outcome: Outcome, counted: dict[str, Any]) -> tuple[tuple[ClassFigures, ...], float]:
+    rows = []
+    earned = asked = 0.0
+    for number, cls in enumerate(outcome.books.ledger.limits.classes):
+        mine = [entry for entry in counted.values() if entry.cls == number]
+        times = _Times()
+        ends: Counter[Final | None] = Counter()
+        in_time = 0
+        for entry in mine:
+            ends[entry.final] += 1
+            if entry.final is Final.SERVED:
+                times.add(entry.ended - entry.at)
+                in_time += entry.ended - entry.at <= cls.aim
+        earned += cls.worth * in_time
+        asked += cls.worth * len(mine)
+        rows.append(
+            ClassFigures(
+                cls.name,
+                len(mine),
+                ends[Final.SERVED],
+                ends[Final.REFUSED],
+                len(mine) - ends[Final.SERVED] - ends[Final.REFUSED],
+                sum(entry.excused for entry in mine),
+                times.ms(50.0),
+                times.ms(99.0),
+                in_time / len(mine) if mine else 1.0,
+            )
+        )
+    return tuple(rows), 1.0 - earned / asked if asked else 0.0
+
+
+def _after_faults(outcome: Outcome, series: list[tuple[int, float]], arrivals: int) -> dict[str, float]:
+    """How long until things were as before: after the first fault, and at servers that are new or back."""
+    plan, books = outcome.plan, outcome.books
+    found: dict[str, float] = {}
+    faults = [f for f in plan.faults if f.at > plan.run.warm]
+    if faults:
+        first = min(faults, key=lambda f: f.at)
+        before = [p for at, p in series if outcome.began + plan.run.warm <= at < outcome.began + first.at]
+        if before:
+            took = settle_time(series, sum(before) / len(before), outcome.began + first.at)
+            found["settle_s"] = took if took is not None else plan.run.seconds / SECOND
+    rate = arrivals / (plan.run.seconds / SECOND)
+    total = sum(life.capacity for life in books.lives)
+    times = []
+    limits = books.ledger.limits
+    for life in books.lives:
+        for start in books.ledger.starts.get(life.name, ()):
+            if start.cold and start.at < outcome.ended:
+                warmth = {s: start.warmth(start.at + s * SECOND, limits) for s in range(60)}
+                took = share_time(
+                    books.visits, life, start.at, outcome.ended, rate * life.capacity / total, warmth
+                )
+                times.append(took if took is not None else (outcome.ended - start.at) / SECOND)
+    if times:
+        found["share_s"] = max(times)
+    return found
+
+
+def tables(report: Report) -> list[Table]:
+    """Figures and classes, for a terminal."""
+    figures = Table(
+        title=f"{report.name}, seed {report.seed}: {report.nodes} nodes, {report.servers} servers"
+    )
+    for column in ("figure", "this tier", "one node that sees all", "drawn by capacity"):
+        figures.add_column(column, justify="left" if column == "figure" else "right")
+    for name in FIGURES:
+        if name in report.figures:
+            others = [report.beside[model].get(name) for model in ("one", "drawn")]
+            figures.add_row(
+                name, f"{report.figures[name]:.4g}", *("" if v is None else f"{v:.4g}" for v in others)
+            )
+    classes = Table(title="Requests")
+    for column in ("class", "asked", "served", "refused", "failed", "excused", "p50 ms", "p99 ms", "in time"):
+        classes.add_column(column, justify="left" if column == "class" else "right")
+    for row in report.classes:
+        classes.add_row(
+            row.name,
+            *(str(n) for n in (row.asked, row.served, row.refused, row.failed, row.excused)),
+            f"{row.p50_ms:.0f}",
+            f"{row.p99_ms:.0f}",
+            f"{row.in_time:.3f}",
+        )
+    return [figures, classes]
+
+
+def plot(report: Report, path: Path) -> None:
+    """Idle while queued over the run, as a PNG."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(9, 3.5))
+    axes.plot([at for at, _ in report.series], [part for _, part in report.series])
+    floor = report.beside["one"]["idle_while_queued"]
+    axes.axhline(floor, linestyle="--", color="grey", label="one node that sees all, mean")
+    axes.set_xlabel("s")
+    axes.set_ylabel("idle while queued")
+    axes.set_title(f"{report.name}: {report.nodes} nodes, {report.servers} servers, load {report.load:g}")
+    axes.set_ylim(bottom=0.0)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+    pyplot.close(figure)
--- /dev/null
+++ b/tier/roles.py
@@ -0,0 +1,479 @@
+"""What the processes of a run are: a node, some servers, the registry, some clients.
+
+A node is the real serve() with a port of the kernel's choice. The others do as the rig tells them
+(control.py), write what they see into their journals, and beat, so that the rig knows how late they were.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import random
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from elderscale.__main__ import serve
+from elderscale.config import load
+from lynxrouter import interface as api
+from standins.callers import Call, Callers, Line, Mix, starved
+from standins.fleet import Answering, Kind, ModelServer
+from standins.ledger import Asked, Final, Ledger, Limits, Start
+from standins.scene import CLASSES, SHARES, TENANTS, WORK, settings
+
+from . import planted
+from .control import answer_calls
+from .links import Door, Link, Linked, State
+from .records import (
+    Answered,
+    Arrived,
+    Beat,
+    Began,
+    Event,
+    Journal,
+    Left,
+    Posted,
+    ServerDown,
+    ServerUp,
+    Told,
+)
+from .records import Asked as AskedEvent
+from .registry import Registry, Seat
+
+__all__ = ["BEAT", "CONTROL", "limits_of_tier", "play", "words_of"]
+
+SECOND = 1_000_000_000
+CONTROL = "control.sock"
+# Seconds between two beats of a process.
+BEAT = 0.02
+
+
+def words_of(run: Any, node: int = 0) -> dict[str, Any]:
+    """The settings object of one node of a run (plan.RunTable)."""
+    zones = [f"z{n}" for n in range(run.zones)]
+    return settings(
+        run.configured or run.nodes,
+        me=node % (run.configured or run.nodes),
+        zones=zones,
+        **{"my-zone": node % run.zones},
+    )
+
+
+def limits_of_tier(run: Any) -> Limits:
+    """The rules' figures for a run."""
+    from elderscale.config import settings_of
+
+    return Limits.of(settings_of(words_of(run)))
+
+
+class _Recording(Ledger):
+    """A ledger that writes down what happens in this process, and keeps only what the writers need."""
+
+    def __init__(self, limits: Limits, journal: Journal) -> None:
+        super().__init__(limits)
+        self.journal = journal
+        self.loop = asyncio.get_running_loop()
+        self.due = False
+        self.firsts: dict[str, int] = {}
+        self.work = 0  # ns, of the request that is asked next
+
+    def write(self, event: Event) -> None:
+        """Write an event down within this turn of the loop."""
+        self.journal.write(event)
+        if not self.due:
+            self.due = True
+            self.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.due = False
+        self.journal.flush()
+
+    def asked(self, rid: str, cls: int, at: int, deadline: int, tenant: str = "") -> Asked:
+        self.write(AskedEvent(at, rid, cls, deadline, tenant, self.work))
+        return Asked(rid, cls, at, deadline, tenant)
+
+    def answered(
+        self, rid: str, final: Final, at: int, status: int = 0, retry_after: float | None = None
+    ) -> None:
+        now = time.monotonic_ns()
+        self.write(Answered(now, rid, final.value, status, retry_after, max(0, now - at)))
+
+    def started(self, server: str, at: int, capacity: float, cold: bool = True) -> Start:
+        self.write(ServerUp(at, server, capacity, 1, cold))
+        return Start(server, at, capacity, cold)
+
+    def first_byte(self, server: str, at: int, node: str = "") -> None:
+        self.firsts[server] = at
+
+    def arrived(self, rid: str, start: Start, at: int, zone: int, cell: int, work: int, runs: bool) -> None:
+        first = self.firsts.get(start.server, at)
+        self.write(Arrived(at, rid, start.server, first, work, zone, cell, runs))
+
+    def work_began(self, rid: str, start: Start, at: int) -> None:
+        self.write(Began(at, rid, start.server))
+
+    def work_ended(self, rid: str, start: Start, at: int, done: bool) -> None:
+        self.write(Left(at, rid, start.server, done))
+
+
+def play(role: str, name: str, folder: Path, words: dict[str, Any]) -> int:
+    """Be a process of the run until it ends; its exit status."""
+    logging.basicConfig(stream=sys.stderr, level=logging.WARNING, format="%(levelname)s %(message)s")
+    if role == "node":
+        return _node(name, folder, words)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_worker(role, name, folder, words))
+    return 0
+
+
+def _node(name: str, folder: Path, words: dict[str, Any]) -> int:
+    environ = {"BALANCER_CONFIG": str(folder / f"{name}.json"), "TMPDIR": str(folder)}
+    if words.get("operator"):
+        environ["HOLLYBAY_OPERATOR"] = words["operator"]
+    if words.get("defect"):
+        planted.plant(words["defect"])
+    line = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+
+    def started(port: int) -> None:
+        # The one line that says it is ready; its end, seen by the rig, that it is no more.
+        line.connect(str(folder / CONTROL))
+        line.sendall(msgspec.json.encode({"name": name, "port": port, "pid": os.getpid()}) + b"\n")
+
+    uvloop.run(serve(load(environ), environ, started=started, port=0))
+    return 0
+
+
+async def _worker(role: str, name: str, folder: Path, words: dict[str, Any]) -> None:
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: None)
+    journal = Journal(folder / f"{name}.journal")
+    limits = msgspec.convert(words["limits"], Limits)
+    books = _Recording(limits, journal)
+    teller: list[Callable[[dict[str, Any]], None]] = []
+
+    def tell(**message: Any) -> None:
+        teller[0](message)
+
+    player = _ROLES[role](name, books, words, tell)
+    beating = asyncio.get_running_loop().create_task(_beat(name, books))
+    await answer_calls(folder / CONTROL, {"name": name, "pid": os.getpid()}, player, teller)
+    beating.cancel()
+    journal.close()
+
+
+async def _beat(name: str, books: _Recording) -> None:
+    loop = asyncio.get_running_loop()
+    waited = starved()
+    due = loop.time() + BEAT
+    while True:
+        await asyncio.sleep(due - loop.time())
+        late = max(0.0, loop.time() - due)
+        known, waited = waited, starved()
+        books.write(Beat(time.monotonic_ns(), name, int(late * SECOND), max(0, waited - known)))
+        due = max(due + BEAT, loop.time() + BEAT / 2)
+
+
+class _Player:
+    """Answers the rig's calls by its methods named do_*."""
+
+    def __init__(
+        self, name: str, books: _Recording, words: dict[str, Any], tell: Callable[..., None]
+    ) -> None:
+        self.name = name
+        self.books = books
+        self.words = words
+        self.tell = tell
+        self.loop = asyncio.get_running_loop()
+
+    async def __call__(self, message: dict[str, Any]) -> Any:
+        method: Callable[..., Awaitable[Any]] = getattr(self, f"do_{message['do']}")
+        words = {key: value for key, value in message.items() if key not in ("do", "id")}
+        return await method(**words)
+
+
+# Servers
+
+
+def _work_of(target: bytes, chance: random.Random) -> float:
+    """Seconds of work that its client put into the target; the usual draw for others."""
+    _, _, value = target.partition(b"?w=")
+    return int(value) / 1e6 if value.isdigit() else 0.05
+
+
+class _Server(ModelServer):
+    """A server with a door for each side of the tier, and faults by word."""
+
+    def __init__(self, sides: int, books: _Recording, **words: Any) -> None:
+        super().__init__(ledger=books, work_of=_work_of, **words)
+        self.nominal = self.kind
+        self.links = [Link() for _ in range(sides)]
+        self.gates = [Door(link, self.connection) for link in self.links]
+        self.failing = 0.0
+        self.chance = random.Random(f"fail {self.name}")
+        self.script = self._script
+
+    async def listen(self) -> None:
+        for gate in self.gates:
+            gate.open()
+        self.port = self.gates[0].port
+        self.address = f"127.0.0.1:{self.port}"
+
+    def shut(self) -> None:
+        for gate in self.gates:
+            gate.close()
+
+    def slowed(self, times: float) -> None:
+        """Work takes so many times as long, and no list tells of it."""
+        self.kind = replace(self.nominal, speed=self.nominal.speed / times)
+
+    def _script(self, rid: str, target: bytes) -> Answering:
+        failed = self.failing > 0.0 and self.chance.random() < self.failing
+        return Answering(500) if failed else Answering()
+
+    def row(self) -> dict[str, object]:
+        """Its line of the list, with an address for each side."""
+        line = self.line()
+        held = len(self.running) + len(self.waiting)
+        line["weight"] = round(self.nominal.capacity / (1 + held), 3)
+        line["addrs"] = [f"127.0.0.1:{gate.port}" for gate in self.gates]
+        return line
+
+
+class _Servers(_Player):
+    """Some of the servers."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.servers: dict[str, _Server] = {}
+
+    async def do_open(self, servers: list[dict[str, Any]], sides: int, away: list[str]) -> Any:
+        """Make and start servers; those that are away have a port and are not up."""
+        for words in servers:
+            kind = Kind(**words.pop("kind"))
+            server = _Server(sides, self.books, kind=kind, **words)
+            self.servers[server.name] = server
+            await server.start()
+            if server.name in away:
+                await self.do_crash([server.name])
+        return await self.do_rows()
+
+    async def do_rows(self) -> Any:
+        """The lines of those that are up."""
+        return {name: server.row() for name, server in self.servers.items() if server.up}
+
+    async def do_crash(self, names: list[str]) -> None:
+        for name in names:
+            if self.servers[name].up:
+                self.servers[name].crash()
+                self.books.write(ServerDown(time.monotonic_ns(), name))
+
+    async def do_back(self, names: list[str]) -> None:
+        for name in names:
+            if not self.servers[name].up:
+                await self.servers[name].start(cold=True)
+
+    async def do_slow(self, names: list[str], by: float) -> None:
+        for name in names:
+            self.servers[name].slowed(by)
+
+    async def do_fail(self, names: list[str], by: float) -> None:
+        for name in names:
+            self.servers[name].failing = by
+
+    async def do_state(self, names: list[str], state: str) -> None:
+        for name in names:
+            self.servers[name].state = state
+
+    async def do_link(self, names: list[str], sides: list[int], state: dict[str, Any]) -> None:
+        for name in names:
+            if name in self.servers:
+                for side in sides:
+                    self.servers[name].links[side].put(msgspec.convert(state, State))
+
+
+# The registry
+
+
+class _Discovery(_Player):
+    """The registry of all nodes."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.heard: set[str] = set()
+        self.registry = Registry(self._told, self._heard)
+
+    def _told(self, node: str, server: str, ready: bool) -> None:
+        self.books.write(Told(time.monotonic_ns(), node, server, ready))
+
+    def _heard(self, node: str) -> None:
+        if node not in self.heard:
+            self.heard.add(node)
+            self.tell(event="heard", node=node)
+
+    async def do_open(self, nodes: dict[str, int]) -> Any:
+        """A port for each node, given its side."""
+        return {name: Seat(self.registry, name, side).door.open() for name, side in nodes.items()}
+
+    async def do_publish(self, lines: dict[str, dict[str, Any]]) -> None:
+        self.registry.publish(lines)
+
+    async def do_anew(self, names: list[str]) -> None:
+        """These nodes have ended: what they were told is gone."""
+        for name in names:
+            self.heard.discard(name)
+            self.registry.seats[name].begins_anew()
+
+    async def do_late(self, names: list[str], by: float) -> None:
+        for name in names:
+            self.registry.seats[name].lag = by
+
+    async def do_link(self, names: list[str], state: dict[str, Any]) -> None:
+        for name in names:
+            self.registry.seats[name].link.put(msgspec.convert(state, State))
+
+
+# Clients
+
+
+class _Callers(Callers):
+    """Clients of a whole tier: each request to a node drawn by its share of the traffic.
+
+    A node that refuses a connection is left for a while; a request whose bytes went nowhere yet goes on to
+    another. What broke off on a connection that was used before goes on only where that is harmless.
+    """
+
+    LEFT_FOR = 1.0  # s
+    ANEW = 6  # nodes that a request tries to reach
+
+    def __init__(self, books: _Recording, shares: dict[str, float], move: str, **words: Any) -> None:
+        super().__init__(ledger=books, ports=[0], **words)
+        self.books = books
+        self.shares = shares
+        self.names = list(shares)
+        self.neighbour = move == "neighbour"
+        self.port_of: dict[str, int] = {}
+        self.node_of: dict[int, str] = {}
+        self.links = {name: Link() for name in shares}
+        self.left: dict[str, float] = {}
+        self.reached: dict[str, int] = {}
+
+    def ask(self, mix: Mix, repeat: bool = False) -> Asked:
+        self.books.work = 1000 * int(mix.target.partition(b"?w=")[2])
+        return super().ask(mix, repeat)
+
+    def ports_are(self, ports: dict[str, int]) -> None:
+        """Where nodes listen now."""
+        for name, port in ports.items():
+            self.port_of[name] = port
+            self.node_of[port] = name
+            self.left.pop(name, None)
+
+    def _draw(self) -> Mix:
+        mix = super()._draw()
+        mean = WORK[CLASSES[mix.cls]["name"]]
+        work = int(1e6 * mean * self.random.uniform(0.7, 1.3))
+        return replace(mix, target=b"%s?w=%d" % (mix.target, work))
+
+    def node(self) -> str:
+        """The node of the next request."""
+        name = self.random.choices(self.names, list(self.shares.values()))[0]
+        now = self.loop.time()
+        if self.left.get(name, 0.0) <= now:
+            return name
+        if self.neighbour:
+            at = self.names.index(name)
+            ring = self.names[at:] + self.names[:at]
+        else:
+            ring = self.random.sample(self.names, len(self.names))
+        return next((other for other in ring if self.left.get(other, 0.0) <= now), name)
+
+    def _send(self, call: Call, port: int) -> None:
+        super()._send(call, self.port_of[self.node()])
+
+    def _open_anew(self, call: Call, port: int) -> None:
+        super()._open_anew(call, port or self.port_of[self.node()])
+
+    async def _open(self, call: Call, port: int) -> None:
+        for _ in range(self.ANEW):
+            name = self.node_of[port]
+            link = self.links[name]
+            if link.state.cut or link.state.lost_up or link.state.lost_down:
+                # A connect into a cut link gets no answer; clients here wait a second for one.
+                await asyncio.sleep(1.0)
+            else:
+                try:
+                    await self.loop.create_connection(
+                        lambda link=link, port=port: Linked(link, Line(self, call, port)),  # type: ignore[misc]
+                        "127.0.0.1",
+                        port,
+                    )
+                    return
+                except OSError:
+                    pass
+            if call.timer is None:
+                return
+            self.left[name] = self.loop.time() + self.LEFT_FOR
+            port = self.port_of[self.node()]
+        self._end(call, Final.BROKEN)
+
+    def posted(self, call: Call, port: int) -> None:
+        self.books.write(Posted(time.monotonic_ns(), call.entry.id, self.node_of[port], call.fresh))
+
+    def broke(self, call: Call, part: bytes) -> None:
+        safe = self.ledger.limits.classes[call.entry.cls].effect == api.Effect.SAFE
+        if not call.fresh and not part and safe:
+            self._open_anew(call, 0)
+            return
+        self._end(call, Final.BROKEN)
+
+
+class _Clients(_Player):
+    """Some of the clients."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        words = self.words
+        for name in words["servers"]:
+            self.books.starts[name] = []
+        mixes = [
+            Mix(n, b"/%s/halls/1" % c["name"].encode(), SHARES[c["name"]], TENANTS)
+            for n, c in enumerate(CLASSES)
+        ]
+        self.callers = _Callers(
+            self.books,
+            words["shares"],
+            words["move"],
+            mixes=mixes,
+            rate=words["rate"],
+            seed=words["seed"],
+            retries=words["retries"],
+            prefix=self.name,
+        )
+
+    async def do_ports(self, ports: dict[str, int]) -> None:
+        self.callers.ports_are(ports)
+
+    async def do_run(self, at: int, seconds: float) -> Any:
+        """Send from a moment (ns) on; answered when the last request has ended."""
+        await asyncio.sleep(max(0.0, (at - time.monotonic_ns()) / SECOND))
+        await self.callers.run(seconds)
+        return self.callers.sent
+
+    async def do_link(self, names: list[str], state: dict[str, Any]) -> None:
+        for name in names:
+            self.callers.links[name].put(msgspec.convert(state, State))
+
+
+_ROLES: dict[str, Callable[..., _Player]] = {
+    "servers": _Servers,
+    "registry": _Discovery,
+    "clients": _Clients,
+}
--- /dev/null
+++ b/tier/trust.py
@@ -0,0 +1,84 @@
+"""Whether the rig itself was late or starved of CPU: then a run says nothing of what it was to measure."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from .records import Beat
+
+__all__ = ["Carried", "Trust", "judge"]
+
+SECOND = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Carried:
+    """One process of the rig: its latest beat (ns), the part of its beats that were too late, and the part of
+    its time that it was ready and had no core."""
+
+    process: str
+    worst: int
+    late_part: float
+    starved_part: float
+
+
+@dataclass(frozen=True, slots=True)
+class Trust:
+    """The verdict; reasons: why the run is not to be trusted, none if it is."""
+
+    processes: tuple[Carried, ...]
+    nodes_starved: float  # mean part of the nodes' time that they were ready without a core
+    reasons: tuple[str, ...]
+
+    def __bool__(self) -> bool:
+        return not self.reasons
+
+
+def judge(
+    beats: Iterable[Beat],
+    expected: Iterable[str],
+    since: int,
+    until: int,
+    late: int,
+    late_part: float,
+    starved_part: float,
+    nodes_starved: Mapping[str, float],
+) -> Trust:
+    """Judge the beats between two moments (ns).
+
+    expected: the processes that must have beaten; nodes_starved: by node, the part of its time without a
+    core, of nodes that no fault touched. A process that beat for less than half of the time is not trusted.
+    """
+    of: dict[str, list[Beat]] = defaultdict(list)
+    for beat in beats:
+        if since <= beat.at <= until:
+            of[beat.process].append(beat)
+    reasons = []
+    processes = []
+    for name in sorted(expected):
+        mine = of.get(name, [])
+        # The time that its beats tell of: the gap before each is its own lateness and the pause between.
+        span = mine[-1].at - mine[0].at if len(mine) > 1 else 0
+        if span < (until - since) / 2:
+            reasons.append(f"{name}: beats of {span / SECOND:.1f} s of {(until - since) / SECOND:.1f} s")
+            continue
+        carried = Carried(
+            name,
+            max(beat.late for beat in mine),
+            sum(beat.late > late for beat in mine) / len(mine),
+            sum(beat.starved for beat in mine[1:]) / span,
+        )
+        processes.append(carried)
+        if carried.late_part > late_part:
+            reasons.append(
+                f"{name}: {100 * carried.late_part:.1f} % of its beats came over {late / 1e6:.0f} ms late, "
+                f"the worst {carried.worst / 1e6:.0f} ms"
+            )
+        if carried.starved_part > starved_part:
+            reasons.append(f"{name}: {100 * carried.starved_part:.1f} % of its time without a core")
+    mean = sum(nodes_starved.values()) / len(nodes_starved) if nodes_starved else 0.0
+    if mean > starved_part:
+        reasons.append(f"nodes: {100 * mean:.1f} % of their time without a core")
+    return Trust(tuple(processes), mean, tuple(reasons))
