Shares follow who is really there; nodes may tell one another what they have at servers

Need: even load over hundreds of nodes that each see little of it.

Seen, 24 servers, load 0.7, idle while queued: true number of nodes 0.13 to 0.17 at 40, 0.26 at 200 (a draw by capacity: 0.27); the number in the settings three times too large 0.248, too small 0.356. Refused without any fault: 2.6 % at 40 nodes and 2.7 % at 200.

Owners and cold parts divide by settings.nodes (choice._index). Pressure.wait takes one request that is out, at 1.2 a second, for a wait of 800 ms (fleet/pressure.py).

Change. fleet/census.py: a node's share of all traffic, from the rates that servers tell, taken once it is off by more than twice for 3 s. Pressure: what is usual stands beside what is out where usually less than one is. peers/, elderscale/peers.py and [peers] in the operator file: datagrams of whole states between nodes; then idle is idle for all. fleet/worth.py: dealing by worth, moved out of admission.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -24,6 +24,7 @@
     from .desk import Desk
     from .handover import Place
     from .operator import Operator
+    from .peers import Peers
 
 log = logging.getLogger("elderscale")
 
@@ -103,6 +104,7 @@
     if operator is not None:
         clients.gate = operator.gate
     assembled(clients, node, discovery)
+    peers = talking(config, operator, node)
     desk, place = await operated(config, clients, node)
     beside = place.others() if place is not None else 0
     discovery.start()
@@ -127,11 +129,27 @@
     await drain(clients, node, place=place)
     if desk is not None:
         desk.close()
+    if peers is not None:
+        peers.close()
     if operator is not None:
         await operator.close()
     await discovery.close()
 
 
+def talking(config: Config, operator: Operator | None, node: Node) -> Peers | None:
+    """The node's word with the others, where its operator file asks for it; ConfigError if it cannot be."""
+    table = operator.gate.plan.peers if operator is not None else None
+    if table is None:
+        return None
+    from .peers import Peers, addresses
+
+    listen, known = addresses(config.peers, config.settings.nodes)
+    peers = Peers(node, listen, known, table.every, table.forget)
+    node.peers = peers
+    peers.listed(node.balancer.servers)
+    return peers
+
+
 async def operated(config: Config, clients: Clients, node: Node) -> tuple[Desk | None, Place | None]:
     """The operators' desk with its door open, and this process's place among those of its node; None for
     both where the configuration has no address for operators."""
--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -5,7 +5,7 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from lynxrouter.interface import ListKind, Server, ServerList, Settings, State
@@ -126,6 +126,8 @@
     names: Names
     known: Listing | None
     admin: tuple[str, int] | None = None  # where operators call; None: nowhere
+    # As they stand in the file, read only where an operator file asks for it.
+    peers: Mapping[str, object] = field(default_factory=dict)
     scratch: str = ""  # a folder that this node's processes share while one takes over from another
 
 
@@ -194,6 +196,7 @@
         names=names,
         known=known,
         admin=admin,
+        peers={key: data.get(key) for key in ("peers", "peer_listen")},
         scratch=environ.get("TMPDIR", ""),
     )
 
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from lynxrouter import Balancer
@@ -31,6 +31,15 @@
     def fetch(self) -> None: ...
 
 
+class Saying(Protocol):
+    """What nodes tell one another, as this one needs it."""
+
+    def began(self, server: api.ServerId) -> None: ...
+    def ended(self, server: api.ServerId) -> None: ...
+    def listed(self, servers: Iterable[api.ServerId]) -> None: ...
+    def look(self) -> None: ...
+
+
 class Open:
     """A request that is owed an answer, or whose attempts are still out."""
 
@@ -59,6 +68,8 @@
         self.tally = Tally(len(settings.classes))
         # What operators lay over discovery's lists, where they can.
         self.overlay: Callable[[Listing], Listing] | None = None
+        # What other nodes are told of this one's attempts, and tell of theirs, where they may.
+        self.peers: Saying | None = None
         self.loop = asyncio.get_running_loop()
         self.now = system.monotonic_ns()  # as the module last heard it
         self.balancer = Balancer(settings, seed, self.now)
@@ -108,6 +119,8 @@
         """Put a list in force: for the pools and for the module."""
         self.servers.apply(listing)
         self.feed(listing.servers)
+        if self.peers is not None:
+            self.peers.listed(self.balancer.servers)
 
     def asking_failed(self) -> None:
         """A watch or a call that the module asked for has failed."""
@@ -136,6 +149,8 @@
         self.requests[rid] = request
         self.owed += 1
         self._expires_in(request, time_left)
+        if self.peers is not None:
+            self.peers.look()
         self.feed(api.Request(rid, cls, time_left, tenant, key, cost, repeat, waited, limits, room, sending))
         return rid
 
@@ -234,6 +249,8 @@
         request.out += 1
         if action.timeout:
             attempt.timer = self.loop.call_later(action.timeout / 1e9, attempt.end, api.Result.TIMEOUT)
+        if self.peers is not None:
+            self.peers.began(attempt.server)
         self.servers.send(attempt)
 
     def _cancel(self, action: api.Cancel) -> None:
@@ -339,6 +356,8 @@
         result = attempt.result
         assert result is not None
         request.out -= 1
+        if self.peers is not None:
+            self.peers.ended(attempt.server)
         if not request.done:
             client = request.client
             if request.stream is attempt:
--- a/elderscale/operator.py
+++ b/elderscale/operator.py
@@ -104,6 +104,8 @@
                     # What nobody foresaw in a file costs this reload and nothing else.
                     log.exception("reload: %s cannot be read; the old one stays in force", self.path)
                 else:
+                    if plan.peers != self.gate.plan.peers:
+                        log.warning("reload: [peers] differs, which takes a restart")
                     self.gate.take_over(plan)
                     log.info("reload: %s: %d routes in force", self.path, len(plan.routes))
                 self.done += 1
--- a/fleet/__init__.py
+++ b/fleet/__init__.py
@@ -1,9 +1,14 @@
 """A node's part of what all nodes of a tier use together: pure, and known to each from what all are told."""
 
 from .calls import first_call, next_call
+from .census import Census
 from .pressure import Pressure
 from .reach import Reach
 from .shares import cold_gap, heed, place
 from .told import Failures
+from .worth import by_worth, deal
 
-__all__ = ["Failures", "Pressure", "Reach", "cold_gap", "first_call", "heed", "next_call", "place"]
+__all__ = [
+    "Census", "Failures", "Pressure", "Reach", "by_worth", "cold_gap", "deal", "first_call", "heed",
+    "next_call", "place",
+]  # fmt: skip
--- a/fleet/shares.py
+++ b/fleet/shares.py
@@ -30,12 +30,12 @@
     return (sum((other, n) < mine for n, other in enumerate(drawn)) + 0.5) / nodes
 
 
-def cold_gap(work: float, size: float, warmth: float, multiple: float, nodes: int) -> int:
+def cold_gap(work: float, size: float, warmth: float, multiple: float, nodes: float) -> int:
     """The time (ns) between two requests of one node to a server that is cold.
 
     work: ns that a request takes at size 1; size: the server's when warm; warmth: the share of it that it
-    has now, at the least; multiple: of the rule on cold servers. A part of less than one request becomes a
-    longer gap, never a request of each node.
+    has now, at the least; multiple: of the rule on cold servers; nodes: among how many it is
+    dealt. A part of less than one request becomes a longer gap, never a request of each node.
     """
     return int(work / size / (COLD_PART * multiple * warmth / nodes))
 
--- a/lynxrouter/admission.py
+++ b/lynxrouter/admission.py
@@ -5,7 +5,7 @@
 from math import inf
 from random import Random
 
-from fleet import Pressure
+from fleet import Pressure, by_worth, deal
 
 from .crossing import ahead
 from .interface import Request, Settings
@@ -22,8 +22,7 @@
 # How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
 # shrink.
 SHED_DRAIN = 1.0
-# What a review leaves of the counts by class.
-COUNT_FADE = 0.7
+COUNT_FADE = 0.7  # what a review leaves of the counts by class
 # A class is refused at once where what waits ahead of it would take this part of the shortest aim of those
 # that are worth more for their work, the next better one at so many times as much, the best never.
 #
@@ -62,6 +61,7 @@
         self.pressure = Pressure(now)
         classes = settings.classes
         self.shortest_aim = min(c.aim for c in classes)
+        self.worths = [c.worth for c in classes]
         self.shed = 0.0  # share of the work that is refused
         self.shed_class = [0.0] * len(classes)
         self.crowd = [inf] * len(classes)  # how much (ns) may wait ahead of each class
@@ -80,20 +80,6 @@
         """Whether a client that comes back at once would meet the same want of room or time."""
         return self.shed > 0.0 or self.lag_shed > 0.0
 
-    def _by_worth(self, costs: list[float]) -> list[int]:
-        """The classes, the least worth for its cost first."""
-        classes = self.settings.classes
-        return sorted(range(len(classes)), key=lambda c: classes[c].worth / max(costs[c], 1.0))
-
-    def _deal(self, share: float, amounts: list[float], costs: list[float]) -> list[float]:
-        """A share of all amounts as one share of each class's, the least worth for its cost first."""
-        shares = [0.0] * len(amounts)
-        left = share * sum(amounts)
-        for c in self._by_worth(costs):
-            shares[c] = min(1.0, left / amounts[c]) if amounts[c] > 0.0 else 0.0
-            left = max(0.0, left - amounts[c])
-        return shares
-
     def steer(self, now: int) -> None:
         """Renew the share that is shed."""
         learned = self.learned
@@ -109,7 +95,7 @@
         # What is out tells sooner than answers, and much sooner than lists, that a jam is over.
         most = SHED_WAIT * (self.pressure.wait(now) / self.shortest_aim - SHED_WAIT_FROM)
         self.shed = min(self.shed, max(SHED_LET_GO * self.shed, most))
-        self.shed_class = self._deal(self.shed, work, learned.base)
+        self.shed_class = deal(self.shed, work, self.worths, learned.base)
         for c in range(len(work)):
             learned.count[c] *= COUNT_FADE
             learned.done[c] *= COUNT_FADE
@@ -120,7 +106,7 @@
         self.crowd = [inf] * len(classes)
         if not any(self.learned.work_seen):
             return
-        least_first = self._by_worth(self.learned.work)
+        least_first = by_worth(self.worths, self.learned.work)
         for n, c in enumerate(least_first[:-1]):
             aim = min(classes[better].aim for better in least_first[n + 1 :])
             self.crowd[c] = CROWD_PART * CROWD_STEP**n * aim
@@ -143,7 +129,7 @@
         self.lag_sum = self.lag_count = 0
         # Here each request costs about the same, whatever its work at a server.
         count = self.learned.count
-        self.lag_class = self._deal(self.lag_shed, count, [1.0] * len(count))
+        self.lag_class = deal(self.lag_shed, count, self.worths, [1.0] * len(count))
 
     def turns_away(self, event: Request, fastest: float, now: int) -> bool:
         """Whether a request is refused for the node's own want of time or places.
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -15,8 +15,8 @@
 from .choice import Choice
 from .crossing import Crossing
 from .interface import (  # fmt: skip
-    Action, Cancel, Effect, Event, Fail, Gone, ListKind, Outcome, Refuse, Request, Send, ServerId, ServerList,
-    SetTimer, Settings, Started, State, Timer, Watch, Whole,
+    Action, Cancel, Effect, Elsewhere, Event, Fail, Gone, ListKind, Outcome, Refuse, Request, Send, ServerId,
+    ServerList, SetTimer, Settings, Started, State, Timer, Watch, Whole,
 )  # fmt: skip
 from .learning import REVIEW, Learning
 from .records import MS, Owed, Server, Try
@@ -79,6 +79,8 @@
             self._started(event)
         elif type(event) is Whole:
             self._whole(event)
+        elif type(event) is Elsewhere:
+            self.choice.hear(event)
         if self.wakes and (not self.armed or self.wakes[0][0] < self.armed):
             self.armed = max(self.wakes[0][0], now + 1)
             self.actions.append(SetTimer(self.armed - now, TOKEN_WAKE))
@@ -173,6 +175,7 @@
         tried = Try(s, self.now)
         request.tries.append(tried)
         request.out += 1
+        self.learned.census.sent()
         if not request.sending:
             self._count(tried)
         if s.warmth < 1.0:
@@ -297,14 +300,14 @@
 
     def _count(self, tried: Try) -> None:
         tried.counted = True
-        self.admission.pressure.begin()
+        self.admission.pressure.begin(self.now)
         tried.server.held += 1
         self.choice.unidle(tried.server)
 
     def _uncount(self, tried: Try) -> None:
         if tried.counted:
             tried.counted = False
-            self.admission.pressure.end()
+            self.admission.pressure.end(self.now)
             tried.server.held = max(0, tried.server.held - 1)
 
     def _outcome(self, event: Outcome) -> None:
--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -16,7 +16,7 @@
 
 from .admission import Admission
 from .crossing import CLASS_RATIO, Crossing
-from .interface import IDLE_PART, Effect, Settings, State, Weights
+from .interface import IDLE_PART, Effect, Elsewhere, Settings, State, Weights
 from .learning import Learning
 from .records import SECOND, Owed, Server, SpeedClass
 from .repeats import ANYWHERE, Scope
@@ -29,8 +29,7 @@
 OWNERS = 3.0
 # Draws by capacity in search of a server to which this node has a connection at rest.
 DRAWS = 4
-# Part of its capacity that is offered to a server on trial after a pause.
-TRIAL_PART = 0.1
+TRIAL_PART = 0.1  # of its capacity that is offered to a server on trial after a pause
 # Above this share of paused capacity a shared cause is likelier than bad servers: nobody is paused any more.
 PAUSED_MOST = 0.5
 
@@ -51,6 +50,7 @@
         self.admission = admission
         self.random = random
         self.ties = 0
+        self.heard = 0  # other nodes that tell what they have at servers
         self.near: list[SpeedClass] = []
         self.far: list[SpeedClass] = []
         self.near_draw: _Table = ([], [])
@@ -94,6 +94,7 @@
         if crossing.near_part < 0.0 and ready:
             crossing.begin(sum(s.size for s in zones[True]), total)
         learned.renew_work()
+        learned.nodes = learned.census.others(now, total)
         self.admission.weigh()
         self.near, self.near_draw, crossing.near_load = self._index(zones[True], held[True], now)
         self.far, self.far_draw, crossing.far_load = self._index(zones[False], held[False], now)
@@ -107,7 +108,7 @@
         slow = sum(s.slow * s.size for s in servers) / size
         by_speed = roster.stale or settings.weights != Weights.LIVE
         # Requests that a server takes while a list is on its way, were all nodes like this one.
-        each = settings.nodes * self.learned.rate / len(roster.servers)
+        each = self.learned.nodes * self.learned.rate / len(roster.servers)
         turn = max(1.0, each * (SECOND + roster.list_every) / SECOND)
         for s in servers:
             # What a server holds above the mean is worked off over the time until lists tell of it; more
@@ -122,16 +123,16 @@
             if s.trial:
                 s.cap *= TRIAL_PART
         mean = self.learned.mean_work
-        # In the paper idle servers are known to one dispatcher; in JIQ with several, each idle server joins
-        # the list of one of them. Nodes cannot talk, so the lot decides: a server is on the idle lists of
-        # about OWNERS nodes of a zone, whose own work there then tells whether it is idle.
-        listed = OWNERS * settings.zones / settings.nodes
+        # Where nodes do not talk the lot decides: a server is on the idle lists of about OWNERS nodes of a
+        # zone, whose own work there then tells whether it is idle.
+        listed = 1.0 if self.heard else OWNERS * settings.zones / self.learned.nodes
         classes: dict[int, SpeedClass] = {}
         bounds: list[float] = []
         drawn: list[Server] = []
         reach = 0.0
         bad = all(s.told >= BAD for s in servers)
         scale = log(CLASS_RATIO)
+        dealt = self.learned.census.for_cold(self.learned.nodes)
         for s in servers:
             speed = round(log(s.size) / scale)
             group = classes.get(speed)
@@ -141,7 +142,7 @@
             s.listed = s.trial or (s.told < BAD and (s.lot < listed or s.warmth < 1.0))
             if s.warmth < 1.0:
                 # This node's part of what a starting server stands, whatever the traffic.
-                s.cold_gap = cold_gap(mean, s.size, s.warmth, settings.fall_multiple, settings.nodes)
+                s.cold_gap = cold_gap(mean, s.size, s.warmth, settings.fall_multiple, dealt)
                 if s.cold_at < 0 or s.cold_at > now + s.cold_gap:
                     # New, or the gap has shrunk since: what a request adds is known better by now.
                     s.cold_at = now + int(self.random.random() * s.cold_gap)
@@ -179,6 +180,13 @@
             self.ties += 1
             heappush(s.group.waking, (s.free_at, self.ties, s))
 
+    def hear(self, event: Elsewhere) -> None:
+        """Others tell what they have at servers: then each knows which are idle, and needs no lot for it."""
+        self.heard = event.nodes
+        for s in filter(None, map(self.roster.servers.get, event.held)):
+            s.held, s.others = max(0, s.held - s.others + event.held[s.id]), event.held[s.id]
+            self.unidle(s) if s.held else self.rest(s)
+
     def leave_out(self, s: Server) -> None:
         """A server is paused: nothing goes there until a review finds the pause over."""
         self.unidle(s)
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Hashable, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -318,7 +318,20 @@
     data: bytes
 
 
-Event = ServerList | Request | Whole | Started | Outcome | Gone | Timer | ProbeResult | PeerMessage
+@dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What all other nodes have at servers, where nodes may tell; those not named are as they were.
+
+    nodes: how many others are heard now; 0: none, and the module is to go on without.
+    """
+
+    held: Mapping[ServerId, int]
+    nodes: int
+
+
+Event = (
+    ServerList | Request | Whole | Started | Outcome | Gone | Timer | ProbeResult | PeerMessage | Elsewhere
+)
 
 
 # Actions
--- a/lynxrouter/learning.py
+++ b/lynxrouter/learning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fleet import Failures, Reach, heed
+from fleet import Census, Failures, Reach, heed
 from fleet.told import SPAN
 
 from .interface import Outcome, Result, Settings
@@ -21,8 +21,7 @@
 # Load that the list tells (requests held for each core) under which a server counts as idle when a
 # request's work is learned, and the least weight of one such answer.
 IDLE_LOAD, WORK_WEIGHT = 2.0, 0.02
-# Weight of one answer in what is learned of its kind of machine.
-KIND_WEIGHT = 0.005
+KIND_WEIGHT = 0.005  # of one answer in what is learned of its kind of machine
 # First pause after a server failed, doubled up to the longest.
 PAUSE_FIRST, PAUSE_MOST = SECOND, 8 * SECOND
 # A failure's weight in the running share of failures, and the share at which a server is paused.
@@ -55,6 +54,8 @@
         self.longest_aim = max(c.aim for c in settings.classes)
         self.failures = Failures(settings.report_fields)
         self.reach = Reach()
+        self.census = Census(settings.nodes, settings.report_fields, now)
+        self.nodes = float(settings.nodes)  # 1 over this node's share of all traffic
         self.reviewed = now
         self.arrived = 0  # requests since the last review
         self.rate = 0.0  # requests a second, smoothed
@@ -144,6 +145,7 @@
         told = self.failures.share(event.report) if event.report else None
         if told is not None:
             s.told, s.told_until = told, now + SPAN
+        self.census.hear(event.report, s.size)
         rejected = result == Result.REJECTED
         if (rejected or result == Result.OK) and self._turned_away(request.tenant, rejected):
             s.denied[request.tenant] = now + TURNED_PAUSE
--- a/lynxrouter/records.py
+++ b/lynxrouter/records.py
@@ -18,8 +18,8 @@
 
     __slots__ = (
         "answered", "cap", "cell", "cold_at", "cold_gap", "denied", "fails", "free_at", "group", "held", "id",
-        "kind", "listed", "load", "lot", "nominal", "pause", "paused_until", "pos", "refused", "silent",
-        "since", "size", "slow", "state", "told", "told_until", "trial", "warmth", "weight", "zone",
+        "kind", "listed", "load", "lot", "nominal", "others", "pause", "paused_until", "pos", "refused",
+        "silent", "since", "size", "slow", "state", "told", "told_until", "trial", "warmth", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, sid: ServerId, pause: int) -> None:
@@ -37,7 +37,8 @@
         self.free_at = 0  # from when this node may take it for idle again
         self.cold_gap = 0  # time that the cold budget sets between this node's sends while the server is cold
         self.cold_at = -1  # from when the cold budget allows the next
-        self.held = 0  # this node's attempts out there
+        self.held = 0  # attempts out there: this node's, and those that others tell of
+        self.others = 0  # of them, those that others tell of
         self.pos = -1  # place in its class's idle list, -1: not in it
         self.group: SpeedClass | None = None
         self.load = 0.0  # requests held for each core, where the list tells
--- /dev/null
+++ b/peers/__init__.py
@@ -0,0 +1,10 @@
+"""What nodes say of their load to one another, where their network lets them: pure, no sockets, no clock.
+
+words    a datagram of at most 256 bytes, and what may stand in one
+held     what the others have at each server, from what they last said, for as long as it counts
+"""
+
+from .held import Held, Own
+from .words import Saying, parse, word
+
+__all__ = ["Held", "Own", "Saying", "parse", "word"]
--- a/routing/forms.py
+++ b/routing/forms.py
@@ -148,6 +148,9 @@
         if not isinstance(value, dict):
             problems.append(Problem(table, key, value, "is no table of tables"))
             return None
+        if not (isinstance(field.of, type) and issubclass(field.of, Table)):
+            plain = (_plain_value(field.of, item, inner, name, problems) for name, item in value.items())
+            return {name: item for name, item in zip(value, plain, strict=True) if item is not None}
         read = {name: _struct(field.of, item, f"{inner}.{name}", problems) for name, item in value.items()}
         return {name: item for name, item in read.items() if item is not None}
     if field.item is not None:
@@ -158,12 +161,23 @@
             _struct(field.item, item, _numbered(inner, n, item), problems) for n, item in enumerate(value, 1)
         )
         return [item for item in items if item is not None]
-    parser = field.parser
+    return _plain_value(field.kind, value, table, key, problems, field.parser)
+
+
+def _plain_value(
+    kind: Any,
+    value: object,
+    table: str,
+    key: str,
+    problems: list[Problem],
+    parser: Callable[[object], int] | None = None,
+) -> Any:
+    """A value that is no table; what does not hold goes to problems, and None comes back."""
     try:
         if isinstance(value, float) and not math.isfinite(value):
             raise ValueError("is no finite number")
         plain = parser(value) if parser is not None else value
-        return msgspec.convert(plain, field.kind, strict=True)
+        return msgspec.convert(plain, kind, strict=True)
     except msgspec.ValidationError as error:
         reason = str(error).split(" - at `$")[0]
         if parser is not None:
--- a/routing/plan.py
+++ b/routing/plan.py
@@ -12,7 +12,7 @@
 from .matcher import HeaderRule, Matcher
 from .paths import BadPath, Pattern, Reading, parse_pattern, segments_of
 from .problems import OperatorError, Problem
-from .schema import ClassTable, HeaderTable, OperatorFile, RouteTable, read_all
+from .schema import ClassTable, HeaderTable, OperatorFile, PeersTable, RouteTable, read_all
 
 __all__ = ["Denied", "Plan", "Route", "compile_file", "compile_plan", "declared_settings"]
 
@@ -55,6 +55,7 @@
     by_class: tuple[Effective, ...]
     reading: Reading
     headers: frozenset[bytes]  # those on which routes or buckets decide
+    peers: PeersTable | None = None  # whether, and how, nodes tell one another of their load
 
     def route_of(
         self, method: bytes, target: bytes, given: Mapping[bytes, bytes]
@@ -146,6 +147,11 @@
                 "decides between them: tell them apart by host, path, method or headers",
             )
         )
+    if tables.peers is not None and tables.peers.forget < 2 * tables.peers.every:
+        reason = (
+            f"is under twice [peers] every ({tables.peers.every} ns): one lost datagram would silence a node"
+        )
+        problems.append(Problem("peers", "forget", tables.peers.forget, reason))
     if problems:
         raise OperatorError(file, _once(problems))
     headers = {rule.name for route in routes for rule in route.headers}
@@ -159,6 +165,7 @@
         by_class,
         Reading(tables.paths.encoded_slash == "keep", tables.paths.empty_segments == "keep"),
         frozenset(headers),
+        tables.peers,
     )
 
 
--- a/routing/schema.py
+++ b/routing/schema.py
@@ -12,6 +12,8 @@
 from .forms import Duration, Size, Table, duration, read_tables, size
 from .problems import OperatorError, Problem
 
+MS = 1_000_000
+
 __all__ = [
     "ClassTable",
     "HeaderTable",
@@ -19,6 +21,7 @@
     "OperatorFile",
     "PathTable",
     "PathsTable",
+    "PeersTable",
     "RateTable",
     "RetryAfterTable",
     "RouteTable",
@@ -133,9 +136,18 @@
     empty_segments: Literal["reject", "keep"] = "reject"
 
 
+class PeersTable(Table, frozen=True):
+    """What nodes tell one another of their load, where their network has datagrams between them."""
+
+    every: Duration = 500 * MS  # so often a node says its load though nothing has changed
+    forget: Duration = 1500 * MS  # for so long what a node said counts
+
+
 class OperatorFile(Table, frozen=True):
     """The whole file."""
 
+    peers: PeersTable | None = None
+
     paths: PathsTable = PathsTable()
     defaults: LimitsTable = LimitsTable()
     classes: dict[str, ClassTable] = msgspec.field(default_factory=dict, name="class")
--- /dev/null
+++ b/tests/test_tier_plan.py
@@ -0,0 +1,192 @@
+"""Plans of the tier: all that does not hold is told at once, with table, key, value and reason."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from routing.problems import OperatorError
+from tier.links import State
+from tier.plan import compile_plan, refuse_too_large
+
+ROOT = Path(__file__).resolve().parent.parent
+GALLERY = sorted((ROOT / "experiments").glob("*.toml"))
+
+SPLIT = """
+[run]
+nodes = 9
+servers = 6
+[group.west]
+of = "nodes"
+end = 0.34
+[group.east]
+of = "nodes"
+begin = 0.66
+[group.few]
+of = "servers"
+end = 0.34
+[[fault]]
+kind = "cut"
+between = ["west", "few"]
+at = "5s"
+lasts = "2s"
+[[fault]]
+kind = "lag"
+between = ["east", "servers"]
+by = 0.05
+at = "5s"
+lasts = "2s"
+"""
+
+
+def problems(text: str) -> list[str]:
+    with pytest.raises(OperatorError) as caught:
+        compile_plan(text, "p.toml")
+    return [str(problem) for problem in caught.value.problems]
+
+
+def test_the_gallery_holds_ten_plans_at_least_and_this_machine_bears_them() -> None:
+    assert len(GALLERY) >= 10
+    for path in GALLERY:
+        plan = compile_plan(path.read_bytes(), str(path))
+        assert refuse_too_large(plan) is None, path
+
+
+def test_groups_and_sides() -> None:
+    plan = compile_plan(SPLIT, "split.toml")
+    cut, lag = plan.faults
+    assert cut.nodes == ("n000", "n001", "n002") and cut.servers == ("s-000", "s-001")
+    assert cut.state == State(cut=True) and lag.state == State(lag=0.05)
+    assert lag.link == "nodes-servers" and lag.nodes == ("n006", "n007", "n008")
+    sides = plan.sides
+    assert len(set(sides.values())) == 3 and sides["n000"] != sides["n008"] != sides["n004"]
+    drawn = SPLIT.split('[[fault]]\nkind = "lag"')[0].replace("end = 0.34", "end = 0.34\ndrawn = true", 1)
+    one, other = (compile_plan(drawn, "p", seed).faults[0].nodes for seed in (1, 2))
+    assert len(one) == len(other) == 3 and one != other
+    assert compile_plan(drawn, "p", 1).faults[0].nodes == one
+
+
+def test_a_plan_that_does_not_hold_is_refused_with_all_its_problems() -> None:
+    text = """
+    [run]
+    node = 9
+    warm = "30s"
+    load = 9
+    [group.nodes]
+    of = "nodes"
+    [group.empty]
+    of = "servers"
+    begin = 0.5
+    end = 0.5
+    [[fault]]
+    kind = "kil"
+    at = "1s"
+    [[fault]]
+    kind = "kill"
+    on = "serverz"
+    at = "1s"
+    [[fault]]
+    kind = "stop"
+    on = "nodes"
+    at = "15s"
+    lasts = "9s"
+    [[fault]]
+    kind = "cut"
+    between = ["servers", "clients"]
+    at = "1s"
+    lasts = "1s"
+    [[fault]]
+    kind = "lag"
+    between = ["nodes", "discovery"]
+    at = "1s"
+    by = 99
+    [[fault]]
+    kind = "crash"
+    on = "nodes"
+    at = "1s"
+    [most]
+    idle_while_queue = 0.1
+    """
+    found = problems(text)
+    for wanted in (
+        "[run]: node = 9: unknown key; the nearest known one is 'nodes'",
+        "[run]: load = 9: expected `float` <= 5.0",
+        "[run]: warm = 30000000000: is not before the end",
+        "[group]: nodes: is a name that stands for all of them",
+        "[group.empty]: end = 0.5: is not above begin",
+        "[fault 1]: kind = 'kil': unknown kind; the nearest known one is 'kill'",
+        "[fault 2]: on = 'serverz': no such group; the nearest known one is 'servers'",
+        "[fault 3]: lasts = 24.0: outlasts the run of 20 s",
+        "[fault 4]: between = ['servers', 'clients']: no link of the rig",
+        "[fault 5]: by = 99.0: must be from 0.0001 to 60: seconds of delay",
+        "[fault 5]: lasts: missing: a fault of a link has an end",
+        "[fault 6]: on = 'nodes': holds nodes, and 'crash' is for servers",
+        "[most]: idle_while_queue = 0.1: unknown figure; the nearest known one is 'idle_while_queued'",
+    ):
+        assert any(problem.startswith(wanted) for problem in found), (wanted, found)
+    assert len(found) == 13
+
+
+def test_two_faults_of_one_kind_on_one_member_at_once_are_refused() -> None:
+    twice = SPLIT + '\n[[fault]]\nkind = "hold"\nbetween = ["west", "servers"]\nat = "6s"\nlasts = "2s"\n'
+    assert problems(twice) == ["[fault 3]: at = 6.0: at the same time as fault 1 on n000"]
+    compile_plan(twice.replace('at = "6s"', 'at = "7s"'), "p.toml")
+
+
+def test_a_plan_beyond_the_machine_is_refused_with_the_figure() -> None:
+    plan = compile_plan("[run]\nnodes = 200\n", "p")
+    assert refuse_too_large(plan, memory_mb=16000, files=20000) is None
+    assert refuse_too_large(plan, memory_mb=1000, files=20000) == (
+        "200 nodes and the rig take 4600 MiB of memory, 1000 MiB are available"
+    )
+    reason = refuse_too_large(plan, memory_mb=16000, files=512)
+    assert reason is not None and reason.endswith("descriptors, 512 are allowed")
+
+
+@given(
+    st.recursive(
+        st.one_of(
+            st.integers(), st.floats(), st.text(max_size=5), st.booleans(), st.sampled_from(["5s", "nodes"])
+        ),
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=3),
+            st.dictionaries(
+                st.sampled_from(["run", "rig", "group", "fault", "most", "nodes", "at", "kind", "of"]), inner
+            ),
+        ),
+        max_leaves=12,
+    )
+)
+def test_any_tables_are_read_or_refused(value: object) -> None:
+    def toml(item: object) -> str:
+        if isinstance(item, dict):
+            return "{" + ", ".join(f"{key} = {toml(inner)}" for key, inner in item.items()) + "}"
+        if isinstance(item, list):
+            return "[" + ", ".join(map(toml, item)) + "]"
+        return str(item).lower() if isinstance(item, bool | int | float) else repr(item)
+
+    text = "\n".join(f"{k} = {toml(v)}" for k, v in value.items()) if isinstance(value, dict) else toml(value)
+    try:
+        compile_plan(text, "p.toml")
+    except OperatorError as error:
+        assert error.problems
+
+
+def test_the_command_refuses_a_bad_plan_with_2_and_starts_nothing(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text('[run]\nnodes = 5\n[[fault]]\nkind = "kill"\non = "nobody"\nat = "1s"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "hollybay.cli", "tier", str(path)],
+        capture_output=True,
+        text=True,
+        cwd=ROOT,
+        check=False,
+    )
+    assert done.returncode == 2
+    assert "[fault 1]: on = 'nobody': no such group" in done.stdout
+    assert "Traceback" not in done.stderr + done.stdout
--- /dev/null
+++ b/tests/test_tier_records.py
@@ -0,0 +1,149 @@
+"""Journals of the tier, readable after a kill at any byte, and the books that they make together."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from standins.ledger import Limits
+from standins.world import CLASSES, MS, SECOND
+from tier.books import Excuse, books_of
+from tier.records import (
+    Answered,
+    Arrived,
+    Asked,
+    Began,
+    Event,
+    Journal,
+    Left,
+    NodeEnded,
+    Posted,
+    ServerDown,
+    ServerUp,
+    Told,
+    read,
+)
+
+LIMITS = Limits(CLASSES, SECOND, 0.3, 8 * SECOND)
+SAFE, UNSAFE = 0, 1
+EVENTS: list[Event] = [
+    Asked(1, "r1", 0, 99, "t", 5),
+    Posted(2, "r1", "n0", True),
+    Answered(3, "r1", "served", 200, None, 0),
+    ServerUp(4, "s0", 1.3, 1, False),
+    Told(5, "n0", "s0", True),
+]
+
+
+@given(st.integers(0, 400))
+def test_a_journal_cut_at_any_byte_gives_the_events_before(cut: int) -> None:
+    import tempfile
+
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "a.journal"
+        journal = Journal(path)
+        for event in EVENTS:
+            journal.write(event)
+        journal.close()
+        data = path.read_bytes()
+        path.write_bytes(data[:cut])
+        found = list(read(path))
+        assert found == EVENTS[: len(found)]
+        assert cut < len(data) or found == EVENTS
+
+
+def test_what_is_not_flushed_is_not_there_and_a_journal_is_never_written_over(tmp_path: Path) -> None:
+    path = tmp_path / "a.journal"
+    journal = Journal(path)
+    journal.write(EVENTS[0])
+    assert list(read(path)) == []
+    journal.flush()
+    assert list(read(path)) == EVENTS[:1]
+    with pytest.raises(FileExistsError):
+        Journal(path)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\xff\xff\xff\xff\x01", b"\x00\x00\x00\x02\xc1\xc1", b"\x00\x00\x00\x01\x05"]
+)
+def test_what_is_no_journal_is_said_to_be_none(data: bytes, tmp_path: Path) -> None:
+    path = tmp_path / "x.journal"
+    path.write_bytes(data)
+    with pytest.raises(ValueError, match=r"x\.journal: no event at byte 0"):
+        list(read(path))
+
+
+def request(rid: str, at: int, cls: int = SAFE, node: str = "n0", fresh: bool = True) -> list[Event]:
+    return [
+        Asked(at, rid, cls, at + LIMITS.classes[cls].deadline, "", 20 * MS),
+        Posted(at + 1, rid, node, fresh),
+    ]
+
+
+def visit(rid: str, at: int, server: str = "s0") -> list[Event]:
+    return [
+        Arrived(at, rid, server, at - 1, 20 * MS, 0, 0, True),
+        Began(at, rid, server),
+        Left(at + 20 * MS, rid, server, True),
+    ]
+
+
+UP: list[Event] = [ServerUp(0, "s0", 1.0, 1, False), ServerUp(0, "s1", 1.0, 1, False)]
+
+
+def test_books_of_a_sound_run_hold_and_tell_who_sent_what() -> None:
+    clients = [*request("a", 100), Answered(30 * MS, "a", "served", 200, None, 0)]
+    books = books_of([*UP, *visit("a", 200), *clients], LIMITS, SECOND)
+    assert books.verdict and not books.excused
+    (came,) = books.visits
+    assert (came.server, came.node, came.at, came.began, came.left) == ("s0", "n0", 200, 200, 200 + 20 * MS)
+    assert books.lives[0].fit == ((0, SECOND),)
+    assert [a.work for a in books.arrivals] == [20 * MS]
+
+
+def test_rules_are_decided_over_what_different_processes_saw() -> None:
+    twice = [*UP, *request("a", 100, UNSAFE), *visit("a", 200), *visit("a", 5 * MS, "s1")]
+    twice.append(Answered(30 * MS, "a", "served", 200, None, 0))
+    assert books_of(twice, LIMITS, SECOND).verdict.counts["dup"] == 1
+    lost = [*UP, *request("a", 100), Answered(30 * MS, "a", "broken", 0, None, 0)]
+    assert books_of(lost, LIMITS, SECOND).verdict.counts["lost"] == 1
+    drained = [*UP, Told(50, "n1", "s0", False), *request("a", 2 * SECOND, SAFE, "n1")]
+    drained += [*visit("a", 2 * SECOND + 5), Answered(2 * SECOND + 30 * MS, "a", "served", 200, None, 0)]
+    assert books_of(drained, LIMITS, 3 * SECOND).verdict.counts["drain"] == 1
+    # Another node that was not told may send there, and so may a new process of the one that was.
+    other = [Told(50, "n0", "s0", False) if event == drained[2] else event for event in drained]
+    assert books_of(other, LIMITS, 3 * SECOND).verdict
+    assert books_of([*drained, NodeEnded(SECOND, "n1", False)], LIMITS, 3 * SECOND).verdict
+
+
+def test_only_what_the_rig_did_is_excused() -> None:
+    held = [*UP, *request("a", 100), Answered(30 * MS, "a", "broken", 0, None, 0)]
+    killed = books_of([*held, NodeEnded(20 * MS, "n0", True)], LIMITS, SECOND)
+    assert killed.verdict and killed.excused == {"killed": 1}
+    assert not books_of([*held, NodeEnded(20 * MS, "n1", True)], LIMITS, SECOND).verdict
+    assert not books_of([*held, NodeEnded(40 * MS, "n0", True)], LIMITS, SECOND).verdict
+    assert not books_of([*held, NodeEnded(20 * MS, "n0", False)], LIMITS, SECOND).verdict
+    stopped = books_of(held, LIMITS, SECOND, [Excuse("n0", 10 * MS, 25 * MS, "stopped")])
+    assert stopped.verdict and stopped.excused == {"stopped": 1}
+    assert not books_of(held, LIMITS, SECOND, [Excuse("n0", 40 * MS, 50 * MS, "stopped")]).verdict
+    never = [*UP, request("a", 100)[0], Answered(30 * MS, "a", "broken", 0, None, 0)]
+    assert books_of(never, LIMITS, SECOND).excused == {"unreached": 1}
+    crossed = [*UP, *request("a", 100, fresh=False), Answered(30 * MS, "a", "broken", 0, None, 0)]
+    assert books_of(crossed, LIMITS, SECOND).excused == {"crossed": 1}
+    # What ran is never excused for the sake of its connection.
+    ran = [*crossed, *visit("a", 5 * MS)]
+    assert not books_of(ran, LIMITS, SECOND).verdict
+
+
+def test_a_server_is_fit_while_it_is_up_warm_and_sound() -> None:
+    events = [
+        ServerUp(0, "s0", 1.0, 1, False),
+        ServerDown(10 * SECOND, "s0"),
+        ServerUp(20 * SECOND, "s0", 1.0, 1, True),
+    ]
+    (life,) = books_of(events, LIMITS, 40 * SECOND, (), [("s0", 2 * SECOND, 4 * SECOND)]).lives
+    assert life.fit == ((0, 2 * SECOND), (4 * SECOND, 10 * SECOND), (28 * SECOND, 40 * SECOND))
+    assert life.fit_at(SECOND) and not life.fit_at(3 * SECOND) and not life.fit_at(25 * SECOND)
--- a/tier/evenness.py
+++ b/tier/evenness.py
@@ -212,14 +212,24 @@
         if v.runs and since <= v.at < until:
             by_server[v.server].append(v)
     most, chance = 0, 1
+    every = [v for came in by_server.values() for v in came]
+    offered = sum(
+        life.capacity * (min(e, until) - max(b, since))
+        for life in lives
+        for b, e in life.fit
+        if min(e, until) > max(b, since)
+    )
+    if not every or offered <= 0:
+        return most, chance
+    work = sum(v.work for v in every) / len(every)
     for life in lives:
         came = sorted(by_server.get(life.name, ()), key=lambda v: v.at)
-        up = sum(max(0, min(e, until) - max(b, since)) for b, e in life.fit)
-        if not came or not up:
+        if not came:
             continue
-        service = sum(v.work for v in came) / len(came) * life.cores / life.capacity
-        # A window begins at an arrival: one is there, the others are a Poisson count.
-        expected = chance_most(len(came) * service / up, len(came) * len(lives)) + 1
+        service = work * life.cores / life.capacity
+        # A window begins at an arrival: one is there, the others are a Poisson count of this server's share.
+        # What came to it would not do for that: a herd that never ends would be its own measure.
+        expected = chance_most(len(every) * life.capacity / offered * service, len(every)) + 1
         inside: deque[Visit] = deque()
         nodes: Counter[str] = Counter()
         for v in came:
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -62,6 +62,7 @@
     sockets: Annotated[int, msgspec.Meta(ge=192, le=65536)] = 512  # of one node
     # Where the clients of a node that refuses connections go: to any other, or all to its neighbour.
     move: Literal["any", "neighbour"] = "any"
+    talk: bool = False  # nodes tell one another what they have at servers (docs/OPERATORS-fleet.md)
     start_late: Moment = 0  # the last node to start begins so much later than the first
 
 
@@ -264,10 +265,10 @@
         if table.on or table.between is None:
             problems.append(Problem(at, "between", table.between, "a fault of a link names its two ends"))
             return None
-        for name in table.between:
-            if name not in groups:
-                problems.append(Problem(at, "between", name, f"no such group{_near(name, groups)}"))
-        if len(problems) > known:
+        strangers = [name for name in table.between if name not in groups]
+        for name in strangers:
+            problems.append(Problem(at, "between", name, f"no such group{_near(name, groups)}"))
+        if strangers:
             return None
         ends = tuple(groups[name][0] for name in table.between)
         if ends not in LINKS:
--- a/tier/report.py
+++ b/tier/report.py
@@ -182,7 +182,7 @@
                 ends[Final.SERVED],
                 ends[Final.REFUSED],
                 len(mine) - ends[Final.SERVED] - ends[Final.REFUSED],
-                sum(entry.excused for entry in mine),
+                sum(e.excused and e.final not in (Final.SERVED, Final.REFUSED) for e in mine),
                 times.ms(50.0),
                 times.ms(99.0),
                 in_time / len(mine) if mine else 1.0,
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -9,6 +9,7 @@
 import resource
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -182,6 +183,7 @@
         self.fault_ends: list[int] = []
         self.registry_port: dict[str, int] = {}
         self.away: set[str] = set()
+        self.peers: list[str] = []  # where each node hears the others
         self.later: set[asyncio.Task[None]] = set()
         self.workers = [
             "registry",
@@ -245,6 +247,9 @@
         sides = plan.sides
         self.registry_port = await self.far("registry").call("open", nodes=sides)
         await self._lists()
+        if run.talk:
+            (self.folder / "operator.toml").write_text("[peers]\n")
+            self.peers = _peer_addresses(max(run.nodes, run.configured or 0))
         began = time.monotonic()
         for n, name in enumerate(plan.nodes):
             delay = run.start_late / SECOND * n / max(1, run.nodes - 1)
@@ -302,9 +307,13 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.run.sockets},
             "settings": words_of(self.run, n),
         }
+        words = {"defect": self.defect}
+        if self.run.talk:
+            config |= {"peers": self.peers, "peer_listen": self.peers[n]}
+            words["operator"] = str(self.folder / "operator.toml")
         (self.folder / f"{name}.json").write_text(json.dumps(config))
         self.expected.discard(name)
-        self.zygote.fork("node", name, {"defect": self.defect})
+        self.zygote.fork("node", name, words)
 
     async def _nodes_ready(self, names: tuple[str, ...]) -> None:
         """Wait until these listen and have a list, and tell the clients where."""
@@ -631,6 +640,26 @@
         )
 
 
+def _peer_addresses(count: int) -> list[str]:
+    """Addresses on loopback for datagrams between nodes, none of which is taken now.
+
+    Each node has an address of its own and all one port, so that one that starts again finds its own free.
+    """
+    chance = random.Random()
+    for _ in range(20):
+        net, port = chance.randrange(1, 255), chance.randrange(20_000, 30_000)
+        found = [f"127.{net}.{n // 250}.{1 + n % 250}" for n in range(count)]
+        with contextlib.ExitStack() as stack:
+            try:
+                for host in found:
+                    sock = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+                    sock.bind((host, port))
+            except OSError:
+                continue
+            return [f"{host}:{port}" for host in found]
+    raise RigFailed("no free addresses for datagrams between nodes")
+
+
 def _plain(limits: Any) -> Any:
     """Limits as plain values."""
     return msgspec.to_builtins(asdict(limits))
