--- /dev/null
+++ b/benchmarks/evenness.py
@@ -0,0 +1,116 @@
+"""Evenness of whole tiers of processes, at several sizes and loads, with another checkout beside it.
+
+    python -m benchmarks.evenness --plan experiments/calm.toml --nodes 1,40,200 --loads 0.5,0.7 \\
+        --seeds 1,2,3 [--beside PATH] [--jobs 3] [--plot docs/evenness.png]
+
+Trees take turns, so that a machine that slows down slows all of them; a run that is not to be trusted is
+played once more and then told as a gap. Prints a Markdown table of medians over the seeds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from statistics import median
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+COLUMNS = ("idle_while_queued", "work_by_server_cv", "unused_over_chance", "lost_worth", "refused", "p99_ms")
+
+Key = tuple[str, int, float]
+
+
+def _one(tree: Path, plan: Path, nodes: int, load: float, seed: int) -> dict[str, Any] | None:
+    """One run's JSON; None if it was twice not to be trusted."""
+    with tempfile.TemporaryDirectory() as folder:
+        for n in range(2):
+            target = Path(folder) / f"{n}.json"
+            words = ["--nodes", str(nodes), "--load", str(load), "--seed", str(seed), "--json", str(target)]
+            subprocess.run(
+                [sys.executable, "-m", "hollybay.cli", "tier", str(plan), *words],
+                cwd=tree,
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+                check=False,
+            )
+            if target.exists():
+                found: dict[str, Any] = json.loads(target.read_text())
+                if found["trusted"]:
+                    return found
+    return None
+
+
+def main() -> int:
+    """Play all, print the table; 1 if a rule was broken in any run."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else "")
+    parser.add_argument("--plan", type=Path, action="append", required=True)
+    parser.add_argument("--nodes", default="1,40,200")
+    parser.add_argument("--loads", default="0.7")
+    parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--beside", type=Path, help="another checkout of the program, played in turn")
+    parser.add_argument(
+        "--jobs", type=int, default=1, help="runs at once; more than the machine bears give gaps"
+    )
+    parser.add_argument("--plot", type=Path)
+    words = parser.parse_args()
+    trees = [("this", ROOT)] + ([("beside", words.beside.resolve())] if words.beside else [])
+    jobs = [
+        (f"{plan.stem}, {name}" if len(trees) > 1 else plan.stem, tree, plan.resolve(), nodes, load, seed)
+        for seed in map(int, words.seeds.split(","))
+        for load in map(float, words.loads.split(","))
+        for nodes in map(int, words.nodes.split(","))
+        for plan in words.plan
+        for name, tree in trees
+    ]
+    found: dict[Key, list[dict[str, Any]]] = {}
+    with ThreadPoolExecutor(words.jobs) as pool:
+        for job, result in zip(jobs, pool.map(lambda job: _one(*job[1:]), jobs), strict=True):
+            found.setdefault((job[0], job[3], job[4]), [])
+            if result is not None:
+                found[job[0], job[3], job[4]].append(result)
+    print(f"| plan | nodes | load | runs | {' | '.join(COLUMNS)} | node, % of a core | MiB |")
+    print("| --- " * (len(COLUMNS) + 6) + "|")
+    broken = 0
+    for (name, nodes, load), runs in sorted(found.items()):
+        broken += sum(any(run["rules"].values()) for run in runs)
+        values = [f"{median(run['figures'][c] for run in runs):.4g}" if runs else "-" for c in COLUMNS]
+        cpu = f"{100 * median(run['node_cpu'] for run in runs):.2f}" if runs else "-"
+        size = f"{median(run['node_memory_mb'] for run in runs):.1f}" if runs else "-"
+        print(f"| {name} | {nodes} | {load:g} | {len(runs)} | {' | '.join(values)} | {cpu} | {size} |")
+    print(f"rules broken in {broken} runs")
+    if words.plot is not None:
+        _plot(found, words.plot)
+    return 1 if broken else 0
+
+
+def _plot(found: dict[Key, list[dict[str, Any]]], path: Path) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, both = pyplot.subplots(1, 2, figsize=(11, 4))
+    for axes, column in zip(both, ("idle_while_queued", "p99_ms"), strict=True):
+        lines: dict[tuple[str, float], list[tuple[int, float]]] = {}
+        for (name, nodes, load), runs in sorted(found.items()):
+            if runs:
+                value = median(run["figures"][column] for run in runs)
+                lines.setdefault((name, load), []).append((nodes, value))
+        for (name, load), points in lines.items():
+            axes.plot(*zip(*points, strict=True), marker="o", label=f"{name}, load {load:g}")
+        axes.set_xlabel("nodes")
+        axes.set_title(column)
+        axes.set_ylim(bottom=0)
+    both[0].legend(fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path, dpi=100)
+    pyplot.close(figure)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hollybay/tiers.py
+++ b/hollybay/tiers.py
@@ -97,6 +97,9 @@
     say("rules: " + ", ".join(f"{rule} {count}" for rule, count in report.rules.items()))
     if report.excused:
         say("excused: " + ", ".join(f"{why} {count}" for why, count in sorted(report.excused.items())))
+    if report.door:
+        calls = ", ".join(f"{status} {count}" for status, count in report.door.items())
+        say(f"operators' calls by status (0: none): {calls}")
     for fault in report.faults[:20]:
         say(fault)
     for bound in report.broken:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,9 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
 import random
 import socket
+import subprocess
+import sys
 from collections import Counter
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -16,6 +21,9 @@
 from lynxrouter import interface as api
 from peers import Held, Own, Saying, parse, word
 from peers.words import MOST_ENTRIES, MOST_PARTS, SIZE, mark
+from routing.plan import compile_file
+from routing.problems import OperatorError
+from standins.scene import settings
 from standins.world import MS, SECOND, Node, make_settings
 
 STATES = st.dictionaries(st.integers(0, 2**32 - 1), st.integers(1, 255), max_size=MOST_PARTS * MOST_ENTRIES)
@@ -166,6 +174,67 @@
             addresses(good | changes, 2)
 
 
+def test_an_operator_file_whose_words_would_be_over_at_once_is_refused() -> None:
+    found = compile_file(b'[peers]\nevery = "1s"\nforget = "2s"\n', make_settings()).peers
+    assert found is not None and (found.every, found.forget) == (SECOND, 2 * SECOND)
+    assert compile_file(b"", make_settings()).peers is None
+    with pytest.raises(OperatorError, match=r"\[peers\]: forget = 1500000000: is under twice"):
+        compile_file(b'[peers]\nevery = "1s"\n', make_settings())
+    with pytest.raises(OperatorError, match="unknown key; the nearest known one is 'every'"):
+        compile_file(b'[peers]\nevry = "1s"\n', make_settings())
+
+
+def node_run(folder: Path, operator: str, **changes: object) -> subprocess.CompletedProcess[str]:
+    """The node's own start, with this operator file and configuration."""
+    (folder / "operator.toml").write_text(operator)
+    config = {
+        "name": "n0",
+        "listen": "127.0.0.1:1",
+        "discovery": "127.0.0.1:1",
+        "limits": {},
+        "settings": settings(2),
+        **changes,
+    }
+    (folder / "config.json").write_text(json.dumps(config))
+    environ = {
+        **os.environ,
+        "BALANCER_CONFIG": str(folder / "config.json"),
+        "HOLLYBAY_OPERATOR": str(folder / "operator.toml"),
+    }
+    words = [sys.executable, "-m", "elderscale"]
+    return subprocess.run(words, env=environ, capture_output=True, text=True, timeout=60, check=False)
+
+
+def test_a_node_that_cannot_hear_or_be_heard_does_not_start(tmp_path: Path) -> None:
+    for number, (changes, why) in enumerate(
+        (
+            ({}, "peers: no list of 2 addresses"),
+            ({"peers": ["127.0.0.1:1", "127.0.0.1:2"]}, "peer_listen: 'None' is no address"),
+            (
+                {"peers": ["127.0.0.1:1", "127.0.0.1:2"], "peer_listen": "192.0.2.1:9"},
+                "peer_listen: 192.0.2.1:9: ",
+            ),
+        )
+    ):
+        folder = tmp_path / str(number)
+        folder.mkdir()
+        done = node_run(folder, "[peers]\n", **changes)
+        assert done.returncode == 2 and why in done.stderr, done.stderr
+        assert "Traceback" not in done.stderr
+
+
+def test_a_node_without_the_table_imports_nothing_of_it() -> None:
+    code = (
+        "import sys, elderscale.__main__ as m\n"
+        "from routing.plan import compile_file\n"
+        "from standins.world import make_settings\n"
+        "assert compile_file(b'', make_settings()).peers is None\n"
+        "sys.exit(any(name.split('.')[0] == 'peers' or name == 'elderscale.peers' for name in sys.modules))"
+    )
+    root = Path(__file__).resolve().parent.parent
+    assert subprocess.run([sys.executable, "-c", code], cwd=root, check=False).returncode == 0
+
+
 # The module
 
 READ = (api.RequestClass("r", api.Effect.SAFE, 1.0, SECOND, 3 * SECOND),)
--- a/tier/books.py
+++ b/tier/books.py
@@ -50,6 +50,7 @@
     beats: list[Beat]
     posts: dict[str, list[Posting]]
     excused: Counter[str]
+    calls: list[records.Called]  # of operators
     verdict: Verdict = field(default_factory=lambda: Verdict(()))
 
 
@@ -67,6 +68,7 @@
         self.downs: dict[str, list[int]] = defaultdict(list)
         self.starts: dict[str, Start] = {}
         self.ended: list[Excuse] = []
+        self.calls: list[records.Called] = []
 
     def node_of(self, rid: str) -> str:
         """The node that a request was given to last."""
@@ -113,6 +115,8 @@
             ledger.forget(event.node)
             if event.killed:
                 self.ended.append(Excuse(event.node, event.at, event.at, "killed"))
+        elif isinstance(event, records.Called):
+            self.calls.append(event)
         else:
             self.beats.append(event)
 
@@ -183,6 +187,7 @@
         replay.beats,
         dict(replay.posts),
         excused,
+        replay.calls,
     )
     books.verdict = replay.ledger.check()
     return books
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -35,8 +35,8 @@
 # that a machine with less is told before the start.
 NODE_MB, WORKER_MB, BASE_MB = 20, 60, 300
 # Descriptors of the rig's own that one server connection and one node take.
-WHO = ("nodes", "servers", "clients", "discovery")
-LINKS = (("nodes", "servers"), ("nodes", "discovery"), ("clients", "nodes"))
+WHO = ("nodes", "servers", "clients", "discovery", "operators")
+LINKS = (("nodes", "servers"), ("nodes", "discovery"), ("clients", "nodes"), ("operators", "nodes"))
 PROCESS_KINDS = ("kill", "stop", "restart", "starve", "few-files")
 SERVER_KINDS = ("crash", "slow", "fail", "drain", "absent")
 LINK_KINDS = ("cut", "lose-up", "lose-down", "hold", "lag", "throttle", "reset")
@@ -63,6 +63,7 @@
     # Where the clients of a node that refuses connections go: to any other, or all to its neighbour.
     move: Literal["any", "neighbour"] = "any"
     talk: bool = False  # nodes tell one another what they have at servers (docs/OPERATORS-fleet.md)
+    door: bool = False  # nodes have a door for operators, who call at each once a second
     start_late: Moment = 0  # the last node to start begins so much later than the first
 
 
@@ -210,7 +211,7 @@
         "servers": tuple(f"s-{n:03d}" for n in range(run.servers)),
     }
     groups: dict[str, tuple[str, tuple[str, ...]]] = {who: (who, names[who]) for who in names}
-    groups |= {"clients": ("clients", ()), "discovery": ("discovery", ())}
+    groups |= {who: (who, ()) for who in WHO if who not in names}
     for label, group in tables.group.items():
         if label in WHO:
             problems.append(Problem("group", label, None, "is a name that stands for all of them"))
@@ -276,6 +277,8 @@
             problems.append(Problem(at, "between", table.between, f"no link of the rig: these are {pairs}"))
             return None
         link = "-".join(ends)
+        if link == "operators-nodes" and not run.door:
+            problems.append(Problem(at, "between", table.between, "nodes have no door: [run] door = true"))
         found = dict(groups[name] for name in table.between)
         if not table.lasts:
             problems.append(Problem(at, "lasts", None, "missing: a fault of a link has an end"))
@@ -325,7 +328,7 @@
     if files is None:
         files = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     run, rig = plan.run, plan.rig
-    need = BASE_MB + NODE_MB * run.nodes + WORKER_MB * (rig.server_processes + rig.client_processes + 1)
+    need = BASE_MB + NODE_MB * run.nodes + WORKER_MB * (rig.server_processes + rig.client_processes + 2)
     if need > memory_mb:
         return f"{run.nodes} nodes and the rig take {need} MiB of memory, {memory_mb} MiB are available"
     sides = len(set(plan.sides.values()))
--- a/tier/records.py
+++ b/tier/records.py
@@ -15,8 +15,8 @@
 import msgspec
 
 __all__ = [
-    "Answered", "Arrived", "Asked", "Beat", "Began", "Event", "Journal", "Left", "NodeEnded", "Posted",
-    "ServerDown", "ServerUp", "Told", "read",
+    "Answered", "Arrived", "Asked", "Beat", "Began", "Called", "Event", "Journal", "Left", "NodeEnded",
+    "Posted", "ServerDown", "ServerUp", "Told", "read",
 ]  # fmt: skip
 
 _LENGTH = struct.Struct(">I")
@@ -113,6 +113,14 @@
     killed: bool
 
 
+class Called(_Event, frozen=True):
+    """An operator's call to a node's door has ended: its status, 0 for none, and how long (ns) it took."""
+
+    node: str
+    status: int
+    took: int
+
+
 class Beat(_Event, frozen=True):
     """A process's own clockwork: late so many ns; starved: ns without a core while ready, since the last."""
 
@@ -122,7 +130,18 @@
 
 
 Event: TypeAlias = (
-    Asked | Posted | Answered | ServerUp | ServerDown | Arrived | Began | Left | Told | NodeEnded | Beat
+    Asked
+    | Posted
+    | Answered
+    | ServerUp
+    | ServerDown
+    | Arrived
+    | Began
+    | Left
+    | Told
+    | NodeEnded
+    | Called
+    | Beat
 )
 _decoder: msgspec.msgpack.Decoder[Event] = msgspec.msgpack.Decoder(Event)
 
--- a/tier/report.py
+++ b/tier/report.py
@@ -52,6 +52,7 @@
     rules: dict[str, int]
     faults: tuple[str, ...]
     excused: dict[str, int]
+    door: dict[str, int]  # operators' calls by status, 0 for none
     trusted: bool
     reasons: tuple[str, ...]
     broken: tuple[str, ...]
@@ -142,6 +143,7 @@
         books.verdict.counts,
         tuple(f"{f.rule}: {f.subject}: {f.reason}" for f in books.verdict.faults[:50]),
         dict(books.excused),
+        dict(sorted(Counter(str(call.status) for call in books.calls).items())),
         bool(outcome.trust),
         outcome.trust.reasons,
         broken,
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import random
@@ -17,7 +18,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import msgspec
 import uvloop
@@ -38,6 +39,7 @@
     Arrived,
     Beat,
     Began,
+    Called,
     Event,
     Journal,
     Left,
@@ -472,8 +474,81 @@
             self.callers.links[name].put(msgspec.convert(state, State))
 
 
+# Operators
+
+
+class _Operators(_Player):
+    """They ask each node once a second whether it is ready, each in its own part of the second."""
+
+    EVERY, LIMIT = 1.0, 1.5  # s
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.links: dict[str, Link] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def do_call(self, doors: dict[str, str]) -> None:
+        """Begin to call at these doors, by node."""
+        for n, (name, door) in enumerate(doors.items()):
+            self.links[name] = Link()
+            first = self.EVERY * n / len(doors)
+            self.tasks.append(self.loop.create_task(self._keep_calling(name, door, first)))
+
+    async def _keep_calling(self, name: str, door: str, first: float) -> None:
+        due = self.loop.time() + first
+        while True:
+            await asyncio.sleep(max(0.0, due - self.loop.time()))
+            due += self.EVERY
+            began = time.monotonic_ns()
+            status = 0
+            with contextlib.suppress(OSError, TimeoutError, ValueError):
+                async with asyncio.timeout(self.LIMIT):
+                    status = await self._ready(name, door)
+            now = time.monotonic_ns()
+            self.books.write(Called(now, name, status, now - began))
+
+    async def _ready(self, name: str, door: str) -> int:
+        link = self.links[name]
+        host, _, port = door.rpartition(":")
+        call = _DoorCall(self.loop)
+        while link.state.cut:
+            await asyncio.sleep(0.05)
+        await self.loop.create_connection(lambda: Linked(link, call), host, int(port))
+        try:
+            return await call.status
+        finally:
+            call.transport.abort()
+
+    async def do_link(self, names: list[str], state: dict[str, Any]) -> None:
+        for name in names:
+            self.links[name].put(msgspec.convert(state, State))
+
+
+class _DoorCall(asyncio.Protocol):
+    """One call for /-/ready, and its status."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.status: asyncio.Future[int] = loop.create_future()
+        self.buffer = b""
+        self.transport: asyncio.Transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.write(b"GET /-/ready HTTP/1.1\r\nHost: node\r\n\r\n")
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        if b"\r\n" in self.buffer and not self.status.done():
+            self.status.set_result(int(self.buffer.split(b" ", 2)[1]))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.status.done():
+            self.status.set_result(0)
+
+
 _ROLES: dict[str, Callable[..., _Player]] = {
     "servers": _Servers,
     "registry": _Discovery,
     "clients": _Clients,
+    "operators": _Operators,
 }
