The tier: datagrams between nodes lost, late or cut, by a switch of the rig

Need: what nodes say to one another is to be shown while it is lost, and no plan could touch it.

Change: a fault between two groups of nodes has the rig's switch carry their datagrams, over a socket for each pair, so that addresses stay those that the nodes know; kinds cut, lag and lose.

--- a/benchmarks/evenness.py
+++ b/benchmarks/evenness.py
@@ -30,7 +30,8 @@
     with tempfile.TemporaryDirectory() as folder:
         for n in range(2):
             target = Path(folder) / f"{n}.json"
-            words = ["--nodes", str(nodes), "--load", str(load), "--seed", str(seed), "--json", str(target)]
+            words = ["--load", str(load), "--seed", str(seed), "--json", str(target)]
+            words += ["--nodes", str(nodes)] if nodes else []
             subprocess.run(
                 [sys.executable, "-m", "hollybay.cli", "tier", str(plan), *words],
                 cwd=tree,
@@ -49,7 +50,7 @@
     """Play all, print the table; 1 if a rule was broken in any run."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0] if __doc__ else "")
     parser.add_argument("--plan", type=Path, action="append", required=True)
-    parser.add_argument("--nodes", default="1,40,200")
+    parser.add_argument("--nodes", default="1,40,200", help="0: the plan's own number")
     parser.add_argument("--loads", default="0.7")
     parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--beside", type=Path, help="another checkout of the program, played in turn")
--- a/tests/test_tier_plan.py
+++ b/tests/test_tier_plan.py
@@ -12,7 +12,7 @@
 
 from routing.problems import OperatorError
 from tier.links import State
-from tier.plan import compile_plan, refuse_too_large
+from tier.plan import compile_plan, pairs, refuse_too_large
 
 ROOT = Path(__file__).resolve().parent.parent
 GALLERY = sorted((ROOT / "experiments").glob("*.toml"))
@@ -146,6 +146,32 @@
     assert compile_plan("[run]\ndoor = true\n" + text, "p").faults[0].link == "operators-nodes"
 
 
+def test_links_between_nodes_carry_datagrams_alone() -> None:
+    text = """
+    [run]
+    nodes = 4
+    talk = true
+    [group.west]
+    of = "nodes"
+    end = 0.5
+    [[fault]]
+    kind = "lose"
+    between = ["west", "nodes"]
+    at = "1s"
+    lasts = "1s"
+    by = 0.5
+    """
+    plan = compile_plan(text, "p")
+    assert plan.faults[0].state == State(lose=0.5)
+    assert len(pairs(plan)) == 10 and ("n000", "n001") in pairs(plan) and ("n002", "n003") not in pairs(plan)
+    (problem,) = problems(text.replace("talk = true", ""))
+    assert "nodes say nothing" in problem
+    (problem,) = problems(text.replace('"lose"', '"hold"').replace("by = 0.5", ""))
+    assert "[fault 1]: kind = 'hold': is none for nodes-nodes" in problem
+    (problem,) = problems(text.replace('"west", "nodes"', '"west", "servers"'))
+    assert "[fault 1]: kind = 'lose': is none for nodes-servers" in problem
+
+
 def test_a_plan_beyond_the_machine_is_refused_with_the_figure() -> None:
     plan = compile_plan("[run]\nnodes = 200\n", "p")
     assert refuse_too_large(plan, memory_mb=16000, files=20000) is None
--- a/tests/test_tier_scenes.py
+++ b/tests/test_tier_scenes.py
@@ -148,11 +148,16 @@
 def test_nodes_that_tell_one_another_leave_nothing_idle_even_when_most_die() -> None:
     dying = group("doomed", "nodes", 0.3, 1.0) + fault("kill", "4s", on="doomed")
     killed_ = run_of(40, 13.0, talk=True) + dying
-    alone, told, killed, kept = played(
-        run_of(40), run_of(40, talk=True), killed_, killed_, defects=("", "", "", "keeps-shares")
+    lost_ = run_of(16, 10.0, talk=True) + group("west", "nodes", 0.0, 0.5) + group("east", "nodes", 0.5, 1.0)
+    lost_ += fault("lose", "2s", "3s", between=["west", "east"], by=0.7)
+    lost_ += fault("cut", "5s", "3s", between=["west", "east"])
+    alone, told, killed, kept, lost = played(
+        run_of(40), run_of(40, talk=True), killed_, killed_, lost_, defects=("", "", "", "keeps-shares", "")
     )
-    for report in (alone, told, killed):
+    for report in (alone, told, killed, lost):
         held(report)
+    # While most words are lost, or half of the nodes are not heard, it is no worse than where nobody speaks.
+    assert lost.figures["idle_while_queued"] < 0.2 and lost.figures["unused_over_chance"] < 4.0
     assert told.figures["idle_while_queued"] < 0.05 < alone.figures["idle_while_queued"]
     assert told.figures["p99_ms"] < alone.figures["p99_ms"] and told.figures["refused"] < 0.01
     # What a dead node said counts for a second and a half, and for ever where the defect is planted.
--- a/tier/links.py
+++ b/tier/links.py
@@ -26,7 +26,8 @@
     cut: no new connection, no byte either way; what was on its way is delivered when the link is sound again,
     as TCP does. lost_up, lost_down: one direction only. hold: bytes wait both ways, new connections come
     through. lag: each byte this much later (s). rate: bytes a second in each direction of each connection,
-    0: any. reset: connections are reset, new ones as soon as they are there.
+    0: any. lose: part of datagrams that never arrive (connections lose nothing, TCP sends again). reset:
+    connections are reset, new ones as soon as they are there.
     """
 
     cut: bool = False
@@ -34,6 +35,7 @@
     lost_down: bool = False
     hold: bool = False
     reset: bool = False
+    lose: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     lag: Annotated[float, msgspec.Meta(ge=0, le=60)] = 0.0
     rate: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -23,7 +23,7 @@
 from .evenness import FIGURES
 from .links import State
 
-__all__ = ["Fault", "Plan", "compile_plan", "members", "refuse_too_large"]
+__all__ = ["Fault", "Plan", "compile_plan", "members", "pairs", "refuse_too_large"]
 
 SECOND = 1_000_000_000
 Count = Annotated[int, msgspec.Meta(ge=1, le=2000)]
@@ -34,12 +34,20 @@
 # What one process of each sort takes: MiB of memory of its own, measured on a node after 20 s, and so much
 # that a machine with less is told before the start.
 NODE_MB, WORKER_MB, BASE_MB = 20, 60, 300
-# Descriptors of the rig's own that one server connection and one node take.
+# Groups that need no table, and the links between any two.
 WHO = ("nodes", "servers", "clients", "discovery", "operators")
-LINKS = (("nodes", "servers"), ("nodes", "discovery"), ("clients", "nodes"), ("operators", "nodes"))
+LINKS = (
+    ("nodes", "servers"),
+    ("nodes", "discovery"),
+    ("clients", "nodes"),
+    ("operators", "nodes"),
+    ("nodes", "nodes"),
+)
 PROCESS_KINDS = ("kill", "stop", "restart", "starve", "few-files")
 SERVER_KINDS = ("crash", "slow", "fail", "drain", "absent")
-LINK_KINDS = ("cut", "lose-up", "lose-down", "hold", "lag", "throttle", "reset")
+LINK_KINDS = ("cut", "lose-up", "lose-down", "hold", "lag", "throttle", "reset", "lose")
+# What may happen to datagrams between nodes; and what only to them.
+DATAGRAM_KINDS = ("cut", "lag", "lose")
 LIST_KINDS = ("lists-late",)
 
 
@@ -122,6 +130,7 @@
     link: str  # "", or one of nodes-servers, nodes-discovery, clients-nodes
     state: State
     by: float
+    others: tuple[str, ...] = ()  # of a link between nodes: those at its other end
 
     def __str__(self) -> str:
         whom = f"{len(self.nodes)} nodes" if self.nodes else ""
@@ -180,11 +189,13 @@
     "lag": lambda by: State(lag=min(by, 60.0)),
     "throttle": lambda by: State(rate=by),
     "reset": lambda by: State(reset=True),
+    "lose": lambda by: State(lose=min(by, 1.0)),
 }
 # What `by` must be, for the kinds that need it.
 _BY = {
     "lag": (1e-4, 60.0, "seconds of delay"),
     "throttle": (1.0, 1e6, "bytes a second"),
+    "lose": (0.01, 1.0, "the part of datagrams that are lost"),
     "starve": (0.01, 0.95, "the part of the time that the process is stopped"),
     "few-files": (48.0, 65536.0, "descriptors that the process may have"),
     "slow": (1.01, 1000.0, "so many times the work"),
@@ -262,6 +273,7 @@
         problems.append(Problem(at, "by", table.by, f"means nothing for {kind!r}"))
     found: dict[str, tuple[str, ...]] = {}
     link = ""
+    others: tuple[str, ...] = ()
     if kind in LINK_KINDS:
         if table.on or table.between is None:
             problems.append(Problem(at, "between", table.between, "a fault of a link names its two ends"))
@@ -279,7 +291,12 @@
         link = "-".join(ends)
         if link == "operators-nodes" and not run.door:
             problems.append(Problem(at, "between", table.between, "nodes have no door: [run] door = true"))
-        found = dict(groups[name] for name in table.between)
+        if link == "nodes-nodes" and not run.talk:
+            problems.append(Problem(at, "between", table.between, "nodes say nothing: [run] talk = true"))
+        if (kind not in DATAGRAM_KINDS) if link == "nodes-nodes" else kind == "lose":
+            problems.append(Problem(at, "kind", kind, f"is none for {link}: datagrams have {DATAGRAM_KINDS}"))
+        found = dict(groups[name] for name in reversed(table.between))
+        others = groups[table.between[1]][1] if link == "nodes-nodes" else ()
         if not table.lasts:
             problems.append(Problem(at, "lasts", None, "missing: a fault of a link has an end"))
     else:
@@ -299,7 +316,7 @@
         return None
     state = _STATES[kind](table.by) if kind in _STATES else State()
     return Fault(
-        kind, table.at, until, found.get("nodes", ()), found.get("servers", ()), link, state, table.by
+        kind, table.at, until, found.get("nodes", ()), found.get("servers", ()), link, state, table.by, others
     )
 
 
@@ -313,11 +330,27 @@
             if one.link == "nodes-servers":
                 both = set(one.nodes) & set(other.nodes)
                 both = both if set(one.servers) & set(other.servers) else set()
+            if one.link == "nodes-nodes":
+                both = set(one.nodes) & set(other.nodes) if set(one.others) & set(other.others) else set()
             if both:
                 reason = f"at the same time as fault {n + 1} on {sorted(both)[0]}"
                 problems.append(Problem(f"fault {number}", "at", other.at / SECOND, reason))
 
 
+def pairs(plan: Plan) -> list[tuple[str, str]]:
+    """The ordered pairs of nodes between which a fault of the plan touches datagrams."""
+    found = {
+        pair
+        for fault in plan.faults
+        if fault.link == "nodes-nodes"
+        for a in fault.nodes
+        for b in fault.others
+        if a != b
+        for pair in ((a, b), (b, a))
+    }
+    return sorted(found)
+
+
 def refuse_too_large(plan: Plan, memory_mb: int | None = None, files: int | None = None) -> str | None:
     """Why this machine cannot carry the plan, with the figures; None: it can, as far as can be told.
 
@@ -335,7 +368,7 @@
     # A server process holds its servers' connections, up to what each takes, and one listener a side.
     each = -(-run.servers // rig.server_processes)
     connections = min(run.connections * each, run.nodes * each * 4)
-    need = max(connections + each * sides, 3 * run.nodes, run.sockets) + 64
+    need = max(connections + each * sides, 3 * run.nodes, run.sockets, len(pairs(plan))) + 64
     if need > files:
         return f"one process of the rig needs {need} descriptors, {files} are allowed"
     return None
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -26,7 +26,7 @@
 from .books import Books, Excuse, books_of
 from .control import CallFailed, Far, Hub
 from .links import State
-from .plan import Fault, Plan
+from .plan import Fault, Plan, pairs
 from .records import Event, NodeEnded, read
 from .roles import CONTROL, limits_of_tier, words_of
 from .trust import Trust, judge
@@ -184,6 +184,8 @@
         self.registry_port: dict[str, int] = {}
         self.away: set[str] = set()
         self.peers: list[str] = []  # where each node hears the others
+        self.via: dict[tuple[str, str], str] = {}  # and by pair of nodes, where the switch carries them
+        self.numbers = [*plan.nodes, *(["-"] * max(0, (plan.run.configured or 0) - plan.run.nodes))]
         self.doors: list[str] = []  # and where operators call at it
         self.later: set[asyncio.Task[None]] = set()
         self.workers = [
@@ -191,6 +193,7 @@
             *(f"servers{n}" for n in range(plan.rig.server_processes)),
             *(f"clients{n}" for n in range(plan.rig.client_processes)),
             *(("operators",) if plan.run.door else ()),
+            *(("switch",) if pairs(plan) else ()),
         ]
 
     # What comes in
@@ -252,6 +255,7 @@
         if run.talk:
             (self.folder / "operator.toml").write_text("[peers]\n")
             self.peers = _free_addresses(max(run.nodes, run.configured or 0), socket.SOCK_DGRAM)
+            await self._switch()
         if run.door:
             self.doors = _free_addresses(run.nodes, socket.SOCK_STREAM)
         began = time.monotonic()
@@ -303,6 +307,17 @@
             )
         self.away |= absent
 
+    async def _switch(self) -> None:
+        """Addresses at which pairs of nodes reach one another through the switch, where faults touch them."""
+        touched = pairs(self.plan)
+        if not touched:
+            return
+        self.via = dict(zip(touched, _free_addresses(len(touched), socket.SOCK_DGRAM), strict=True))
+        real = dict(zip(self.plan.nodes, self.peers, strict=False))
+        await self.far("switch").call(
+            "open", pairs=[[a, b, at] for (a, b), at in self.via.items()], real=real
+        )
+
     def _fork_node(self, name: str) -> None:
         n = self.plan.nodes.index(name)
         config = {
@@ -315,7 +330,10 @@
         }
         words = {"defect": self.defect}
         if self.run.talk:
-            config |= {"peers": self.peers, "peer_listen": self.peers[n]}
+            peers = [
+                self.via.get((name, other), at) for other, at in zip(self.numbers, self.peers, strict=True)
+            ]
+            config |= {"peers": peers, "peer_listen": self.peers[n]}
             words["operator"] = str(self.folder / "operator.toml")
         if self.run.door:
             config["admin"] = self.doors[n]
@@ -522,6 +540,8 @@
             sides = self.plan.sides
             mine = sorted({sides[name] for name in fault.nodes})
             await self._servers_do(fault.servers, "link", sides=mine, state=words)
+        elif fault.link == "nodes-nodes":
+            await self.far("switch").call("link", names=fault.nodes, others=fault.others, state=words)
         elif fault.link in ("nodes-discovery", "operators-nodes"):
             far = self.far("registry" if fault.link == "nodes-discovery" else "operators")
             await far.call("link", names=fault.nodes, state=words)
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -474,6 +474,60 @@
             self.callers.links[name].put(msgspec.convert(state, State))
 
 
+# Datagrams between nodes
+
+
+class _Switch(_Player):
+    """Carries datagrams between pairs of nodes, each over a socket of the pair's own.
+
+    What a sends to its address for b arrives at b from b's address for a, so that both know one another.
+    """
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.sockets: dict[tuple[str, str], socket.socket] = {}
+        self.states: dict[tuple[str, str], State] = {}
+        self.real: dict[str, tuple[str, int]] = {}
+        self.chance = random.Random(self.name)
+
+    async def do_open(self, pairs: list[list[str]], real: dict[str, str]) -> None:
+        """pairs: sender, receiver, and the address at which the sender reaches it."""
+        for name, at in real.items():
+            host, _, port = at.rpartition(":")
+            self.real[name] = (host, int(port))
+        for sender, receiver, at in pairs:
+            host, _, port = at.rpartition(":")
+            sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            sock.setblocking(False)
+            sock.bind((host, int(port)))
+            self.sockets[sender, receiver] = sock
+            self.states[sender, receiver] = State()
+            self.loop.add_reader(sock.fileno(), self._carry, sender, receiver)
+
+    def _carry(self, sender: str, receiver: str) -> None:
+        state = self.states[sender, receiver]
+        back = self.sockets[receiver, sender]
+        with contextlib.suppress(OSError):
+            while True:
+                data, at = self.sockets[sender, receiver].recvfrom(2048)
+                lost = state.cut or (state.lose > 0.0 and self.chance.random() < state.lose)
+                if lost or at[:2] != self.real[sender]:
+                    continue
+                if state.lag > 0.0:
+                    self.loop.call_later(state.lag, self._out, back, data, receiver)
+                else:
+                    self._out(back, data, receiver)
+
+    def _out(self, sock: socket.socket, data: bytes, receiver: str) -> None:
+        with contextlib.suppress(OSError):  # the node is dead, or its socket full: datagrams are lost so
+            sock.sendto(data, self.real[receiver])
+
+    async def do_link(self, names: list[str], others: list[str], state: dict[str, Any]) -> None:
+        for pair in self.states:
+            if (pair[0] in names and pair[1] in others) or (pair[1] in names and pair[0] in others):
+                self.states[pair] = msgspec.convert(state, State)
+
+
 # Operators
 
 
@@ -551,4 +605,5 @@
     "registry": _Discovery,
     "clients": _Clients,
     "operators": _Operators,
+    "switch": _Switch,
 }
