The narrower of two policies, pure: what both allow, never more, and never against a rule

Need: a change of policy that takes hold everywhere or nowhere passes through the narrower of old and new, so that the two are never in force at once. This is its first piece; nothing uses it yet, and a node is as before.

--- a/routing/checks.py
+++ b/routing/checks.py
@@ -15,7 +15,7 @@
 from .limits import GROUPS, Sourced
 from .problems import Problem
 
-__all__ = ["DURATIONS", "MAX_BODY", "Checked", "faults", "shown"]
+__all__ = ["DURATIONS", "MAX_BODY", "REACH", "Checked", "faults", "shown"]
 
 MS = 1_000_000
 # The longest body that a file may allow, bytes; the node itself takes a little more.
@@ -23,7 +23,7 @@
 # The limits that are durations, in ns.
 DURATIONS = frozenset(("attempt_timeout", "request_timeout", "copy_delay", "repeat_window"))
 # How far a repeat may go: a larger number reaches more servers.
-_REACH = {api.Group.CELL: 0, api.Group.ZONE: 1, api.Group.ALL: 2}
+REACH = {api.Group.CELL: 0, api.Group.ZONE: 1, api.Group.ALL: 2}
 
 
 def shown(ns: int) -> str:
@@ -91,7 +91,7 @@
             "repeat_window",
             f"repeats of {cls.name!r} past its window of {shown(cls.window)} run a second time (rule 2)",
         )
-    if words.repeat_group is not None and _REACH[GROUPS[words.repeat_group]] > _REACH[cls.group]:
+    if words.repeat_group is not None and REACH[GROUPS[words.repeat_group]] > REACH[cls.group]:
         yield _problem(
             pair,
             "repeat_group",
--- a/routing/gate.py
+++ b/routing/gate.py
@@ -8,8 +8,10 @@
 
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 
 from .limits import Effective, Rate
+from .narrow import Narrow
 from .plan import Plan
 
 __all__ = ["Gate"]
@@ -58,11 +60,37 @@
         self.by: tuple[bytes, bool] = (b"", False)
 
 
+def _apart(parts: tuple[Effective, ...]) -> tuple[Effective, ...]:
+    """Limits of two policies, each under a name of its own, so that a request counts once under each.
+
+    Under one name they become one: the fewer in flight, the lower rate. Rates that share their buckets in
+    different ways cannot be compared, and the second goes under another name.
+    """
+    one, other = parts
+    if one.scope != other.scope:
+        return parts
+    counts = [part.in_flight for part in parts if part.in_flight]
+    rate, second = one.rate, other.rate
+    rest: tuple[Effective, ...] = ()
+    if rate is None or second is None:
+        rate = rate or second
+    elif (rate.header, rate.tenant) == (second.header, second.tenant):
+        rate = replace(
+            rate,
+            per_second=min(rate.per_second, second.per_second),
+            burst=min(rate.burst, second.burst),
+            most_keys=min(rate.most_keys, second.most_keys),
+        )
+    else:
+        rest = (replace(other, scope=f"{other.scope} (its successor)", in_flight=0),)
+    return (replace(one, rate=rate, in_flight=min(counts, default=0)), *rest)
+
+
 class Gate:
     """The plan in force and what counts under it."""
 
-    def __init__(self, plan: Plan, seed: int, max_retry_after: int) -> None:
-        self.plan = plan
+    def __init__(self, plan: Plan | Narrow, seed: int, max_retry_after: int) -> None:
+        self.plan: Plan | Narrow = plan
         self.scopes = plan.scopes()
         self.random = random.Random(seed)
         self.max_retry_after = max_retry_after
@@ -71,7 +99,12 @@
 
     def admit(self, limits: Effective, tenant: int, given: Mapping[bytes, bytes], now: int) -> int | None:
         """Let a request in (None, and done() is owed), or tell the Retry-After (ns, 0: none) that it is
-        turned away with."""
+        turned away with.
+
+        Under the narrower of two policies a request counts under both, or under neither.
+        """
+        if limits.parts:
+            return self._admit_all(limits.parts, tenant, given, now)
         rate = limits.rate
         if rate is None and not limits.in_flight:
             return None
@@ -88,8 +121,24 @@
             state.in_flight += 1
         return None
 
+    def _admit_all(
+        self, parts: tuple[Effective, ...], tenant: int, given: Mapping[bytes, bytes], now: int
+    ) -> int | None:
+        parts = _apart(parts)
+        for n, one in enumerate(parts):
+            wait = self.admit(one, tenant, given, now)
+            if wait is not None:
+                for before in parts[:n]:
+                    self.done(before)
+                return wait
+        return None
+
     def done(self, limits: Effective) -> None:
         """A request that was let in under these limits is over."""
+        if limits.parts:
+            for one in _apart(limits.parts):
+                self.done(one)
+            return
         if not limits.in_flight:
             return
         state = self.states[limits.scope]
@@ -97,7 +146,7 @@
         if not state.in_flight and limits.scope not in self.scopes:
             del self.states[limits.scope]
 
-    def take_over(self, plan: Plan) -> None:
+    def take_over(self, plan: Plan | Narrow) -> None:
         """Put another plan in force; buckets and counts of what it still names go on."""
         self.plan = plan
         scopes = self.scopes = plan.scopes()
--- a/routing/limits.py
+++ b/routing/limits.py
@@ -67,6 +67,7 @@
     retry_after: tuple[int, int] | None
     module: api.Limits | None
     words: Sourced
+    parts: tuple[Effective, ...] = ()  # of the narrower of two policies: those of each, to count under
 
 
 def inherit(levels: list[tuple[str, LimitsTable]]) -> Sourced:
