--- a/elderscale/config.py
+++ b/elderscale/config.py
@@ -196,11 +196,21 @@
         names=names,
         known=known,
         admin=admin,
-        peers={key: data.get(key) for key in ("peers", "peer_listen")},
+        peers={
+            "peers": data.get("peers"),
+            "peer_listen": data.get("peer_listen"),
+            "allowed": _cap(settings, "peers"),
+        },
         scratch=environ.get("TMPDIR", ""),
     )
 
 
+def _cap(settings: Mapping[str, object], name: str) -> object:
+    """One of the settings' caps as it stands there; None where nothing is said."""
+    caps = settings.get("caps")
+    return caps.get(name) if isinstance(caps, dict) else None
+
+
 def settings_of(settings: object) -> Settings:
     """The settings of an instance from their JSON object; ConfigError names what does not hold."""
     if not isinstance(settings, dict):
--- a/elderscale/peers.py
+++ b/elderscale/peers.py
@@ -38,6 +38,8 @@
 
     ConfigError names the field that does not hold.
     """
+    if raw.get("allowed") is False:
+        raise ConfigError("settings.caps.peers: false, and the operator file's [peers] needs it")
     peers = raw.get("peers")
     if not isinstance(peers, list) or len(peers) < nodes:
         raise ConfigError(f"peers: no list of {nodes} addresses, which the operator file's [peers] needs")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -210,6 +210,7 @@
         (
             ({}, "peers: no list of 2 addresses"),
             ({"peers": ["127.0.0.1:1", "127.0.0.1:2"]}, "peer_listen: 'None' is no address"),
+            ({"settings": settings(2, caps={"peers": False})}, "settings.caps.peers: false"),
             (
                 {"peers": ["127.0.0.1:1", "127.0.0.1:2"], "peer_listen": "192.0.2.1:9"},
                 "peer_listen: 192.0.2.1:9: ",
--- a/tier/control.py
+++ b/tier/control.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["CallFailed", "Far", "Hub", "answer_calls"]
+__all__ = ["CallFailed", "Far", "Hub", "answer_calls", "happens"]
 
 LIMIT = 60.0  # seconds that a call may take
 MOST_LINE = 8 << 20
@@ -18,6 +18,14 @@
 Handler = Callable[[dict[str, Any]], Awaitable[Any]]
 
 
+async def happens(changed: asyncio.Event, holds: Callable[[], bool], limit: float) -> None:
+    """Wait for a state of affairs, looked at with each event; TimeoutError after so many seconds."""
+    async with asyncio.timeout(limit):
+        while not holds():
+            changed.clear()
+            await changed.wait()
+
+
 class CallFailed(Exception):
     """A process of the rig could not do what it was asked, or is gone."""
 
@@ -122,10 +130,7 @@
     async def until(self, holds: Callable[[], bool], limit: float, what: str) -> None:
         """Wait for a state of affairs; CallFailed after so many seconds."""
         try:
-            async with asyncio.timeout(limit):
-                while not holds():
-                    self.changed.clear()
-                    await self.changed.wait()
+            await happens(self.changed, holds, limit)
         except TimeoutError:
             raise CallFailed(f"waited {limit:g} s for {what}") from None
 
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -24,7 +24,7 @@
 from standins.scene import KIND_SHARES, KINDS, SHARES, WORK
 
 from .books import Books, Excuse, books_of
-from .control import CallFailed, Far, Hub
+from .control import CallFailed, Far, Hub, happens
 from .links import State
 from .plan import Fault, Plan, pairs
 from .records import Event, NodeEnded, read
@@ -130,10 +130,7 @@
 
     async def until(self, holds: Callable[[], bool], what: str, limit: float = START_LIMIT) -> None:
         try:
-            async with asyncio.timeout(limit):
-                while not holds():
-                    self.changed.clear()
-                    await self.changed.wait()
+            await happens(self.changed, holds, limit)
         except TimeoutError:
             raise RigFailed(f"waited {limit:g} s for {what}") from None
 
