--- /dev/null
+++ b/accord/store.py
@@ -0,0 +1,106 @@
+"""A file of records on disk, in two generations: what a process has said is there before it is said.
+
+A record is written beside, flushed to the disk, and renamed over the older of two names; then the folder is
+flushed. So at any moment one whole record stands, and after a crash the newer of what is whole counts. What
+is no record is set aside under another name and never read as data.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+from .record import MOST, Fate, pack, unpack
+
+__all__ = ["Store", "StoreFailed"]
+
+
+class StoreFailed(Exception):
+    """What was to be said is not on disk, or what is there must not be read; it must not be said."""
+
+
+def _flush(path: Path) -> None:
+    handle = os.open(path, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+class Store:
+    """The records of one process under NAME.0 and NAME.1 in a folder.
+
+    step: called with a word before each step that touches the disk; a test fails or ends the process there.
+    """
+
+    def __init__(self, folder: Path, name: str, step: Callable[[str], None] = lambda word: None) -> None:
+        self.folder = folder
+        self.paths = [folder / f"{name}.{n}" for n in range(2)]
+        self.fresh = folder / f"{name}.new"
+        self.step = step
+        self.count = 0
+        self.data = b""
+        self.newest = 1  # the generation that holds the last record; the other is written next
+        self.aside: list[Path] = []
+        # A named generation is damaged by no crash, only by the disk: what was said last may be gone with it,
+        # and whoever votes must first learn from the others.
+        self.doubtful = False
+
+    def open(self) -> bytes | None:
+        """The last whole record, None where there never was one.
+
+        StoreFailed: the folder cannot be read, a record is of a newer build, or what was there is damaged in
+        both generations: then what this process said is not known, and it must learn before it says more.
+        """
+        found: list[tuple[int, int, bytes]] = []
+        damaged = False
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            for n, path in enumerate(self.paths):
+                if not path.exists():
+                    continue
+                with path.open("rb") as file:
+                    one = unpack(file.read(MOST + 256))
+                if one.fate is Fate.NEWER:
+                    raise StoreFailed(f"{path}: of a newer build than this one")
+                if one.fate is Fate.SOUND:
+                    found.append((one.count, n, one.data))
+                else:
+                    damaged = True
+                    self._set_aside(path, one.fate)
+        except OSError as error:
+            raise StoreFailed(f"{self.folder}: {error}") from None
+        self.doubtful = damaged
+        if not found:
+            if damaged:
+                raise StoreFailed(f"{self.paths[0]}: nothing whole is left of what was said")
+            return None
+        self.count, self.newest, self.data = max(found)
+        return self.data
+
+    def _set_aside(self, path: Path, fate: Fate) -> None:
+        target = path.with_name(f"{path.name}.{fate.value}")
+        os.replace(path, target)
+        self.aside.append(target)
+
+    def put(self, data: bytes) -> None:
+        """Bring a record to the disk; once this returns it may be said. StoreFailed: it may not."""
+        packed = pack(self.count + 1, data)
+        older = 1 - self.newest
+        try:
+            self.step("write")
+            with self.fresh.open("wb") as file:
+                file.write(packed)
+                file.flush()
+                self.step("flush")
+                os.fsync(file.fileno())
+            self.step("rename")
+            os.replace(self.fresh, self.paths[older])
+            self.step("flush folder")
+            _flush(self.folder)
+        except OSError as error:
+            raise StoreFailed(f"{self.paths[older]}: {error}") from None
+        self.count += 1
+        self.newest = older
+        self.data = data
