--- a/tier/plan.py
+++ b/tier/plan.py
@@ -212,7 +212,7 @@
     tables, problems = read_tables(PlanFile, text, file)
     run = tables.run
     if nodes:
-        run = msgspec.structs.replace(run, nodes=nodes, configured=run.configured and nodes)
+        run = msgspec.structs.replace(run, nodes=nodes)
     if load:
         run = msgspec.structs.replace(run, load=load)
     if run.warm >= run.seconds:
