One place each: the usual kinds and mean work, a server's mark; state that nothing read is gone

Cause: read again. The mix of kinds stood in the scene, in the tier's rig and in a benchmark, the mean work in three places; marks were remembered where an attempt begins and reckoned anew where it ends and for each list; the rig kept times and tasks that nobody read and turned its limits into plain values twice; Held bounded a time that could not be later; planted defects had a second method each to reach the one they change.

Change: standins.scene.usual_kinds and MEAN_WORK, used by all three; peers.words.mark remembers; the rest is out. No behaviour changes: the same kinds for 1 to 299 servers, the same table of benchmarks.lists_only, 775 tests pass.

--- a/accord/planted.py
+++ b/accord/planted.py
@@ -56,13 +56,10 @@
     """It grants a lease to a node that says no after it has voted for NARROW."""
 
     def hear_ask(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
-        after, answer = self._replace(accepted=None)._really(now, ask, lease)
+        after, answer = Keeper.hear_ask(self._replace(accepted=None), now, ask, lease)
         same = after.decided == self.decided
         return after._replace(accepted=self.accepted) if same else after, answer
 
-    def _really(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
-        return super().hear_ask(now, ask, lease)
-
 
 class _HearsNoNo(Keeper):
     """A node's no does not keep it from voting for NARROW."""
@@ -83,10 +80,7 @@
     """It votes under a ballot below the one that it promised."""
 
     def hear_accept(self, now: int, call: Accept) -> tuple[Keeper, Accepted | Know | None]:
-        return self._replace(promised=(0, 0))._really(now, call)
-
-    def _really(self, now: int, call: Accept) -> tuple[Keeper, Accepted | Know | None]:
-        return super().hear_accept(now, call)
+        return Keeper.hear_accept(self._replace(promised=(0, 0)), now, call)
 
 
 class _TellsNothing(Keeper):
@@ -124,10 +118,7 @@
     """One keeper's grant is enough for it."""
 
     def hear_grant(self, grant: Grant, lease: int) -> Node:
-        return self._replace(keepers=1)._really(grant, lease)._replace(keepers=self.keepers)
-
-    def _really(self, grant: Grant, lease: int) -> Node:
-        return super().hear_grant(grant, lease)
+        return Node.hear_grant(self._replace(keepers=1), grant, lease)._replace(keepers=self.keepers)
 
 
 class _OldGrants(Node):
@@ -149,10 +140,7 @@
     """It serves under a policy that it cannot serve."""
 
     def hear_grant(self, grant: Grant, lease: int) -> Node:
-        return self._replace(unfit=frozenset())._really(grant, lease)._replace(unfit=self.unfit)
-
-    def _really(self, grant: Grant, lease: int) -> Node:
-        return super().hear_grant(grant, lease)
+        return Node.hear_grant(self._replace(unfit=frozenset()), grant, lease)._replace(unfit=self.unfit)
 
 
 class _SaysYes(Node):
--- a/benchmarks/lists_only.py
+++ b/benchmarks/lists_only.py
@@ -18,23 +18,13 @@
 from collections.abc import Callable
 from itertools import accumulate
 
-from standins.scene import KIND_SHARES, KINDS, SHARES, WORK
+from standins.scene import MEAN_WORK, SHARES, WORK, usual_kinds
 
 SERVERS = 24
 STEP = 0.05  # s between two looks at what is idle and what waits
 EVERY = 1.0  # s between two lists
 
-MEAN = sum(SHARES[name] * WORK[name] for name in SHARES)
-
-
-def _speeds() -> list[float]:
-    marks = [KIND_SHARES[0], KIND_SHARES[0] + KIND_SHARES[1], 1.0]
-    return [
-        KINDS[next(k for k, m in enumerate(marks) if (n + 0.5) / SERVERS <= m)].speed for n in range(SERVERS)
-    ]
-
-
-SPEEDS = _speeds()
+SPEEDS = [kind.speed for kind in usual_kinds(SERVERS)]
 
 
 class Known:
@@ -116,11 +106,11 @@
         return _pick(known.chance, self.shares[step])
 
     def _filled(self, known: Known) -> list[list[float]]:
-        ahead = [held * MEAN / speed for held, speed in zip(known.listed, SPEEDS, strict=True)]
+        ahead = [held * MEAN_WORK / speed for held, speed in zip(known.listed, SPEEDS, strict=True)]
         span = EVERY / self.steps
         shares = []
         for _ in range(self.steps):
-            work = known.rate * span * MEAN
+            work = known.rate * span * MEAN_WORK
             size = level = filled = 0.0
             order = sorted(range(SERVERS), key=lambda n: ahead[n])
             for place, n in enumerate(order):
@@ -143,7 +133,7 @@
 def played(rule: Rule, nodes: int, load: float, seconds: float, seed: int) -> tuple[float, float]:
     """Idle while queued (0 to 1), and the 99th percentile (ms) of the first class, under a rule."""
     chance = random.Random(seed)
-    known = Known(nodes, load * sum(SPEEDS) / MEAN, chance)
+    known = Known(nodes, load * sum(SPEEDS) / MEAN_WORK, chance)
     names = list(SHARES)
     ends: list[deque[float]] = [deque() for _ in SPEEDS]  # of what is held, in order
     idle: list[float] = []
--- a/peers/held.py
+++ b/peers/held.py
@@ -91,7 +91,6 @@
         peer.parts = {}
         peer.count = saying.turn
         peer.at = now
-        self.next = min(self.next, now + self.forget) if len(self.peers) > 1 else now + self.forget
         changed |= self._replace(peer, whole)
         return changed
 
@@ -137,19 +136,13 @@
     def __init__(self, every: int) -> None:
         self.every = every
         self.held: Counter[int] = Counter()
-        self.marks: dict[Hashable, int] = {}
         self.count = 0
         self.changed = True
         self.said = 0
 
     def began(self, server: Hashable) -> None:
         """An attempt is out there."""
-        m = self.marks.get(server)
-        if m is None:
-            if len(self.marks) > 4096:
-                self.marks.clear()
-            m = self.marks[server] = mark(server)
-        self.held[m] += 1
+        self.held[mark(server)] += 1
         self.changed = True
 
     def ended(self, server: Hashable) -> None:
--- a/peers/words.py
+++ b/peers/words.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Mapping
+from collections.abc import Hashable, Mapping
+from functools import lru_cache
 from typing import NamedTuple
 from zlib import crc32
 
@@ -24,7 +25,8 @@
 MOST_PARTS = 8
 
 
-def mark(server: object) -> int:
+@lru_cache(maxsize=4096)
+def mark(server: Hashable) -> int:
     """The number that stands for a server in a saying; two servers may share one, see Held."""
     return crc32(repr(server).encode())
 
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_right
 from dataclasses import dataclass, field
+from itertools import accumulate
 from typing import Any
 
 from elderscale.config import settings_of
@@ -13,7 +15,7 @@
 from .fleet import Kind, ModelServer
 from .ledger import Ledger, Limits
 
-__all__ = ["CLASSES", "KINDS", "TENANTS", "Scene", "settings"]
+__all__ = ["CLASSES", "KINDS", "MEAN_WORK", "TENANTS", "Scene", "settings", "usual_kinds"]
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -50,6 +52,7 @@
 SHARES = {"view-schedule": 0.37, "send-callout": 0.34, "book-venue": 0.29}
 # Mean work of a request in seconds at speed 1.
 WORK = {"view-schedule": 0.025, "send-callout": 0.085, "book-venue": 0.105}
+MEAN_WORK = sum(SHARES[name] * WORK[name] for name in SHARES)
 KINDS = (Kind("fast", 1.3), Kind("std", 1.0), Kind("slow", 0.7))
 KIND_SHARES = (0.29, 0.44, 0.27)
 TENANTS = ("coastal-choirs", "fraser-bands", "island-singers")
@@ -85,6 +88,12 @@
     }
 
 
+def usual_kinds(count: int) -> list[Kind]:
+    """The kinds of so many servers, by their shares, the fastest first."""
+    marks = list(accumulate(KIND_SHARES))[:-1]
+    return [KINDS[bisect_right(marks, (n + 0.5) / count)] for n in range(count)]
+
+
 def work_of(target: bytes, chance: random.Random) -> float:
     """Seconds of work (speed 1) for a target: a uniform draw about its class's mean."""
     name = target.split(b"?", 1)[0].split(b"/")[1].decode("latin-1")
@@ -106,7 +115,7 @@
         self.settings = settings_of(self.words)
         self.ledger = Ledger(Limits.of(self.settings))
         chance = random.Random(self.seed)
-        kinds = [KINDS[self._kind(n)] for n in range(self.count)]
+        kinds = usual_kinds(self.count)
         chance.shuffle(kinds)
         self.servers = [
             ModelServer(f"s-{n:03d}", kind, self.ledger, work_of, cell=n // 4, seed=self.seed)
@@ -114,10 +123,6 @@
         ]
         self.agent = Agent(self.ledger, self.servers)
 
-    def _kind(self, n: int) -> int:
-        at = (n + 0.5) / self.count
-        return 0 if at < KIND_SHARES[0] else 1 if at < KIND_SHARES[0] + KIND_SHARES[1] else 2
-
     async def start(self) -> None:
         """All servers up and warm, the agent told of them."""
         for server in self.servers:
@@ -151,5 +156,4 @@
 
     def capacity(self) -> float:
         """Requests a second of the usual mix that all servers can do when warm."""
-        mean = sum(SHARES[name] * WORK[name] for name in SHARES)
-        return sum(server.kind.capacity for server in self.servers) / mean
+        return sum(server.kind.capacity for server in self.servers) / MEAN_WORK
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from standins.fleet import Kind
-from standins.scene import KIND_SHARES, KINDS, SHARES, WORK
+from standins.scene import MEAN_WORK, usual_kinds
 
 from .books import Books, Excuse, books_of
 from .control import CallFailed, Far, Hub, happens
@@ -71,7 +71,6 @@
     node_cpu: float  # s of a core for each second, mean of the nodes
     node_memory_mb: float  # that a node has for itself, mean
     rig_cpu: float  # s of a core for each second, all processes of the rig but the nodes
-    fault_ends: tuple[int, ...]
 
 
 def _stat(pid: int) -> tuple[float, float, float]:
@@ -177,14 +176,12 @@
         self.touched: set[str] = set()  # nodes that a fault was on
         self.rows: dict[str, dict[str, Any]] = {}
         self.homes: dict[str, str] = {}
-        self.fault_ends: list[int] = []
         self.registry_port: dict[str, int] = {}
         self.away: set[str] = set()
         self.peers: list[str] = []  # where each node hears the others
         self.via: dict[tuple[str, str], str] = {}  # and by pair of nodes, where the switch carries them
         self.numbers = [*plan.nodes, *(["-"] * max(0, (plan.run.configured or 0) - plan.run.nodes))]
         self.doors: list[str] = []  # and where operators call at it
-        self.later: set[asyncio.Task[None]] = set()
         self.workers = [
             "registry",
             *(f"servers{n}" for n in range(plan.rig.server_processes)),
@@ -225,7 +222,7 @@
         plan, run = self.plan, self.run
         await self.hub.start()
         await self.zygote.start()
-        common = {"limits": msgspec.to_builtins(_plain(limits_of_tier(run)))}
+        common = {"limits": msgspec.to_builtins(limits_of_tier(run))}
         rate = self.rate()
         heavy = run.uneven / (run.uneven + run.nodes - 1)
         shares = {
@@ -268,15 +265,10 @@
 
     def rate(self) -> float:
         """Requests a second of the plan's load."""
-        mean = sum(SHARES[name] * WORK[name] for name in SHARES)
-        return self.run.load * sum(kind.capacity for kind in self._kinds()) / mean
+        return self.run.load * sum(kind.capacity for kind in self._kinds()) / MEAN_WORK
 
     def _kinds(self) -> list[Kind]:
-        count = self.run.servers
-        marks = [KIND_SHARES[0], KIND_SHARES[0] + KIND_SHARES[1], 1.0]
-        kinds = [
-            KINDS[next(k for k, mark in enumerate(marks) if (n + 0.5) / count <= mark)] for n in range(count)
-        ]
+        kinds = usual_kinds(self.run.servers)
         random.Random(self.plan.seed).shuffle(kinds)
         return kinds
 
@@ -387,7 +379,6 @@
         end = self.began + fault.until
         begin = _FAULTS.get(fault.kind, _Rig._link)
         await begin(self, fault, now, end)
-        self.fault_ends.append(time.monotonic_ns())
         self.phase = "steady"
         self.tell()
 
@@ -662,7 +653,6 @@
             sum(used[name][0] for name in nodes) / count,
             sum(last[name][2] for name in nodes) / count,
             sum(used[name][0] for name in self.workers if name in used),
-            tuple(self.fault_ends),
         )
 
 
@@ -686,11 +676,6 @@
     raise RigFailed("no free addresses on loopback")
 
 
-def _plain(limits: Any) -> Any:
-    """Limits as plain values."""
-    return msgspec.to_builtins(asdict(limits))
-
-
 _FAULTS: dict[str, Callable[[_Rig, Fault, int, int], Awaitable[None]]] = {
     "kill": _Rig._kill,
     "restart": _Rig._restart,
