--- a/accord/core.py
+++ b/accord/core.py
@@ -18,6 +18,13 @@
    holds one has told a majority; a keeper that was told no by one whose lease is not over does not vote for
    NARROW, and one that has voted for it grants no more leases on PREPARE to who says no.
 
+A policy names its keepers, its *board*. Leases on an epoch, and votes for the one after it, take a majority
+of the board of each policy that the epoch names; so any two epochs that must not overlap have a keeper in
+common also when keepers change.
+
+A node whose lease is over may have been granted a *late* time, in which it serves under the narrower of the
+policies that its epoch names; keepers vote for no epoch meanwhile that serves under none of these.
+
 Everything is a value: functions take a state and what happened and give the new state and what to answer, so
 that the same code runs a node and is searched through by the model check (model.py). A node stands here for
 a process: one that starts again, or a second one that claims its number, is another. Times in ns on a clock
@@ -31,11 +38,12 @@
 from typing import NamedTuple
 
 __all__ = [
-    "Accept", "Accepted", "Ask", "Ballot", "Driver", "Grant", "Keeper", "Know", "Lease", "Node", "Prepare",
-    "Promise", "Stage", "State", "follows", "highest", "served",
+    "Accept", "Accepted", "Ask", "Ballot", "Boards", "Driver", "Grant", "Keeper", "Know", "Lease", "Node",
+    "Prepare", "Promise", "Stage", "State", "enough", "follows", "highest", "named", "served",
 ]  # fmt: skip
 
 Ballot = tuple[int, int]  # a count, and who drives: no two have the same
+Boards = tuple[frozenset[int], ...]  # the keepers of each policy that an epoch names
 NO_BALLOT: Ballot = (0, 0)
 
 
@@ -61,6 +69,17 @@
     return (state.policy, state.new) if state.stage is Stage.NARROW else (state.policy,)
 
 
+def named(state: State) -> tuple[str, ...]:
+    """The policies that it names, in force or not."""
+    return (state.policy, state.new) if state.new else (state.policy,)
+
+
+def enough(boards: Boards, keepers: Iterable[int]) -> bool:
+    """Whether these keepers are a majority of each board."""
+    those = frozenset(keepers)
+    return bool(boards) and all(2 * len(those & board) > len(board) for board in boards)
+
+
 def follows(old: State, new: State) -> bool:
     """Whether one epoch may follow another: the table above."""
     if new.epoch != old.epoch + 1 or bool(new.new) != (new.stage is not Stage.SETTLED):
@@ -138,18 +157,24 @@
 
 
 class Lease(NamedTuple):
-    """A lease that a keeper granted, over at `until` at the latest. able: could serve the new policy."""
+    """A lease that a keeper granted, over at `until` at the latest. able: could serve the new policy.
+
+    late: until when its node may go on under the narrower of these names.
+    """
 
     node: int
     epoch: int
     until: int
     able: bool
+    late: int = 0
+    names: tuple[str, ...] = ()
 
 
 class Keeper(NamedTuple):
     """A keeper. What must be on disk before it is said: decided, promised, accepted.
 
-    quiet: until when it must not vote, as it may have granted leases in a life before.
+    quiet: until when it must not vote, as it may have granted leases in a life before. mute: the last epoch
+    that it must not vote for, as it may have voted or promised with a disk that it lost.
     """
 
     me: int
@@ -158,48 +183,66 @@
     accepted: tuple[Ballot, State] | None = None
     leases: tuple[Lease, ...] = ()
     quiet: int = 0
+    mute: int = 0
 
-    def hear_ask(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
+    def hear_ask(self, now: int, ask: Ask, lease: int, late: int = 0) -> tuple[Keeper, Grant | Know | None]:
         """Grant a lease on the epoch that is decided, or tell which that is; None: to one that cannot serve
-        what this keeper has voted for.
+        what this keeper has voted for, or may have.
 
-        lease: how long, with the margin for clocks that run apart.
+        lease: how long, with the margin for clocks that run apart; late: how long after it.
         """
         knows = self.hear_know(Know(ask.state)) if ask.state is not None else self
         if ask.state is None or ask.state.epoch < knows.decided.epoch:
             return knows, Know(knows.decided)
         epoch = ask.state.epoch
-        if not ask.able and knows.accepted is not None and knows.accepted[1].stage is Stage.NARROW:
+        if not ask.able and (knows.voted_narrow or epoch < knows.mute):
             return knows, None
         # Its leases on epochs before the one that it serves under are over: it looks at none of them again.
         kept = [
             one
             for one in knows.leases
-            if one.until > now
+            if max(one.until, one.late) > now
             and not (one.node == ask.node and (one.epoch < ask.serving or one.epoch == epoch))
         ]
-        kept.append(Lease(ask.node, epoch, now + lease, ask.able))
+        until = now + lease
+        kept.append(Lease(ask.node, epoch, until, ask.able, until + late, named(ask.state)))
         return knows._replace(leases=tuple(sorted(kept))), Grant(knows.me, ask.turn, epoch)
 
+    @property
+    def voted_narrow(self) -> bool:
+        """Whether it has voted for NARROW after the epoch that it knows to be decided."""
+        return self.accepted is not None and self.accepted[1].stage is Stage.NARROW
+
     def hear_prepare(self, call: Prepare) -> tuple[Keeper, Promise | Know | None]:
         """Promise to heed no lower ballot; None: a higher one was promised, or the caller knows more."""
         if call.epoch < self.decided.epoch:
             return self, Know(self.decided)
-        if call.epoch > self.decided.epoch or call.ballot <= self.promised:
+        if call.epoch > self.decided.epoch or call.ballot <= self.promised or call.epoch < self.mute:
             return self, None
         kept = self._replace(promised=call.ballot)
         return kept, Promise(self.me, call.ballot, call.epoch, self.accepted)
 
     def may_vote(self, now: int, state: State) -> bool:
-        """Whether it may vote for an epoch now: it follows, nobody serves under one before the last, and no
-        node that serves could not serve the new policy."""
+        """Whether it may vote for an epoch now: it follows, nobody serves under one before the last, nobody
+        is late under other policies, and no node that serves could not serve the new policy."""
         return (
             follows(self.decided, state)
             and now >= self.quiet
-            and not any(one.epoch < self.decided.epoch and one.until > now for one in self.leases)
+            and state.epoch > self.mute
+            and not self.waits_for(now, state)
             and not (state.stage is Stage.NARROW and self.refused(now))
         )
 
+    def waits_for(self, now: int, state: State) -> tuple[Lease, ...]:
+        """The leases that must be over before it may vote for an epoch."""
+        serves = set(served(state))
+        return tuple(
+            one
+            for one in self.leases
+            if (one.epoch < self.decided.epoch and one.until > now)
+            or (one.late > now and serves.isdisjoint(one.names))
+        )
+
     def refused(self, now: int) -> tuple[int, ...]:
         """The nodes with a lease that cannot serve the new policy of the epoch that is decided."""
         return tuple(
@@ -224,9 +267,21 @@
         return self._replace(decided=know.state, promised=NO_BALLOT, accepted=None)
 
     def reborn(self, now: int, lease: int) -> Keeper:
-        """After a crash, with what is on disk."""
+        """After a crash, with what is on disk. lease: the longest it may have granted, with late time."""
         return self._replace(leases=(), quiet=now + lease)
 
+    @staticmethod
+    def anew(me: int, now: int, lease: int, told: Iterable[tuple[State, State | None]]) -> Keeper:
+        """A keeper that does not know what it said, from what a majority of the others know.
+
+        told: what each knows to be decided, and what it voted for. What this one may have said before is of
+        the epoch after the last of these at the latest.
+        """
+        heard = list(told)
+        decided = max(state for state, _ in heard)
+        last = max(state.epoch for pair in heard for state in pair if state is not None)
+        return Keeper(me, decided, quiet=now + lease, mute=last + 1)
+
 
 # Nodes
 
@@ -234,13 +289,15 @@
 class Node(NamedTuple):
     """A node. at, until: the epoch it serves under, and the end of its lease; want: the last it heard of.
 
-    turn, asked, grants: the call that is under way. unfit: policies that it cannot serve.
+    boards: those whose leases it needs for want. late: until when it serves under the narrower of what its
+    epoch names. turn, asked, grants: the call that is under way. unfit: policies that it cannot serve.
     """
 
     me: int
-    keepers: int
+    boards: Boards = ()
     at: State | None = None
     until: int = 0
+    late: int = 0
     want: State | None = None
     turn: int = 0
     asked: int = 0
@@ -249,29 +306,35 @@
 
     def serves(self, now: int) -> tuple[str, ...]:
         """The policies whose narrower a request that begins now is served under; (): none may begin."""
-        return served(self.at) if self.at is not None and now < self.until else ()
+        if self.at is None or now >= max(self.until, self.late):
+            return ()
+        if now < self.until:
+            return served(self.at)
+        names = named(self.at)
+        return () if any(one in self.unfit for one in names) else names
 
     def begin(self, now: int) -> tuple[Node, Ask]:
         """Ask all keepers for a lease; counted from now, before anybody hears of it."""
         began = self._replace(turn=self.turn + 1, asked=now, grants=frozenset())
-        serving = self.at.epoch if self.at is not None and now < self.until else -1
+        serving = self.at.epoch if self.at is not None and now < max(self.until, self.late) else -1
         able = self.want is None or not self.want.new or self.want.new not in self.unfit
         return began, Ask(self.me, began.turn, self.want, serving, able)
 
-    def hear_grant(self, grant: Grant, lease: int) -> Node:
+    def hear_grant(self, grant: Grant, lease: int, late: int = 0) -> Node:
         """Count a grant; with those of a majority it serves under that epoch."""
         if self.want is None or (grant.turn, grant.epoch) != (self.turn, self.want.epoch):
             return self
         heard = self._replace(grants=self.grants | {grant.keeper})
-        if 2 * len(heard.grants) <= self.keepers or any(one in self.unfit for one in served(self.want)):
+        if not enough(self.boards, heard.grants) or any(one in self.unfit for one in served(self.want)):
             return heard
-        return heard._replace(at=self.want, until=self.asked + lease)
+        until = self.asked + lease
+        return heard._replace(at=self.want, until=until, late=until + late)
 
-    def hear_know(self, know: Know) -> Node:
+    def hear_know(self, know: Know, boards: Boards) -> Node:
         """Hear of a later epoch; it serves on as it does until that is granted, or its own lease ends."""
         if self.want is not None and know.state.epoch <= self.want.epoch:
             return self
-        return self._replace(want=know.state, grants=frozenset())
+        return self._replace(want=know.state, boards=boards, grants=frozenset())
 
 
 # Whoever drives a change
@@ -280,11 +343,11 @@
 class Driver(NamedTuple):
     """Brings the tier one epoch further; it holds nothing that must outlive it, and any keeper may be one.
 
-    wish: the epoch that it wants; one that a keeper has voted for already comes first.
+    boards: those of the epoch before; wish: the one that it wants; what a keeper has voted for comes first.
     """
 
     me: int
-    keepers: int
+    boards: Boards
     wish: State
     ballot: Ballot = NO_BALLOT
     promises: tuple[Promise, ...] = ()
@@ -305,7 +368,7 @@
         if any(one.keeper == promise.keeper for one in self.promises):
             return self, None
         heard = self._replace(promises=(*self.promises, promise))
-        if 2 * len(heard.promises) <= self.keepers:
+        if not enough(self.boards, (one.keeper for one in heard.promises)):
             return heard, None
         voted = [one.accepted for one in heard.promises if one.accepted is not None]
         value = max(voted)[1] if voted else self.wish
@@ -316,7 +379,7 @@
         if vote.ballot != self.ballot or self.decided is not None:
             return self, None
         heard = self._replace(votes=self.votes | {vote.keeper})
-        if 2 * len(heard.votes) <= self.keepers:
+        if not enough(self.boards, heard.votes):
             return heard, None
         return heard._replace(decided=vote.state), Know(vote.state)
 
--- a/accord/planted.py
+++ b/accord/planted.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from .core import (
     Accept,
     Accepted,
@@ -10,6 +12,7 @@
     Grant,
     Keeper,
     Know,
+    Lease,
     Node,
     Prepare,
     Promise,
@@ -49,14 +52,14 @@
 
     def may_vote(self, now: int, state: State) -> bool:
         refused = state.stage is Stage.NARROW and bool(self.refused(now))
-        return follows(self.decided, state) and now >= self.quiet and not refused
+        return follows(self.decided, state) and now >= self.quiet and not refused and state.epoch > self.mute
 
 
 class _GrantsAfterItsVote(Keeper):
     """It grants a lease to a node that says no after it has voted for NARROW."""
 
-    def hear_ask(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
-        after, answer = Keeper.hear_ask(self._replace(accepted=None), now, ask, lease)
+    def hear_ask(self, now: int, ask: Ask, lease: int, late: int = 0) -> tuple[Keeper, Grant | Know | None]:
+        after, answer = Keeper.hear_ask(self._replace(accepted=None), now, ask, lease, late)
         same = after.decided == self.decided
         return after._replace(accepted=self.accepted) if same else after, answer
 
@@ -94,31 +97,33 @@
 class _GrantsOldEpochs(Keeper):
     """It grants leases on whatever epoch a node asks for."""
 
-    def hear_ask(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
+    def hear_ask(self, now: int, ask: Ask, lease: int, late: int = 0) -> tuple[Keeper, Grant | Know | None]:
         if ask.state is not None and ask.state.epoch < self.decided.epoch:
             return self, Grant(self.me, ask.turn, ask.state.epoch)
-        return super().hear_ask(now, ask, lease)
+        return super().hear_ask(now, ask, lease, late)
 
 
 class _ShortLeases(Keeper):
     """It takes a lease for over while its node still counts on it."""
 
-    def hear_ask(self, now: int, ask: Ask, lease: int) -> tuple[Keeper, Grant | Know | None]:
-        return super().hear_ask(now, ask, lease - 2)
+    def hear_ask(self, now: int, ask: Ask, lease: int, late: int = 0) -> tuple[Keeper, Grant | Know | None]:
+        return super().hear_ask(now, ask, lease - 2, late)
 
 
 class _FromTheAnswer(Node):
     """It counts its lease from the answer, not from before it asked."""
 
-    def hear_grant(self, grant: Grant, lease: int) -> Node:
-        return super().hear_grant(grant, lease + 2)
+    def hear_grant(self, grant: Grant, lease: int, late: int = 0) -> Node:
+        return super().hear_grant(grant, lease + 2, late)
 
 
 class _OneGrant(Node):
     """One keeper's grant is enough for it."""
 
-    def hear_grant(self, grant: Grant, lease: int) -> Node:
-        return Node.hear_grant(self._replace(keepers=1), grant, lease)._replace(keepers=self.keepers)
+    def hear_grant(self, grant: Grant, lease: int, late: int = 0) -> Node:
+        return Node.hear_grant(
+            self._replace(boards=(frozenset({grant.keeper}),)), grant, lease, late
+        )._replace(boards=self.boards)
 
 
 class _OldGrants(Node):
@@ -139,8 +144,10 @@
 class _ServesAnything(Node):
     """It serves under a policy that it cannot serve."""
 
-    def hear_grant(self, grant: Grant, lease: int) -> Node:
-        return Node.hear_grant(self._replace(unfit=frozenset()), grant, lease)._replace(unfit=self.unfit)
+    def hear_grant(self, grant: Grant, lease: int, late: int = 0) -> Node:
+        return Node.hear_grant(self._replace(unfit=frozenset()), grant, lease, late)._replace(
+            unfit=self.unfit
+        )
 
 
 class _SaysYes(Node):
@@ -166,6 +173,21 @@
         return super().hear_promise(promise._replace(accepted=None))
 
 
+class _VotesAnew(Keeper):
+    """It has lost its disk and votes at once, though it may have voted before."""
+
+    @staticmethod
+    def anew(me: int, now: int, lease: int, told: Iterable[tuple[State, State | None]]) -> Keeper:
+        return _VotesAnew(*Keeper.anew(me, now, lease, told))._replace(mute=0)
+
+
+class _IgnoresLate(Keeper):
+    """It takes a node whose lease is over for silent, though that goes on under what it knows."""
+
+    def waits_for(self, now: int, state: State) -> tuple[Lease, ...]:
+        return tuple(one for one in self.leases if one.epoch < self.decided.epoch and one.until > now)
+
+
 DEFECTS: dict[str, Parts] = {
     "voted before stored": Parts(keeper=_ForgetsVotes),
     "promised before stored": Parts(keeper=_ForgetsPromises),
@@ -186,4 +208,6 @@
     "yes without looking": Parts(node=_SaysYes),
     "majority of those that answered": Parts(driver=_AnyVotes),
     "in doubt and dropped": Parts(driver=_DropsDoubts),
+    "votes with a lost disk": Parts(keeper=_VotesAnew),
+    "nodes that are late not waited for": Parts(keeper=_IgnoresLate),
 }
--- a/accord/policy.py
+++ b/accord/policy.py
@@ -14,7 +14,9 @@
 __all__ = ["FIRST", "MOST_BYTES", "Policy", "Refused", "first", "parse", "successor"]
 
 # The longest operator file (bytes), the longest reason, author and server, and the most servers out by hand.
-MOST_BYTES, MOST_WORDS, MOST_OUT = 1 << 20, 400, 10_000
+# An operator file of a thousand routes is some 100 KiB, and one that comes by the door is held whole.
+MOST_BYTES, MOST_WORDS, MOST_OUT = 256 << 10, 400, 2_000
+BOARDS = (1, 3, 5)  # keepers that there may be: with an even number one more may fail no more
 _SIZE = 32  # bytes of a digest
 
 
@@ -31,6 +33,7 @@
     out: tuple[str, ...]  # servers out by hand, in order
     reason: str
     author: str
+    keepers: tuple[str, ...] = ()  # the board: where those who decide are called, in order
 
     @property
     def digest(self) -> bytes:
@@ -42,6 +45,7 @@
             *(b"%d" % len(self.out), *(name.encode() for name in self.out)),
             self.reason.encode(),
             self.author.encode(),
+            *(b"%d" % len(self.keepers), *(keeper.encode() for keeper in self.keepers)),
         )
         whole = blake2b(digest_size=_SIZE, person=b"hollybay.policy")
         for part in parts:
@@ -68,10 +72,15 @@
         raise Refused(f"out: {len(policy.out)} servers, {MOST_OUT} at most")
     if list(policy.out) != sorted(set(policy.out)):
         raise Refused("out: not in order, or a server stands twice")
+    if policy.keepers and len(policy.keepers) not in BOARDS:
+        raise Refused(f"keepers: {len(policy.keepers)}, and there may be {', '.join(map(str, BOARDS))}")
+    if list(policy.keepers) != sorted(set(policy.keepers)):
+        raise Refused("keepers: not in order, or one stands twice")
     for field, text in (
         ("reason", policy.reason),
         ("author", policy.author),
         *(("out", o) for o in policy.out),
+        *(("keepers", k) for k in policy.keepers),
     ):
         if len(text) > MOST_WORDS or not text.isprintable():
             raise Refused(f"{field}: {text[:40]!r} is too long, or no plain text")
@@ -82,25 +91,42 @@
     return policy
 
 
-def first(file: bytes, out: Iterable[str] = ()) -> Policy:
+def first(file: bytes, out: Iterable[str] = (), keepers: Iterable[str] = ()) -> Policy:
     """The policy that a tier begins with."""
-    return _checked(Policy(0, b"", file, tuple(sorted(set(out))), "first", ""))
+    return _checked(Policy(0, b"", file, tuple(sorted(set(out))), "first", "", tuple(sorted(keepers))))
 
 
 FIRST = first(b"")
 
 
 def successor(
-    old: Policy, parent: bytes, file: bytes, out: Iterable[str], reason: str, author: str
+    old: Policy,
+    parent: bytes,
+    file: bytes,
+    out: Iterable[str],
+    reason: str,
+    author: str,
+    keepers: Iterable[str] | None = None,
 ) -> Policy:
-    """The policy that follows another. Refused: another parent, nothing changed, or out of bounds."""
+    """The policy that follows another; keepers None: the same. Refused: another parent, nothing changed, more
+    keepers changed than one at a time, or out of bounds."""
     if parent != old.digest:
         raise Refused(f"parent: made on {parent.hex()[:12] or 'nothing'}, in force is {old.name}")
-    new = _checked(Policy(old.version + 1, parent, file, tuple(sorted(set(out))), reason, author))
-    if (new.file, new.out) == (old.file, old.out):
+    board = old.keepers if keepers is None else tuple(sorted(keepers))
+    new = _checked(Policy(old.version + 1, parent, file, tuple(sorted(set(out))), reason, author, board))
+    if (new.file, new.out, new.keepers) == (old.file, old.out, old.keepers):
         raise Refused(f"file: says the same as {old.name}, with the same servers out")
     if not reason.strip():
         raise Refused("reason: missing")
+    come, gone = set(new.keepers) - set(old.keepers), set(old.keepers) - set(new.keepers)
+    # One for another, or one more and one for the number to be odd; else the new ones could outvote the old
+    # before they know anything.
+    if old.keepers and len(come) + len(gone) > 2:
+        raise Refused(
+            f"keepers: {len(come)} come and {len(gone)} go; one at a time may be replaced, or two added"
+        )
+    if old.keepers and not new.keepers:
+        raise Refused("keepers: none")
     return new
 
 
--- /dev/null
+++ b/accord/service.py
@@ -0,0 +1,1048 @@
+"""One process's part in an accord: a node holds a lease, a keeper grants them, and any keeper drives.
+
+It speaks to others through a `Way` that it is given, and puts policies in force through `Hands`; so the same
+code runs a node over sockets (elderscale.accord) and a whole tier on a virtual clock (accord.rehearsal).
+Times are ns of a clock that goes on while a process is stopped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+
+from . import words as w
+from .core import Accept, Boards, Driver, Know, Node, Stage, State, enough, named, served
+from .keeping import Disk, Keeping
+from .policy import Policy, Refused, first, successor
+from .shelf import Shelf, is_name
+from .store import Store, StoreFailed
+from .words import number_of
+
+__all__ = ["Answer", "Hands", "Service", "Terms", "Unreachable", "Way"]
+
+SECOND = 1_000_000_000
+MS = 1_000_000
+# Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
+CALL_LIMIT, MORE_PROMISES = 1.0, 0.03
+# Seconds between two asks for votes that must wait for leases: soon, then seldom.
+VOTE_AGAIN, VOTE_SELDOM = 0.02, 0.1
+# Seconds after which a keeper takes over a change that nobody brings further; each place on the board more.
+TAKE_OVER, TAKE_OVER_EACH = 1.0, 0.4
+# Nodes that are told of an epoch at once, at most.
+TOLD_AT_ONCE = 32
+IDLE = 0.25  # seconds between two looks for a change that hangs
+
+_T = TypeVar("_T")
+
+
+class Unreachable(Exception):
+    """A call had no answer (status 0), or one that says no, and why."""
+
+    def __init__(self, reason: str, status: int = 0) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Way(Protocol):
+    """How a process calls another one at its door; Unreachable: no answer within so many seconds."""
+
+    def __call__(self, door: str, path: str, body: bytes | None, limit: float) -> Awaitable[bytes]: ...
+
+
+class Hands(Protocol):
+    """What an accord does to its node."""
+
+    def compile(self, policy: Policy) -> Awaitable[list[str]]:
+        """Make a policy ready to be in force; why it cannot be: nothing if it can."""
+        ...
+
+    def put(self, policies: tuple[Policy, ...]) -> None:
+        """From now on requests begin under the narrower of these; of none: none may begin."""
+        ...
+
+    def say(self, event: str, **words: object) -> None:
+        """Write down a transition."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What an operator sets up. door: where this process is called; keepers: whom it asks first; ns."""
+
+    name: str
+    door: str
+    keepers: tuple[str, ...]
+    lease: int
+    late: int  # 0: it leaves when its lease is over
+    folder: Path
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """The answer to a call: a status of HTTP, and JSON, or bytes as they are."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(slots=True)
+class _Change:
+    """A change that this keeper was asked for, and how far it knows of it."""
+
+    policy: Policy
+    epoch: int
+
+
+class _Remembered(msgspec.Struct, frozen=True, array_like=True):
+    """What a node leaves to the process after it. boot: the machine's; late: ns of its clock."""
+
+    boot: str
+    state: State
+    boards: list[list[str]]
+    late: int
+
+
+class Service:
+    """See above. disk: runs what touches the disk; boot: names the machine's time since its start."""
+
+    def __init__(
+        self,
+        terms: Terms,
+        way: Way,
+        hands: Hands,
+        clock: Callable[[], int],
+        wall: Callable[[], int],
+        disk: Disk,
+        chance: random.Random,
+        boot: str,
+        step: Callable[[str], None] = lambda word: None,
+        keeps: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.terms = terms
+        self.way = way
+        self.hands = hands
+        self.clock = clock
+        self.wall = wall
+        self.disk = disk
+        self.chance = chance
+        self.boot = boot
+        self.step = step
+        self.keeps = keeps  # whether this process may be the keeper of its name: another one may be it still
+        self.process = chance.getrandbits(48)
+        self.folder = terms.folder / terms.name
+        self.shelf = Shelf(self.folder / "policies", step)
+        self.memory = Store(self.folder, "node", step)
+        self.node = Node(self.process)
+        self.unfit: dict[str, list[str]] = {}
+        self.under: tuple[str, ...] = ()  # as it was put in force last
+        self.until = 0  # requests may begin under it until then without another look
+        self.known_doors: set[str] = set(terms.keepers)
+        self.keeping: Keeping | None = None
+        self.pending: _Change | None = None
+        self.dropping: set[str] = set()
+        self.driving = ""
+        self.waits: list[w.Waiting] = []
+        self.refused: dict[str, str] = {}  # changes that never began: why
+        self.last_reasons: dict[str, dict[str, list[str]]] = {}
+        self.loop = asyncio.get_running_loop()
+        self.poked = asyncio.Event()
+        self.work = asyncio.Event()
+        self.keeper_lock = asyncio.Lock()
+        self.learning = asyncio.Lock()
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.kept_late = 0
+        self.beaten = False
+        self.lost = 0  # rounds of ballots that came to nothing, one after another
+        self.calls_out = self.calls_in = 0
+
+    # Start and end
+
+    async def start(self) -> None:
+        """Take up what is on disk, and begin to ask. StoreFailed: the folder cannot be used."""
+        try:
+            found = self.memory.open()
+            if found is not None:
+                self._inherit(found)
+        except StoreFailed as error:
+            self.hands.say("memory", error=str(error))
+        self._maybe_keeper()
+        self._apply()
+        self._spawn(self._renew())
+        self._spawn(self._drive())
+
+    def close(self) -> None:
+        """End all that is under way."""
+        for task in list(self.tasks):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._over)
+        return task
+
+    def _over(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.hands.say("failed", error=repr(task.exception()))
+
+    def _inherit(self, data: bytes) -> None:
+        """Go on in the late time of the process before, if there was one: keepers still count on it."""
+        try:
+            one: _Remembered = msgspec.msgpack.decode(data, type=_Remembered)
+        except msgspec.DecodeError:
+            return
+        self.known_doors |= {door for board in one.boards for door in board}
+        policies = [self.shelf.get(name) for name in named(one.state)]
+        if one.boot == self.boot and self.clock() < one.late and all(p is not None for p in policies):
+            self._spawn(self._inherited(one))
+
+    async def _inherited(self, one: _Remembered) -> None:
+        for name in named(one.state):
+            policy = self.shelf.get(name)
+            if policy is None or await self._compiled(policy):
+                return
+        if self.node.at is None:
+            # As late as the one before was, not as one that holds a lease.
+            self.node = self.node._replace(at=one.state, until=0, late=one.late)
+            self._apply()
+
+    # The node: what requests begin under
+
+    def look(self) -> bool:
+        """Whether a request may begin now; what is in force is put so."""
+        if self.clock() < self.until:
+            return True
+        self._apply()
+        return bool(self.under)
+
+    def _apply(self) -> None:
+        """Put in force what the node serves under now."""
+        now = self.clock()
+        under = self.node.serves(now)
+        node = self.node
+        strict = now < node.until
+        if under != self.under:
+            policies = tuple(policy for name in under if (policy := self.shelf.get(name)) is not None)
+            if len(policies) < len(under):
+                under = policies = ()
+            self.under = under
+            self.hands.put(policies)
+            at = node.at
+            self.hands.say(
+                "serves" if under else "serves nothing",
+                epoch=at.epoch if at is not None else -1,
+                stage=at.stage.name if at is not None else "",
+                policies=list(under),
+                late=bool(under) and not strict,
+            )
+        self.until = (node.until if strict else node.late) if under else 0
+
+    async def _compiled(self, policy: Policy) -> list[str]:
+        """Why this node cannot serve a policy; what can is on its disk and ready."""
+        problems = self.unfit.get(policy.name)
+        if problems is not None:
+            return problems
+        try:
+            if self.shelf.get(policy.name) is None:
+                await self.disk(lambda: self.shelf.put(policy))
+        except StoreFailed as error:
+            return [f"cannot be kept: {error}"]
+        problems = await self.hands.compile(policy)
+        if problems:
+            problems = [text[:400] for text in problems[: w.MOST_REASONS]]
+            self.unfit[policy.name] = problems
+            self.node = self.node._replace(unfit=self.node.unfit | {policy.name})
+            while len(self.unfit) > 64:
+                self.unfit.pop(next(iter(self.unfit)))
+        return problems
+
+    async def _renew(self) -> None:
+        """Ask for a lease, again and again."""
+        period = self.terms.lease / SECOND / 3
+        while True:
+            before = self.node.at
+            self.poked.clear()
+            await self._round()
+            moved = self.node.at != before and self.node.at is not None
+            if moved or self.poked.is_set():
+                continue  # at once: keepers let go of the lease before when they hear what it serves under
+            wait = period * self.chance.uniform(0.85, 1.0)
+            wait -= (self.clock() - self.node.asked) / SECOND
+            try:
+                async with asyncio.timeout(max(0.02, wait)):
+                    await self.poked.wait()
+            except TimeoutError:
+                pass
+
+    def doors_of(self, state: State | None) -> list[str]:
+        """The keepers whose leases it needs for an epoch; of what it does not know, all that it knows of."""
+        doors: set[str] = set()
+        for name in named(state) if state is not None else ():
+            policy = self.shelf.get(name)
+            doors |= set(policy.keepers) if policy is not None else set()
+        return sorted(doors or self.known_doors)
+
+    async def _round(self) -> None:
+        """One call to all keepers; over when a majority has granted, all have answered, or there is news."""
+        self.node, ask = self.node.begin(self.clock())
+        reasons: list[str] = []
+        if ask.state is not None and ask.state.new:
+            reasons = self.unfit.get(ask.state.new, [])
+        doors = self.doors_of(ask.state)
+        asking = w.Asking(
+            w.FORM, ask, self.terms.name, self.terms.door, self.terms.lease, self.terms.late, reasons
+        )
+        body = w.encode(asking)
+        limit = min(CALL_LIMIT, self.terms.lease / SECOND / 3)
+        calls = {self._spawn(self._ask(door, body, limit)) for door in doors}
+        waiting: set[asyncio.Task[Any]] = set(calls)
+        poked = self.loop.create_task(self.poked.wait())
+        try:
+            while waiting and not poked.done():
+                done, waiting = await asyncio.wait({*waiting, poked}, return_when=asyncio.FIRST_COMPLETED)
+                waiting.discard(poked)
+                if self.node.at == ask.state and enough(self.node.boards, self.node.grants):
+                    break
+        finally:
+            poked.cancel()
+
+    async def _ask(self, door: str, body: bytes, limit: float) -> None:
+        try:
+            answer = w.decode(await self._call(door, "ask", body, limit), w.Granting)
+        except (Unreachable, Refused):
+            return
+        if answer.grant is not None:
+            grant = answer.grant._replace(keeper=number_of(door))
+            before = self.node
+            self.node = self.node.hear_grant(grant, self.terms.lease, self.terms.late)
+            if self.node.at is not before.at or self.node.until != before.until:
+                self._apply()
+                self._remember()
+        elif answer.know is not None:
+            await self.learn(answer.know, door)
+
+    async def learn(self, state: State, by: str) -> None:
+        """Hear of a later epoch: get its policies, make them ready, and ask for a lease on it."""
+        if self.node.want is not None and state.epoch <= self.node.want.epoch:
+            return
+        async with self.learning:
+            if self.node.want is not None and state.epoch <= self.node.want.epoch:
+                return
+            boards: list[frozenset[int]] = []
+            for name in named(state):
+                policy = await self._fetched(name, by)
+                if policy is None:
+                    return  # it will be told again
+                self.known_doors |= set(policy.keepers)
+                boards.append(frozenset(number_of(door) for door in policy.keepers))
+                problems = await self._compiled(policy)
+                if problems and name not in self.node.unfit:
+                    # Not kept on this disk: it cannot serve it now, and may later.
+                    self.unfit[name] = problems
+                    self.node = self.node._replace(unfit=self.node.unfit | {name})
+            self.node = self.node.hear_know(Know(state), tuple(boards))
+            self.hands.say("hears", epoch=state.epoch, stage=state.stage.name, policies=list(named(state)))
+            self._maybe_keeper()
+        self.poked.set()
+
+    async def _fetched(self, name: str, by: str) -> Policy | None:
+        """A policy, from its own shelf or from whoever has it."""
+        known = self.shelf.get(name)
+        if known is not None:
+            return known
+        for door in dict.fromkeys([by, *self.doors_of(self.node.want), *sorted(self.known_doors)]):
+            if door == self.terms.door:
+                continue
+            try:
+                return w.unpacked(
+                    (await self._call(door, f"file/{name}", None)).decode("ascii", "replace"), name
+                )
+            except (Unreachable, Refused):
+                continue
+        return None
+
+    def _remember(self) -> None:
+        """Leave to the process after this one what it may go on with; seldom, as each is a write."""
+        node = self.node
+        if not self.terms.late or node.at is None:
+            return
+        same = self.memory.data and self.kept_late > node.late - self.terms.late // 2
+        if same and self._kept == node.at:
+            return
+        self._kept = node.at
+        self.kept_late = node.late
+        boards = [list(p.keepers) for name in named(node.at) if (p := self.shelf.get(name)) is not None]
+        data = msgspec.msgpack.encode(_Remembered(self.boot, node.at, boards, node.late))
+
+        async def keep() -> None:
+            try:
+                await self.disk(lambda: self.memory.put(data))
+            except StoreFailed as error:
+                self.hands.say("memory", error=str(error))
+
+        self._spawn(keep())
+
+    _kept: State | None = None
+
+    # The keeper
+
+    def _maybe_keeper(self) -> None:
+        """Be a keeper, if a board that it knows of names its door."""
+        if self.keeping is not None or self.terms.door not in self.known_doors or not self.keeps():
+            return
+        keeping = Keeping(
+            number_of(self.terms.door),
+            Store(self.folder, "keeper", self.step),
+            self.shelf,
+            self.clock,
+            self.wall,
+            self.terms.lease + self.terms.late,
+            self.disk,
+        )
+        try:
+            keeping.open()
+        except StoreFailed as error:
+            keeping.failed = str(error)
+            self.hands.say("keeper", error=str(error))
+        self.keeping = keeping
+        knows = keeping.keeper
+        self.hands.say("keeper", epoch=knows.decided.epoch if knows is not None else -1)
+
+    async def _learn_all(self) -> None:
+        """A keeper that knows nothing asks all others what they know."""
+        keeping = self.keeping
+        if keeping is None or keeping.keeper is not None:
+            return
+        doors = sorted(self.known_doors - {self.terms.door})
+        told = dict(await self._all(doors, "tell", None, w.Telling))
+        heard = {door: one for door, one in told.items() if one.founded and one.state is not None}
+        if not heard:
+            return
+        latest = max(one.state for one in heard.values() if one.state is not None)
+        by = next(door for door, one in heard.items() if one.state == latest)
+        policies = [await self._fetched(name, by) for name in named(latest)]
+        if any(policy is None for policy in policies):
+            return
+        boards: Boards = tuple(
+            frozenset(number_of(door) for door in policy.keepers) for policy in policies if policy is not None
+        )
+        self.known_doors |= {door for policy in policies if policy is not None for door in policy.keepers}
+        if not enough(boards, (number_of(door) for door in heard)):
+            return
+        try:
+            for policy in policies:
+                if policy is not None:
+                    await keeping.shelve(policy)
+            async with self.keeper_lock:
+                await keeping.learn_all(
+                    (one.state, one.accepted) for one in heard.values() if one.state is not None
+                )
+        except StoreFailed as error:
+            self.hands.say("keeper", error=str(error))
+            return
+        assert keeping.keeper is not None
+        self.hands.say("keeper learned", epoch=keeping.keeper.decided.epoch, mute=keeping.keeper.mute)
+
+    async def _learn_keeper(self, state: State, by: str) -> bool:
+        """What is decided reaches the keeper here, once it has the policies; whether that was news."""
+        keeping = self.keeping
+        if keeping is None or keeping.keeper is None or state.epoch <= keeping.keeper.decided.epoch:
+            return False
+        for name in named(state):
+            policy = await self._fetched(name, by)
+            if policy is None:
+                return False
+            await keeping.shelve(policy)
+        async with self.keeper_lock:
+            new = await keeping.know(state)
+        if new:
+            keeping.heard = self.clock()
+            self.shelf.prune({*named(state), *self.under})
+            self.work.set()
+        return new
+
+    # Calls that come in
+
+    async def answer(self, path: str, body: bytes | None) -> Answer:
+        """Answer a call at the door. body: None for GET."""
+        self.calls_in += 1
+        try:
+            return await self._answer(path, body)
+        except Refused as error:
+            return _told(409 if path in ("found", "propose", "drop") else 400, str(error))
+        except StoreFailed as error:
+            return _told(507, f"cannot be kept: {error}")
+
+    async def _answer(self, path: str, body: bytes | None) -> Answer:
+        if body is None:
+            return self._got(path)
+        if path == "know":
+            knowing = w.decode(body, w.Knowing)
+            self._spawn(self._heard(knowing.state, knowing.by))
+            return Answer(200, b"{}")
+        if path == "propose":
+            return await self.propose(w.decode(body, w.Proposing))
+        if path == "drop":
+            return await self.drop(w.decode(body, w.Dropping))
+        if path == "found":
+            return await self._found(w.decode(body, w.Founding))
+        if path == "join":
+            return await self._joined(w.decode(body, w.Knowing))
+        if path not in ("ask", "prepare", "accept"):
+            return _told(404, "no such call")
+        keeping = self._keeper()
+        if path == "ask":
+            asking = w.decode(body, w.Asking)
+            state = asking.ask.state
+            if state is not None and not w.sane(state):
+                raise Refused(f"state: {state} is none")
+            if (
+                keeping.keeper is not None
+                and state is not None
+                and state.epoch > keeping.keeper.decided.epoch
+            ):
+                await self._learn_keeper(state, asking.door)
+            async with self.keeper_lock:
+                return Answer(200, w.encode(keeping.ask(asking)))
+        if path == "prepare":
+            preparing = w.decode(body, w.Preparing)
+            async with self.keeper_lock:
+                return Answer(200, w.encode(await keeping.prepare(preparing.call)))
+        accepting = w.decode(body, w.Accepting)
+        if not w.sane(accepting.call.state):
+            raise Refused(f"state: {accepting.call.state} is none")
+        for name in named(accepting.call.state):
+            policy = await self._fetched(name, accepting.by)
+            if policy is not None:
+                await keeping.shelve(policy)
+        async with self.keeper_lock:
+            return Answer(200, w.encode(await keeping.accept(accepting.call)))
+
+    def _keeper(self) -> Keeping:
+        if self.keeping is None:
+            raise Refused("no keeper here")
+        return self.keeping
+
+    async def _heard(self, state: State, by: str) -> None:
+        try:
+            await self._learn_keeper(state, by)
+        except StoreFailed as error:
+            self.hands.say("keeper", error=str(error))
+        await self.learn(state, by)
+
+    def _got(self, path: str) -> Answer:
+        if path == "":
+            return Answer(200, w.encode(self.status()))
+        if path == "tell":
+            return Answer(200, w.encode(self._keeper().tell()))
+        if path == "history":
+            history = self.keeping.history if self.keeping is not None else []
+            return Answer(200, w.encode([self._entry(one) for one in history]))
+        kind, _, name = path.partition("/")
+        if kind == "file" and is_name(name):
+            policy = self.shelf.get(name)
+            if policy is not None:
+                return Answer(200, w.packed(policy).encode())
+            return _told(404, f"no policy {name} here")
+        return _told(404, "no such call")
+
+    def _entry(self, one: w.Entry) -> dict[str, object]:
+        found: dict[str, object] = {
+            "epoch": one.state.epoch, "stage": one.state.stage.name, "policy": one.state.policy,
+            "new": one.state.new, "at": one.at,
+        }  # fmt: skip
+        policy = self.shelf.get(one.state.new or one.state.policy)
+        if policy is not None:
+            found |= {"reason": policy.reason, "author": policy.author}
+        return found
+
+    # Operators' calls
+
+    async def _found(self, founding: w.Founding) -> Answer:
+        """Begin the accord: from an operator, told on to all keepers; or from the keeper that was told."""
+        keeping = self._keeper()
+        if founding.policy:
+            policy = w.unpacked(founding.policy)
+            if self.terms.door not in policy.keepers or set(policy.keepers) != set(self.terms.keepers):
+                raise Refused(
+                    f"keepers: {', '.join(self.terms.keepers)} here, not {', '.join(policy.keepers)}"
+                )
+            async with self.keeper_lock:
+                await keeping.found(policy)
+            return Answer(200, w.encode({"policy": policy.name}))
+        doors = sorted(self.terms.keepers)
+        others = [door for door in doors if door != self.terms.door]
+        told = dict(await self._all(others, "tell", None, w.Telling))
+        begun = [door for door, one in told.items() if one.founded]
+        if begun:
+            raise Refused(f"founded already at {', '.join(begun)}; this keeper learns from them by itself")
+        if len(told) < len(others):
+            silent = ", ".join(door for door in others if door not in told)
+            raise Refused(f"keepers: {silent} did not answer; all must be there when an accord begins")
+        policy = first(_file(founding.file) or b"", (), doors)
+        problems = await self._compiled(policy)
+        if problems:
+            raise Refused("file: " + "; ".join(problems))
+        async with self.keeper_lock:
+            await keeping.found(policy)
+        body = w.encode(w.Founding(policy=w.packed(policy)))
+        answers = [door for door in others if await self._reaches(door, "found", body)]
+        self.hands.say("founded", policy=policy.name, keepers=doors)
+        return Answer(200, w.encode({"policy": policy.name, "keepers": [self.terms.door, *answers]}))
+
+    async def _joined(self, knowing: w.Knowing) -> Answer:
+        """Be a keeper of the next policy: learn all from the present ones before it is proposed."""
+        for name in named(knowing.state):
+            policy = await self._fetched(name, knowing.by)
+            if policy is not None:
+                self.known_doors |= set(policy.keepers)
+        self.known_doors.add(self.terms.door)
+        self._maybe_keeper()
+        await self._learn_all()
+        if self.keeping is None or self.keeping.keeper is None:
+            raise Refused("it does not hear a majority of the keepers")
+        return Answer(200, b"{}")
+
+    async def _reaches(self, door: str, path: str, body: bytes) -> bool:
+        try:
+            await self._call(door, path, body)
+        except Unreachable:
+            return False
+        return True
+
+    async def propose(self, words: w.Proposing) -> Answer:
+        """A change, checked here; from now on the keepers bring it to its end."""
+        keeping = self._keeper()
+        if keeping.keeper is None:
+            raise Refused("this keeper knows nothing yet; `hollybay policy found` begins an accord")
+        await self._catch_up()
+        state = keeping.keeper.decided
+        old = self.shelf.get(state.policy)
+        if old is None:
+            raise Refused(f"{state.policy} is not on this disk")
+        file = old.file if words.file is None else _file(words.file)
+        out = old.out if words.out is None else words.out
+        keepers = await self._board(words.keepers, file)
+        policy = successor(old, bytes.fromhex(words.parent), file, out, words.reason, words.author, keepers)
+        if state.stage is not Stage.SETTLED:
+            if state.new == policy.name:  # asked for again, by one who does not know what came of it
+                return Answer(202, w.encode(w.Changed(policy.name, state.epoch)))
+            raise Refused(f"{state.new} is under way; `status` ends it, `drop` gives it up")
+        if self.pending is not None and self.pending.policy.name != policy.name:
+            raise Refused(f"{self.pending.policy.name} is about to begin")
+        strangers = [door for door in policy.keepers if door not in old.keepers]
+        doors = {member.door for member in keeping.members.values()}
+        missing = [door for door in strangers if door not in doors]
+        if missing:
+            raise Refused(f"keepers: {', '.join(missing)} is no node that holds a lease here")
+        knowing = w.encode(w.Knowing(w.FORM, state, self.terms.door))
+        for door in strangers:
+            try:
+                await self._call(door, "join", knowing)
+            except Unreachable as error:
+                raise Refused(f"keepers: {door}: {error}") from None
+        if keeping.keeper.decided != state:
+            raise Refused("another change came first")
+        problems = await self._compiled(policy)
+        if problems:
+            return Answer(
+                422, w.encode({"refused": f"{policy.name} does not hold here", "problems": problems})
+            )
+        self.pending = _Change(policy, state.epoch + 1)
+        self.dropping.discard(policy.name)
+        self.refused.pop(policy.name, None)
+        self.hands.say("proposed", change=policy.name, reason=policy.reason, author=policy.author)
+        self.work.set()
+        return Answer(202, w.encode(w.Changed(policy.name, state.epoch + 1)))
+
+    async def _board(self, keepers: list[str] | None, file: bytes) -> list[str] | None:
+        """The keepers that a proposal names, by its call or in its file."""
+        named_in_file = getattr(self.hands, "keepers_of", lambda file: None)(file)
+        if keepers is not None and named_in_file is not None and set(keepers) != set(named_in_file):
+            raise Refused("keepers: the file's [accord] names others")
+        return keepers if keepers is not None else named_in_file
+
+    async def _catch_up(self) -> None:
+        """Hear from the other keepers whether there is something later."""
+        keeping = self._keeper()
+        assert keeping.keeper is not None
+        doors = [d for d in self.doors_of(keeping.keeper.decided) if d != self.terms.door]
+        for door, one in await self._all(doors, "tell", None, w.Telling, most=0.3):
+            if one.state is not None:
+                await self._learn_keeper(one.state, door)
+
+    async def drop(self, words: w.Dropping) -> Answer:
+        """Give a change up, unless it is decided already."""
+        keeping = self._keeper()
+        if keeping.keeper is None:
+            raise Refused("this keeper knows nothing yet")
+        # One that is about to begin does, and is then dropped: so all keepers know what became of it.
+        about = self.pending is not None and self.pending.policy.name == words.change
+        state = keeping.keeper.decided
+        if state.new != words.change and not about and not words.passed:
+            raise Refused(f"{words.change or 'nothing'} is not under way; {state.policy} is in force")
+        self.dropping.add(words.change)
+        if not words.passed:
+            body = w.encode(w.Dropping(words.change, True))
+            others = [door for door in self.doors_of(state) if door != self.terms.door]
+            for door in others:
+                self._spawn(self._reaches(door, "drop", body))
+        self.work.set()
+        return Answer(202, b"{}")
+
+    def status(self) -> dict[str, object]:
+        """What this process knows, for people and for `hollybay policy`."""
+        now = self.clock()
+        node = self.node
+        at = node.at
+        keeping = self.keeping
+        strict = now < node.until
+        found: dict[str, object] = {
+            "name": self.terms.name,
+            "door": self.terms.door,
+            "process": self.process,
+            "keepers": self.doors_of(node.want),
+            "serves": list(node.serves(now)),
+            "epoch": at.epoch if at is not None else -1,
+            "stage": at.stage.name if at is not None else "",
+            "late": not strict and bool(node.serves(now)),
+            "left_s": round(max(0, (node.until if strict else node.late) - now) / SECOND, 3),
+            "unfit": self.unfit,
+            "calls_in": self.calls_in,
+            "calls_out": self.calls_out,
+        }
+        if keeping is None or keeping.keeper is None:
+            found["keeper"] = None
+            if keeping is not None:
+                found["keeper_waits"] = keeping.failed or "it knows nothing yet"
+            return found
+        keeper = keeping.keeper
+        state = keeper.decided
+        policy = self.shelf.get(state.policy)
+        found["keeper"] = {
+            "epoch": state.epoch,
+            "stage": state.stage.name,
+            "policy": state.policy,
+            "digest": policy.digest.hex() if policy is not None else "",
+            "out": list(policy.out) if policy is not None else [],
+            "parent": policy.parent.hex() if policy is not None else "",
+            "board": list(policy.keepers) if policy is not None else [],
+            "older": [msgspec.to_builtins(one) for one in keeping.older(now)],
+            "new": state.new,
+            "pending": self.pending.policy.name if self.pending is not None else "",
+            "refused": self.refused,
+            "reasons": keeping.refusals,
+            "driving": self.driving,
+            "waits": [msgspec.to_builtins(one) for one in self.waits],
+            "quiet_s": round(max(0, keeper.quiet - now) / SECOND, 3),
+            "late_s": self.terms.late / SECOND,
+            "mute": keeper.mute,
+            "failed": keeping.failed,
+            "members": self._members(now),
+        }
+        return found
+
+    def _members(self, now: int) -> list[dict[str, object]]:
+        keeping = self._keeper()
+        assert keeping.keeper is not None
+        until: dict[int, int] = {}
+        for one in keeping.keeper.leases:
+            until[one.node] = max(until.get(one.node, 0), one.until)
+        names = [member.name for member in keeping.members.values()]
+        return [
+            {
+                "name": member.name,
+                "door": member.door,
+                "process": process,
+                "epoch": member.serving,
+                "able": member.able,
+                "left_s": round(max(0, until.get(process, 0) - now) / SECOND, 3),
+                "heard_s": round((now - member.heard) / SECOND, 3),
+                # Two processes of one name: an upgrade, or a number that two claim.
+                "twice": names.count(member.name) > 1 and until.get(process, 0) > now,
+            }
+            for process, member in sorted(keeping.members.items(), key=lambda item: item[1].name)
+        ]
+
+    # Driving
+
+    async def _drive(self) -> None:
+        """Bring changes to their end: one that was asked for here, or one that nobody brings further."""
+        while True:
+            self.work.clear()
+            self._maybe_keeper()
+            try:
+                if self.keeping is not None and self.keeping.keeper is None:
+                    await self._learn_all()
+                elif self._mine():
+                    await self._advance()
+                    continue
+            except StoreFailed as error:
+                self.hands.say("keeper", error=str(error))
+                await asyncio.sleep(IDLE)
+            self.driving = ""
+            self.waits = []
+            try:
+                async with asyncio.timeout(IDLE * self.chance.uniform(0.8, 1.2)):
+                    await self.work.wait()
+            except TimeoutError:
+                pass
+
+    def _mine(self) -> bool:
+        """Whether there is something to drive here, now."""
+        keeping = self.keeping
+        if keeping is None or keeping.keeper is None or self.clock() < 0:
+            return False
+        state = keeping.keeper.decided
+        if state.stage is Stage.SETTLED:
+            pending = self.pending
+            if pending is not None and pending.epoch != state.epoch + 1:
+                # Another change was decided first, or this one was and is over.
+                self.pending = None
+                if pending.policy.name != state.policy:
+                    self.refused.setdefault(
+                        pending.policy.name, "another change came first, or it was dropped"
+                    )
+            return self.pending is not None
+        if self.pending is not None:
+            if self.pending.policy.name != state.new:
+                self.refused[self.pending.policy.name] = f"{state.new} came first"
+            else:
+                self.driving = state.new
+            self.pending = None
+        if self.driving == state.new or state.new in self.dropping:
+            return True
+        board = self.doors_of(state)
+        place = board.index(self.terms.door) if self.terms.door in board else len(board)
+        patience = TAKE_OVER + TAKE_OVER_EACH * place
+        return self.clock() - keeping.heard > patience * SECOND
+
+    def _wish(self, state: State) -> State:
+        """What should come after an epoch."""
+        epoch = state.epoch + 1
+        if state.stage is Stage.SETTLED:
+            assert self.pending is not None
+            return State(epoch, Stage.PREPARE, state.policy, self.pending.policy.name)
+        keeping = self._keeper()
+        no = any(one.no for one in self.waits) or bool(keeping.refusals.get(state.new))
+        if state.new in self.dropping or (state.stage is Stage.PREPARE and no):
+            return State(epoch, Stage.SETTLED, state.policy)
+        if state.stage is Stage.PREPARE:
+            return State(epoch, Stage.NARROW, state.policy, state.new)
+        return State(epoch, Stage.SETTLED, state.new)
+
+    async def _advance(self) -> None:
+        """One epoch further, if the keepers will."""
+        keeping = self._keeper()
+        assert keeping.keeper is not None
+        keeping.heard = self.clock()
+        state = keeping.keeper.decided
+        wish = self._wish(state)
+        self.driving = wish.new or state.new
+        doors = self.doors_of(state)
+        boards: Boards = tuple(
+            frozenset(number_of(door) for door in policy.keepers)
+            for name in named(state)
+            if (policy := self.shelf.get(name)) is not None
+        )
+        if len(boards) < len(named(state)):
+            await asyncio.sleep(IDLE)
+            return
+        if state.stage is not Stage.SETTLED:
+            self._tell_all(state)  # whoever has not heard of it holds it up
+        driver = Driver(self.process, boards, wish)
+        driver, asked = await self._promised(driver, state, doors)
+        if asked is not None and await self._votes(driver, asked, state, doors):
+            self.lost = 0
+        elif self.beaten:
+            # Another one drives: two that went on would only take each other's promises back.
+            self.beaten = False
+            self.driving = ""
+            keeping.heard = self.clock()
+        else:
+            self.lost = min(self.lost + 1, 5)
+            await asyncio.sleep(self.chance.uniform(0.02, 0.05) * 2**self.lost)
+
+    async def _promised(self, driver: Driver, state: State, doors: list[str]) -> tuple[Driver, Accept | None]:
+        """Ask for promises; those of keepers that voted for nothing count first, so that the wish is free
+        where it may be."""
+        keeping = self._keeper()
+        driver, call = driver.begin(max(keeping.above(), self._ballot))
+        self._ballot = call.ballot[0]
+        found: list[tuple[str, w.Promising]] = []
+        body = w.encode(w.Preparing(w.FORM, call))
+        async for door, answer in self._each(
+            doors, "prepare", body, w.Promising, MORE_PROMISES, boards=driver.boards
+        ):
+            self._ballot = max(self._ballot, answer.above)
+            if answer.know is not None:
+                await self._learn_keeper(answer.know, door)
+                await self.learn(answer.know, door)
+                return driver, None
+            if answer.epoch < state.epoch:
+                self._spawn(self._reaches(door, "know", w.encode(w.Knowing(w.FORM, state, self.terms.door))))
+            found.append((door, answer))
+        found.sort(key=lambda one: one[1].promise is None or one[1].promise.accepted is not None)
+        asked: Accept | None = None
+        for door, answer in found:
+            if answer.promise is not None:
+                driver, accept = driver.hear_promise(answer.promise._replace(keeper=number_of(door)))
+                asked = asked or accept
+        return driver, asked
+
+    _ballot = 0
+
+    async def _votes(self, driver: Driver, asked: Accept, state: State, doors: list[str]) -> bool:
+        """Ask for votes until a majority has voted; False: it must begin anew."""
+        keeping = self._keeper()
+        body = w.encode(w.Accepting(w.FORM, asked, self.terms.door))
+        voted: set[str] = set()
+        forward = asked.state == self._wish_now(state)
+        again = VOTE_AGAIN
+        silent = 0
+        while True:
+            keeping.heard = self.clock()
+            waits: dict[int, w.Waiting] = {}
+            heard = False
+            left = [door for door in doors if door not in voted]
+            async for door, answer in self._each(
+                left, "accept", body, w.Voting, MORE_PROMISES, driver.boards
+            ):
+                heard = True
+                if answer.vote is not None:
+                    voted.add(door)
+                    driver, know = driver.hear_accepted(answer.vote._replace(keeper=number_of(door)))
+                    if know is not None:
+                        await self._decided(know.state, doors)
+                        return True
+                elif answer.know is not None:
+                    await self._learn_keeper(answer.know, door)
+                    await self.learn(answer.know, door)
+                    return False
+                elif answer.above > asked.ballot[0]:
+                    self._ballot = max(self._ballot, answer.above)
+                    self.beaten = True
+                    return False
+                elif answer.epoch < state.epoch:
+                    know_body = w.encode(w.Knowing(w.FORM, state, self.terms.door))
+                    self._spawn(self._reaches(door, "know", know_body))
+                for one in answer.waits:
+                    waits[one.process] = one
+            self.waits = sorted(waits.values(), key=lambda one: one.name)
+            silent = 0 if heard else silent + 1
+            if silent > 3 or (forward and asked.state != self._wish_now(state)):
+                return False
+            await asyncio.sleep(again)
+            again = min(VOTE_SELDOM, again * 1.3)
+
+    def _wish_now(self, state: State) -> State | None:
+        if state.stage is Stage.SETTLED and self.pending is None:
+            return None
+        return self._wish(state)
+
+    async def _decided(self, state: State, doors: list[str]) -> None:
+        """An epoch is decided: all may know."""
+        self.waits = []
+        self.hands.say(
+            "decided",
+            epoch=state.epoch,
+            stage=state.stage.name,
+            policies=list(served(state)),
+            change=state.new,
+        )
+        await self._learn_keeper(state, self.terms.door)
+        if state.stage is Stage.SETTLED:
+            self.dropping.clear()
+        self._tell_all(state, doors)
+
+    def _tell_all(self, state: State, doors: list[str] | None = None) -> None:
+        """Tell keepers and nodes of an epoch, those first that this keeper heard last."""
+        keeping = self._keeper()
+        members = sorted(keeping.members.values(), key=lambda one: -one.heard)
+        recent = self.clock() - 3 * (self.terms.lease + self.terms.late)
+        found = dict.fromkeys([*(doors or self.doors_of(state))])
+        found |= dict.fromkeys(m.door for m in members if m.heard > recent and m.serving < state.epoch)
+        found.pop(self.terms.door, None)
+        body = w.encode(w.Knowing(w.FORM, state, self.terms.door))
+        waiting = iter(found)
+
+        async def tell() -> None:
+            for door in waiting:
+                await self._reaches(door, "know", body)
+
+        self._spawn(self._heard(state, self.terms.door))
+        for _ in range(min(TOLD_AT_ONCE, len(found))):
+            self._spawn(tell())
+
+    # Calls that go out
+
+    async def _call(self, door: str, path: str, body: bytes | None, limit: float = CALL_LIMIT) -> bytes:
+        """Call a process at its door; this one directly. Unreachable: no answer, or a no."""
+        if door == self.terms.door:
+            answer = await self.answer(path, body)
+            if answer.status >= 400:
+                raise Unreachable(answer.body.decode("utf-8", "replace"), answer.status)
+            return answer.body
+        self.calls_out += 1
+        return await self.way(door, path, body, limit)
+
+    async def _decoded(self, door: str, path: str, body: bytes | None, kind: type[_T]) -> tuple[str, _T]:
+        return door, w.decode(await self._call(door, path, body), kind)
+
+    async def _all(
+        self, doors: list[str], path: str, body: bytes | None, kind: type[_T], most: float = CALL_LIMIT
+    ) -> list[tuple[str, _T]]:
+        """All answers that come in time."""
+        return [one async for one in self._each(doors, path, body, kind, most)]
+
+    async def _each(
+        self,
+        doors: list[str],
+        path: str,
+        body: bytes | None,
+        kind: type[_T],
+        more: float,
+        boards: Boards = (),
+    ) -> Any:
+        """Answers as they come; boards: once a majority of them has answered, those of `more` seconds yet."""
+        waiting = {self.loop.create_task(self._decoded(door, path, body, kind)) for door in doors}
+        heard: set[int] = set()
+        end: float | None = None if boards else self.loop.time() + more
+        try:
+            while waiting:
+                left = None if end is None else max(0.0, end - self.loop.time())
+                done, waiting = await asyncio.wait(waiting, timeout=left, return_when=asyncio.FIRST_COMPLETED)
+                if not done:
+                    return
+                for task in done:
+                    try:
+                        door, answer = task.result()
+                    except (Unreachable, Refused):
+                        continue
+                    heard.add(number_of(door))
+                    yield door, answer
+                if end is None and enough(boards, heard):
+                    end = self.loop.time() + more
+        finally:
+            for task in waiting:
+                task.cancel()
+
+
+def _told(status: int, reason: str) -> Answer:
+    return Answer(status, w.encode({"refused": reason}))
+
+
+def _file(text: str) -> bytes:
+    """A file out of a call."""
+    import base64
+
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise Refused(f"file: {error}") from None
--- /dev/null
+++ b/tests/test_accord_rehearsal.py
@@ -0,0 +1,105 @@
+"""A whole tier's accord on a virtual clock, from seeds; the oracle; and what operators are told."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+import pytest
+
+from accord.follow import Known, judge
+from accord.oracle import Begun, Outcome, Said, check
+from accord.rehearsal import Played, Shape, play, shape_of
+
+SEEDS = range(50)
+
+
+def test_fifty_seeds_keep_the_guarantee_and_come_to_their_end() -> None:
+    shapes = [replace(shape_of(seed), seconds=14.0) for seed in SEEDS]
+    with ProcessPoolExecutor(4) as pool:
+        found = list(pool.map(play, SEEDS, shapes, chunksize=2))
+    for played in found:
+        assert not played.faults, (played.seed, played.faults[:3])
+        assert played.ended, (played.seed, played.why)
+    # Else they would show nothing.
+    assert sum(played.begun for played in found) > 200_000
+    assert sum(played.held for played in found) > 100
+    assert sum(played.dropped for played in found) > 25
+
+
+def test_a_seed_plays_the_same_twice() -> None:
+    shape = Shape(seconds=6.0)
+    one, other = play(3, shape), play(3, shape)
+    assert isinstance(one, Played) and one.trace == other.trace and one.begun == other.begun > 0
+
+
+OLD, NEW, LATER = "1-00000000000a", "2-00000000000b", "3-00000000000c"
+
+
+@pytest.mark.parametrize(
+    ("events", "reason"),
+    [
+        (
+            [
+                Begun(1, "a", (OLD,)),
+                Begun(2, "b", (OLD, NEW)),
+                Begun(3, "a", (NEW,)),
+                Begun(4, "b", (OLD, NEW)),
+            ],
+            "",
+        ),
+        ([Begun(1, "a", (NEW,)), Begun(2, "b", (OLD,))], "after one at a began under 2-"),
+        ([Begun(2, "a", (LATER,)), Begun(3, "b", (OLD, NEW))], "after one at a began under 3-"),
+        ([Begun(1, "a", ("2-00000000000d",)), Begun(2, "b", (OLD, NEW))], "after one at a"),
+        ([Begun(1, "a", ())], "nothing is in force"),
+        ([Said(1, NEW, Outcome.HOLDS), Begun(2, "a", (OLD, NEW))], "was said to hold everywhere"),
+        ([Said(2, NEW, Outcome.HOLDS), Begun(2, "a", (OLD, NEW))], ""),
+        ([Said(1, NEW, Outcome.NOWHERE), Begun(2, "a", (NEW,))], "was said to be nowhere"),
+        ([Begun(1, "a", (NEW,)), Said(2, NEW, Outcome.NOWHERE)], "and was in force"),
+        ([Said(1, NEW, Outcome.NOWHERE), Said(2, NEW, Outcome.HOLDS)], "and was said to be nowhere"),
+    ],
+)
+def test_the_oracle(events: list[Begun | Said], reason: str) -> None:
+    faults = check(events)
+    assert bool(faults) == bool(reason) and all(reason in fault.reason for fault in faults), faults
+
+
+def keeper(epoch: int, stage: str, policy: str, new: str = "", **more: object) -> dict[str, object]:
+    words: dict[str, object] = {
+        "epoch": epoch, "stage": stage, "policy": policy, "new": new, "quiet_s": 0.0, "late_s": 0.0,
+        "older": [], "reasons": {}, "pending": "",
+    }  # fmt: skip
+    return words | more
+
+
+def known(*keepers: dict[str, object], **epochs: tuple[str, str, str]) -> Known:
+    found = Known({f"k{n}": {"keeper": one} for n, one in enumerate(keepers)})
+    found.epochs = {int(epoch[1:]): one for epoch, one in epochs.items()}
+    found.boards = {NEW: ["k0", "k1", "k2"]}
+    return found
+
+
+def test_what_became_of_a_change_is_judged_from_what_is_decided() -> None:
+    prepare, narrow = ("PREPARE", OLD, NEW), ("NARROW", OLD, NEW)
+    new, old = ("SETTLED", NEW, ""), ("SETTLED", OLD, "")
+    held = keeper(3, "SETTLED", NEW)
+    assert judge(known(), NEW, 1).code == 3
+    assert judge(known(keeper(0, "SETTLED", OLD)), NEW, 1).text == "not begun"
+    assert judge(known(keeper(1, *prepare), e1=("PREPARE", OLD, "2-00000000000d")), NEW, 1).code == 1
+    assert judge(known(keeper(2, *narrow), e1=prepare, e2=narrow), NEW, 1).text == "under way"
+    assert judge(known(keeper(2, *old), e1=prepare, e2=old), NEW, 1).text == "dropped"
+    assert judge(known(keeper(3, *old), e2=narrow, e3=old), NEW, 1).code == 1
+    # In force everywhere: a majority of the board is sure that no lease on an older epoch runs.
+    one = judge(known(held, e1=prepare, e2=narrow, e3=new), NEW, 1)
+    assert one.code == 3 and "some nodes" in one.text
+    assert judge(known(held, held, e2=narrow, e3=new), NEW, 1).code == 0
+    running = keeper(3, "SETTLED", NEW, older=[{"epoch": 2}])
+    assert judge(known(held, running, e2=narrow, e3=new), NEW, 1).code == 3
+    assert judge(known(held, keeper(3, "SETTLED", NEW, quiet_s=1.0), e2=narrow, e3=new), NEW, 1).code == 3
+    # A later change is under way: nobody voted for it while a lease on an older epoch ran, but late ones may.
+    later = keeper(4, "PREPARE", NEW, LATER)
+    assert judge(known(later, e2=narrow, e3=new), NEW, 1).code == 0
+    late = keeper(4, "PREPARE", NEW, LATER, late_s=9.0, older=[{"epoch": 2}])
+    assert judge(known(late, late, e2=narrow, e3=new), NEW, 1).code == 3
+    # A keeper whose status is older than another's history tells nothing final.
+    assert judge(known(keeper(2, *narrow), e2=narrow, e3=new), NEW, 1).code == 3
