--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 # Written last: a folder that is half made is made anew.
 $(READY): pyproject.toml
 	python3 -m venv --clear $(VENV)
-	$(VENV)/bin/pip -q install -e '.[cli,dev,tier]'
+	$(VENV)/bin/pip -q install -e '.[cli,dev,tier,accord]'
 	touch $(READY)
 
 platform:
--- a/accord/service.py
+++ b/accord/service.py
@@ -856,6 +856,7 @@
             return
         if state.stage is not Stage.SETTLED:
             self._tell_all(state)  # whoever has not heard of it holds it up
+        self.hands.say("drives", epoch=wish.epoch, stage=wish.stage.name, change=wish.new or wish.policy)
         driver = Driver(self.process, boards, wish)
         driver, asked = await self._promised(driver, state, doors)
         if asked is not None and await self._votes(driver, asked, state, doors):
--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -21,6 +21,9 @@
 from .tally import Tally
 
 if TYPE_CHECKING:
+    from routing.schema import AccordTable
+
+    from .accord import Accord
     from .desk import Desk
     from .handover import Place
     from .operator import Operator
@@ -48,9 +51,9 @@
 FRESH_LIMIT = 2.0
 
 
-def assemble(config: Config) -> tuple[Clients, Node, Discovery]:
-    """The parts of a node, put together but not yet started."""
-    spare = config.sockets - RESERVED - (DOOR if config.admin is not None else 0)
+def assemble(config: Config, reserved: int = 0) -> tuple[Clients, Node, Discovery]:
+    """The parts of a node, put together but not yet started. reserved: descriptors that others need."""
+    spare = config.sockets - RESERVED - (DOOR if config.admin is not None else 0) - reserved
     servers = Servers(config.settings, config.names, limit=spare * 4 // 9)
     node = Node(config.settings, config.seed, servers)
     clients = Clients(config, node, limit=spare * 5 // 9)
@@ -100,12 +103,14 @@
     # the process, as it does where nobody handles it.
     loop.add_signal_handler(signal.SIGHUP, log.info, "SIGHUP: nothing to reload now")
     operator = operator_of(config, environ)
-    clients, node, discovery = assemble(config)
+    table = operator.accord if operator is not None else None
+    clients, node, discovery = assemble(config, reserved_for(table, config))
     if operator is not None:
         clients.gate = operator.gate
     assembled(clients, node, discovery)
     peers = talking(config, operator, node)
-    desk, place = await operated(config, clients, node)
+    accords: list[Accord] = []
+    desk, place = await operated(config, clients, node, operator, accords)
     beside = place.others() if place is not None else 0
     discovery.start()
     if beside:
@@ -127,6 +132,8 @@
     ready.cancel()
     clients.leaving = True
     await drain(clients, node, place=place)
+    for accord in accords:
+        accord.close()
     if desk is not None:
         desk.close()
     if peers is not None:
@@ -150,9 +157,33 @@
     return peers
 
 
-async def operated(config: Config, clients: Clients, node: Node) -> tuple[Desk | None, Place | None]:
+def reserved_for(table: AccordTable | None, config: Config) -> int:
+    """The descriptors that an accord takes; ConfigError where that leaves too few, or it cannot be."""
+    if table is None:
+        return 0
+    try:
+        from .accord import descriptors, terms_of
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"[accord]: needs {error.name}, see the extra `accord`") from None
+    terms_of(table, config)
+    found = descriptors(config.sockets)
+    if config.sockets - RESERVED - DOOR - found < 64:
+        raise ConfigError(f"limits.sockets: {config.sockets}, and the operator file's [accord] takes {found}")
+    return found
+
+
+async def operated(
+    config: Config,
+    clients: Clients,
+    node: Node,
+    operator: Operator | None = None,
+    accords: list[Accord] | None = None,
+) -> tuple[Desk | None, Place | None]:
     """The operators' desk with its door open, and this process's place among those of its node; None for
-    both where the configuration has no address for operators."""
+    both where the configuration has no address for operators.
+
+    accords: takes the node's accord, where the operator file asks for one.
+    """
     if config.admin is None:
         return None, None
     try:
@@ -162,6 +193,12 @@
     from .handover import Place
 
     desk = Desk(config, clients, node)
+    if operator is not None and operator.accord is not None and accords is not None:
+        from .accord import join, terms_of
+
+        accord = await join(terms_of(operator.accord, config), config, operator, clients, desk)
+        accords.append(accord)
+        await accord.start()
     await desk.open()
     return desk, Place(desk.folder, desk.name)
 
--- /dev/null
+++ b/elderscale/accord.py
@@ -0,0 +1,312 @@
+"""A node in an accord, over sockets: the service of `accord`, its calls at doors, its hands on the gate.
+
+Imported only where the operator file has [accord]. What is decided is decided there; here it is called,
+compiled, and put in force.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import logging
+import os
+import random
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import cast
+
+import h11
+import structlog
+
+from accord.policy import Policy, Refused
+from accord.service import Service, Terms, Unreachable
+from accord.store import StoreFailed
+from accord.words import MOST_CALL
+from operations.calls import Call
+from routing.narrow import Narrow
+from routing.plan import Plan, compile_file
+from routing.problems import OperatorError
+from routing.schema import AccordTable, read_all
+
+from .clients import Clients
+from .config import Config, ConfigError
+from .desk import Desk
+from .door import Reply
+from .operator import YIELD, Operator
+
+__all__ = ["Accord", "descriptors", "join", "terms_of"]
+
+# Descriptors that it takes: callers at the door, and calls that are out at once.
+LEAST_CALLERS, MOST_CALLERS, OUT = 16, 256, 40
+MOST_ANSWER = MOST_CALL
+KEPT = 8  # compiled policies that are kept
+
+
+def clock() -> int:
+    """ns that go on while a process, or its machine, is stopped."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+def callers(sockets: int) -> int:
+    """How many may call at the door at once: all nodes of a large tier do when an epoch is decided."""
+    return min(MOST_CALLERS, max(LEAST_CALLERS, sockets // 4))
+
+
+def descriptors(sockets: int) -> int:
+    """How many of a node's descriptors an accord takes."""
+    return callers(sockets) + OUT
+
+
+def terms_of(table: AccordTable, config: Config) -> Terms:
+    """What is set up; ConfigError names what does not hold."""
+    if config.admin is None:
+        raise ConfigError("admin: missing, and the operator file's [accord] needs it")
+    host, port = config.admin
+    if table.door is None and (host in ("0.0.0.0", "::") or not port):
+        raise ConfigError(f"admin: {host}:{port}: other nodes call there, and it is no address of one node")
+    if not config.name or "/" in config.name or config.name.startswith("."):
+        raise ConfigError(f"name: {config.name!r} names no folder, which the operator file's [accord] needs")
+    door = table.door or (f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
+    late = table.narrow_for if table.when_unsure == "narrow" else 0
+    return Terms(config.name, door, tuple(sorted(table.keepers)), table.lease, late, Path(table.folder))
+
+
+class Accord:
+    """See above. began: told of each request that begins, with the clock's time and the policies."""
+
+    def __init__(
+        self, terms: Terms, config: Config, operator: Operator, clients: Clients, desk: Desk
+    ) -> None:
+        self.terms = terms
+        self.gate = operator.gate
+        self.settings = config.settings
+        self.desk = desk
+        self.clients = clients
+        self.began: Callable[[int, tuple[str, ...]], None] | None = None
+        self.loop = asyncio.get_running_loop()
+        self.plans: dict[str, Plan] = {}
+        self.log = structlog.wrap_logger(
+            logging.getLogger("hollybay.accord"),
+            processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
+        ).bind(node=terms.name)
+        self._lock = -1
+        self.service = Service(
+            terms,
+            self.call,
+            self,
+            clock,
+            lambda: time.time_ns() // 1_000_000,
+            self._disk,
+            random.Random(),
+            Path("/proc/sys/kernel/random/boot_id").read_text().strip(),
+            keeps=self._keeps,
+        )
+
+    async def start(self) -> None:
+        """Take up what is on disk, and ask the keepers. ConfigError: the folder cannot be used."""
+        try:
+            (self.terms.folder / self.terms.name).mkdir(parents=True, exist_ok=True)
+            await self.service.start()
+        except (OSError, StoreFailed) as error:
+            raise ConfigError(f"[accord] folder: {error}") from None
+
+    def close(self) -> None:
+        """End all that is under way."""
+        self.service.close()
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def _keeps(self) -> bool:
+        """Whether this process may be the keeper of its name, as no other one is."""
+        if self._lock >= 0:
+            return True
+        path = self.terms.folder / self.terms.name / "lock"
+        held = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        try:
+            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(held)
+            self.say("another process of this name is its keeper")
+            return False
+        self._lock = held
+        return True
+
+    def _disk(self, work: Callable[[], None]) -> Awaitable[None]:
+        return self.loop.run_in_executor(None, work)
+
+    # Requests
+
+    def look(self) -> bool:
+        """Whether a request may begin now; what is in force then is in the gate."""
+        sure = self.service.look()
+        if sure and self.began is not None:
+            self.began(clock(), self.service.under)
+        return sure
+
+    # What the service does to the node
+
+    async def compile(self, policy: Policy) -> list[str]:
+        """Compile a policy's file for this node's settings; why it does not hold."""
+        if policy.name in self.plans:
+            return []
+        interval = sys.getswitchinterval()
+        sys.setswitchinterval(YIELD)
+        try:
+            plan = await self.loop.run_in_executor(
+                None, compile_file, policy.file, self.settings, policy.name
+            )
+        except OperatorError as error:
+            return [str(problem) for problem in error.problems]
+        except Exception as error:  # what nobody foresaw in a file costs this policy and nothing else
+            return [f"cannot be compiled: {type(error).__name__}: {error}"]
+        finally:
+            sys.setswitchinterval(interval)
+        self.plans[policy.name] = plan
+        for name in list(self.plans)[:-KEPT]:
+            if name not in self.service.under:
+                del self.plans[name]
+        return []
+
+    def put(self, policies: tuple[Policy, ...]) -> None:
+        """Put the narrower of these in force; requests that have begun go on under what they began with."""
+        if not policies:
+            return
+        plans = [self._plan(policy) for policy in policies]
+        both = Narrow(plans[0], plans[1], self.settings) if len(plans) > 1 else plans[0]
+        self.gate.take_over(both)
+        self.desk.agreed({server for policy in policies for server in policy.out})
+
+    def _plan(self, policy: Policy) -> Plan:
+        plan = self.plans.get(policy.name)
+        if plan is None:
+            plan = self.plans[policy.name] = compile_file(policy.file, self.settings, policy.name)
+        return plan
+
+    def keepers_of(self, file: bytes) -> list[str] | None:
+        """The keepers that a file's [accord] names."""
+        try:
+            tables, _ = read_all(file)
+        except OperatorError:
+            return None
+        return sorted(tables.accord.keepers) if tables.accord is not None else None
+
+    def say(self, event: str, **words: object) -> None:
+        """Write down a transition."""
+        self.log.info(event, **words)
+
+    # Calls
+
+    async def answer(self, call: Call) -> Reply:
+        """A call that came by the door."""
+        found = await self.service.answer(call.rest, call.body)
+        return Reply(found.status, found.body, "application/json")
+
+    async def call(self, door: str, path: str, body: bytes | None, limit: float) -> bytes:
+        """Call another process at its door."""
+        return await call(door, path, body, limit, self.terms.name)
+
+
+async def call(door: str, path: str, body: bytes | None, limit: float, name: str = "operator") -> bytes:
+    """One call for a policy at a door. name: who calls. Unreachable: no answer within so many seconds, or one
+    that says no."""
+    host, _, port = door.rpartition(":")
+    loop = asyncio.get_running_loop()
+    caller = _Call(door, path, body, name)
+    try:
+        async with asyncio.timeout(limit):
+            await loop.create_connection(lambda: caller, host.strip("[]"), int(port))
+            return await caller.answer
+    except (OSError, TimeoutError, ValueError, h11.ProtocolError) as error:
+        raise Unreachable(f"{door}: {type(error).__name__}: {error}") from None
+    finally:
+        caller.close()
+
+
+class _Call(asyncio.Protocol):
+    """One call, and its answer."""
+
+    def __init__(self, door: str, path: str, body: bytes | None, name: str) -> None:
+        self.door = door
+        self.name = name
+        self.path = path
+        self.body = body
+        self.http = h11.Connection(h11.CLIENT)
+        self.answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        self.status = 0
+        self.pieces: list[bytes] = []
+        self.size = 0
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None and sock.family != socket.AF_UNIX:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        headers = [
+            ("Host", self.door),
+            ("User-Agent", f"hollybay {self.name}"),
+            ("Content-Length", str(len(self.body or b""))),
+        ]
+        target = f"/-/policy/{self.path}" if self.path else "/-/policy"
+        request = h11.Request(method="GET" if self.body is None else "POST", target=target, headers=headers)
+        data = self.http.send(request) or b""
+        if self.body:
+            data += self.http.send(h11.Data(data=self.body)) or b""
+        self.transport.write(data + (self.http.send(h11.EndOfMessage()) or b""))
+
+    def data_received(self, data: bytes) -> None:
+        if self.answer.done():
+            return
+        try:
+            self.http.receive_data(data)
+            while not self.answer.done():
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    return
+                if isinstance(event, h11.Response):
+                    self.status = event.status_code
+                elif isinstance(event, h11.Data):
+                    self.pieces.append(bytes(event.data))
+                    self.size += len(event.data)
+                    if self.size > MOST_ANSWER:
+                        raise Refused("the answer is too long")
+                elif isinstance(event, h11.EndOfMessage):
+                    self._whole()
+                else:
+                    raise Refused("no whole answer")
+        except (h11.ProtocolError, Refused) as error:
+            if not self.answer.done():
+                self.answer.set_exception(Unreachable(f"{self.door}: {error}"))
+
+    def _whole(self) -> None:
+        body = b"".join(self.pieces)
+        if self.status == 200 or self.status == 202:
+            self.answer.set_result(body)
+        else:
+            self.answer.set_exception(Unreachable(body.decode("utf-8", "replace"), self.status))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.answer.done():
+            self.answer.set_exception(Unreachable(f"{self.door}: closed before it answered"))
+
+    def close(self) -> None:
+        """End the connection; what nobody waits for any more raises nowhere."""
+        if self.answer.done() and not self.answer.cancelled():
+            self.answer.exception()
+        else:
+            self.answer.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+async def join(terms: Terms, config: Config, operator: Operator, clients: Clients, desk: Desk) -> Accord:
+    """Bring a node into its accord."""
+    desk.door.most = MOST_CALL
+    desk.door.room = callers(config.sockets)
+    accord = Accord(terms, config, operator, clients, desk)
+    desk.accord = clients.accord = accord
+    return accord
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -33,6 +33,7 @@
     not_passed_on,
     pairs,
 )
+from .ports import Agreed
 from .upload import Room, Upload
 
 if TYPE_CHECKING:
@@ -251,6 +252,7 @@
         self.busy = False  # from a request's last byte to its answer's
         self.ahead = 0  # bytes of the next request that came meanwhile
         self.limits: Effective | None = None  # what the operator's file allows the present request
+        self.sure = True  # whether it is known which policy is in force
         self.most_body = LONG_BODY
         self.upload: Upload | None = None  # the long body of the present request
         self.discarding = False  # answered in the middle of it: the rest is read and dropped
@@ -374,10 +376,16 @@
         config = self.clients.config
         self.limits = None
         self.most_body = LONG_BODY
+        accord = self.clients.accord
+        self.sure = accord is None or accord.look()
         plan = gate.plan
         target = event.target
         if target[:8] == b"/health/" and target.split(b"?", 1)[0] in _HEALTH:
             return None, fault(event, self.headers, self.given, config, None, MAX_BODY, plan.headers)
+        if not self.sure:
+            # Refused as soon as it is whole: under no policy, and nothing was sent on for it.
+            cls = class_of(target, config.names)
+            return cls, fault(event, self.headers, self.given, config, cls, LONG_BODY, plan.headers)
         limits = plan.apply(event.method, target, self.given)
         if limits is None:
             return None, fault(event, self.headers, self.given, config, None, MAX_BODY, plan.headers)
@@ -470,7 +478,7 @@
         if self.clients.ids.known(given[b"x-correlation-id"], self.clients.loop.time()):
             self._reject(409, "X-Correlation-Id: another request has it")
             return
-        if self.clients.full:
+        if self.clients.full or not self.sure:
             # Worded by the node itself: nothing was sent on for this request.
             self.clients.node.tally.refused[self.cls] += 1
             self.refuse(self.clients.config.settings.max_retry_after)
@@ -687,6 +695,9 @@
         self.writing: OrderedDict[ClientConnection, float] = OrderedDict()
         self.ids = RecentIds()
         self.gate: Gate | None = None  # routes and limits of the operator's file, where there is one
+        self.accord: Agreed | None = (
+            None  # whether that is what is in force everywhere, where nodes agree on it
+        )
         # By phase, how long a connection may stay there.
         self.limits = {
             "silent": SILENT_LIMIT,
@@ -706,7 +717,7 @@
     @property
     def well(self) -> bool:
         """Whether the front may send clients here."""
-        return self.ready and not self.draining
+        return self.ready and not self.draining and (self.accord is None or self.accord.look())
 
     async def listen(self, port: int | None = None) -> int:
         """Begin to accept, at the configured port if no other is given; the port."""
--- a/elderscale/desk.py
+++ b/elderscale/desk.py
@@ -10,9 +10,10 @@
 import hashlib
 import logging
 import os
-from collections.abc import Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from lynxrouter.interface import ListKind, ServerId, ServerList, State
 from operations.bans import Bans, BansError, pack, unpack
@@ -25,6 +26,9 @@
 from .door import Door, Reply
 from .node import Node
 
+if TYPE_CHECKING:
+    from .accord import Accord
+
 __all__ = ["Desk"]
 
 log = logging.getLogger("elderscale")
@@ -50,6 +54,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.door = Door(self.answer)
         self.exposition = Exposition(self.figures)
+        self.accord: Accord | None = None  # where the policy is agreed on with the other nodes
         self.emptying: asyncio.TimerHandle | None = None
         self._looking: asyncio.TimerHandle | None = None
         self._seen = (0, 0)  # the file as it was read last: its time (ns) and inode
@@ -77,8 +82,10 @@
 
     # Calls
 
-    def answer(self, call: Call) -> Reply:
+    def answer(self, call: Call) -> Reply | Awaitable[Reply]:
         """Carry out a call; its answer."""
+        if call.kind == Kind.POLICY:
+            return self.accord.answer(call) if self.accord is not None else Reply(404, "no such call")
         if call.kind == Kind.READY:
             return Reply(200, "ready") if self.clients.well else Reply(503, "not ready")
         if call.kind == Kind.METRICS:
@@ -93,8 +100,15 @@
                 return Reply(409, "the process ends")
             self.resume()
             return Reply(200, "in service")
+        if self.accord is not None:
+            return Reply(409, "this node is in an accord: hollybay policy propose --out SERVER, or --in")
         return self._out(call.server, call.kind == Kind.DISABLE)
 
+    def agreed(self, out: set[ServerId]) -> None:
+        """The servers that are out by the policies in force."""
+        if out != self.bans.out:
+            self._put(out)
+
     def servers(self) -> list[dict[str, object]]:
         """The servers of the list and those that are out, with what is in force for each."""
         return [
--- a/elderscale/door.py
+++ b/elderscale/door.py
@@ -11,13 +11,14 @@
 import json
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from http import HTTPStatus
 from typing import cast
 
 import h11
 
-from operations.calls import Denied, parse
+from operations.calls import Denied, Kind, is_policy, parse
 
 from . import system
 
@@ -31,6 +32,8 @@
 CALL_LIMIT, CLOSE_LIMIT = 2.0, 1.0
 # The most that a call holds, head and body together (bytes).
 MOST_CALL = 8 << 10
+# Until a call that is answered later must be (s).
+ANSWER_LIMIT = 5.0
 
 
 class Reply:
@@ -58,7 +61,9 @@
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_CALL)
         self.request: h11.Request | None = None
         self.taken = 0
+        self.body: list[bytes] = []  # of a call about a policy
         self.over = False
+        self.answering: asyncio.Task[Reply] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -70,19 +75,29 @@
         if self.timer is not None:
             self.timer.cancel()
         self.door.callers.pop(self, None)
+        if self.answering is not None:
+            self.answering.cancel()
 
     def eof_received(self) -> bool:
         # A caller may end its sending once its call is whole.
-        if not self.over:
+        if not self.over and self.answering is None:
             self.drop()
         return True
 
+    @property
+    def most(self) -> int:
+        """The most that this call may hold, as far as it is known what it is."""
+        if self.request is not None and is_policy(self.request.target.decode("latin-1")):
+            return self.door.most
+        return MOST_CALL
+
     def data_received(self, data: bytes) -> None:
-        if self.over:
+        if self.over or self.answering is not None:
             return
         self.taken += len(data)
         try:
-            if self.taken > MOST_CALL:
+            # What comes with the head in one piece is looked at again once the head is read.
+            if self.taken > max(self.most, self.door.most if self.request is None else 0):
                 raise h11.RemoteProtocolError("the call is too long", error_status_hint=413)
             self.http.receive_data(data)
             while not self.over:
@@ -93,9 +108,15 @@
                     return
                 if isinstance(event, h11.Request):
                     self.request = event
+                    if self.taken > self.most:
+                        raise h11.RemoteProtocolError("the call is too long", error_status_hint=413)
                 elif isinstance(event, h11.EndOfMessage):
                     self._whole()
-                elif not isinstance(event, h11.Data):
+                    return
+                elif isinstance(event, h11.Data):
+                    if self.most > MOST_CALL:
+                        self.body.append(bytes(event.data))
+                else:
                     self.drop()
                     return
         except h11.RemoteProtocolError as error:
@@ -110,8 +131,29 @@
         call = parse(self.request.method.decode("ascii"), self.request.target.decode("latin-1"))
         if isinstance(call, Denied):
             self._reply(Reply(call.status, call.reason), call.allow)
-        else:
-            self._reply(self.door.answer(call))
+            return
+        if call.kind is Kind.POLICY and call.body is not None:
+            call = replace(call, body=b"".join(self.body))
+        reply = self.door.answer(call)
+        if isinstance(reply, Reply):
+            self._reply(reply)
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.answering = self.door.loop.create_task(self._answered(reply))
+
+    async def _answered(self, answer: Awaitable[Reply]) -> Reply:
+        """Give an answer that takes its time."""
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT):
+                reply = await answer
+        except TimeoutError:
+            reply = Reply(504, "no answer in time")
+        except Exception:
+            log.exception("a call failed")
+            reply = Reply(500, "failed")
+        self._reply(reply)
+        return reply
 
     def _late(self) -> None:
         self._reply(Reply(408, "the call is not whole in time"))
@@ -160,8 +202,11 @@
 class Door:
     """The listener and its callers."""
 
-    def __init__(self, answer: Callable[..., Reply]) -> None:
+    def __init__(self, answer: Callable[..., Reply | Awaitable[Reply]]) -> None:
         self.answer = answer
+        self.most = MOST_CALL  # of a call about a policy
+        self.room = CALLERS
+        self.backlog = 64
         self.loop = asyncio.get_running_loop()
         self.callers: dict[_Caller, None] = {}  # in the order in which they came
         self.port = 0
@@ -173,14 +218,14 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, port))
         sock.setblocking(False)
-        self._server = await self.loop.create_server(lambda: _Caller(self), sock=sock, backlog=64)
+        self._server = await self.loop.create_server(lambda: _Caller(self), sock=sock, backlog=self.backlog)
         self.port = int(sock.getsockname()[1])
         return self.port
 
     def admit(self, caller: _Caller) -> None:
         """Take a caller in; beyond what there is room for, the first that came goes."""
         self.callers[caller] = None
-        if len(self.callers) > CALLERS:
+        if len(self.callers) > self.room:
             next(iter(self.callers)).drop()
 
     def close(self) -> None:
--- a/elderscale/operator.py
+++ b/elderscale/operator.py
@@ -57,6 +57,12 @@
         except OperatorError as error:
             raise ConfigError(str(error)) from None
         self.gate = Gate(plan, seed, settings.max_retry_after)
+        self.accord = plan.accord
+        if plan.accord is not None and not plan.bare:
+            raise ConfigError(
+                f"{path}: [accord]: routes and limits beside it would be this node's alone; "
+                "`hollybay policy propose` puts them in force everywhere"
+            )
         self.done = 0  # reloads that are over, whatever came of them
         self.changed = asyncio.Event()  # set with each of them
         self._work: asyncio.Task[None] | None = None
@@ -79,7 +85,18 @@
         return compile_file(data, self.settings, str(self.path))
 
     def reload(self) -> None:
-        """Read the file again; one that does not hold is logged and changes nothing."""
+        """Read the file again; one that does not hold is logged and changes nothing.
+
+        Where nodes agree on the policy, this node alone changes nothing.
+        """
+        if self.accord is not None:
+            log.error(
+                "reload: %s: this node is in an accord, and takes over nothing; use: hollybay policy propose",
+                self.path,
+            )
+            self.done += 1
+            self.changed.set()
+            return
         self._again = True
         if self._work is None:
             self._work = asyncio.get_running_loop().create_task(self._reload())
--- a/elderscale/ports.py
+++ b/elderscale/ports.py
@@ -7,7 +7,15 @@
 from .flow import Source
 from .messages import Answer
 
-__all__ = ["Client"]
+__all__ = ["Agreed", "Client"]
+
+
+class Agreed(Protocol):
+    """Whether the policy that is set up here is what is in force at all nodes."""
+
+    def look(self) -> bool:
+        """Whether a request may begin now."""
+        ...
 
 
 class Client(Protocol):
--- a/hollybay/cli.py
+++ b/hollybay/cli.py
@@ -278,6 +278,19 @@
     sys.exit(tiers.run(file, seed, nodes or 0, load or 0.0, target, picture, keep, defect))
 
 
+try:
+    from .policy import policy as _policy
+except ModuleNotFoundError as _missing:  # without the extra `accord`
+    _absent = _missing.name
+
+    @main.command("policy")
+    def _policy_is_absent() -> None:
+        """The policy of all nodes (needs the extra `accord`)."""
+        raise click.ClickException(f"needs {_absent}, see the extra `accord`")
+else:
+    main.add_command(_policy)
+
+
 def _class_table(report: Report) -> Table:
     table = Table(title="Requests")
     for column in ("class", "asked", "served", "refused", "failed", "p50 ms", "p99 ms", "worth in time"):
--- a/hollybay/tiers.py
+++ b/hollybay/tiers.py
@@ -102,5 +102,11 @@
         say(f"operators' calls by status (0: none): {calls}")
     for fault in report.faults[:20]:
         say(fault)
+    for code, name, text, seconds in report.changes:
+        say(f"change {name or '(none)'}: {code} after {seconds:.2f} s: {text}")
+    if report.under:
+        say("requests began under " + ", ".join(f"{names}: {count}" for names, count in report.under.items()))
+    for fault in report.torn[:20]:
+        say(f"policy: {fault}")
     for bound in report.broken:
         say(f"broken: {bound}")
--- a/operations/calls.py
+++ b/operations/calls.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from urllib.parse import unquote
 
-__all__ = ["Call", "Denied", "Kind", "parse"]
+__all__ = ["Call", "Denied", "Kind", "is_policy", "parse"]
 
 
 class Kind(Enum):
@@ -19,14 +19,20 @@
     ENABLE = "enable"
     DRAIN = "drain"
     RESUME = "resume"
+    POLICY = "policy"
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A call; server: the id that it names, decoded, "" where it names none."""
+    """A call; server: the id that it names, decoded, "" where it names none.
+
+    rest: of a policy call, what follows its name; body: what came with it, None for one that has none.
+    """
 
     kind: Kind
     server: str = ""
+    rest: str = ""
+    body: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +53,22 @@
 }
 _OF_SERVER = {"disable": Kind.DISABLE, "enable": Kind.ENABLE}
 _SERVERS = "/-/servers/"
+_POLICY = "/-/policy"
+
+
+def is_policy(target: str) -> bool:
+    """Whether a call is one of those by which a policy is agreed on."""
+    path = target.split("?", 1)[0]
+    return path == _POLICY or path.startswith(_POLICY + "/")
 
 
 def parse(method: str, target: str) -> Call | Denied:
     """The call that a request line asks for. A query is ignored; an id is percent-decoded."""
     path = target.split("?", 1)[0]
+    if is_policy(path):
+        if method not in ("GET", "POST"):
+            return Denied(405, f"{path} takes GET and POST", "GET, POST")
+        return Call(Kind.POLICY, rest=path[len(_POLICY) + 1 :], body=b"" if method == "POST" else None)
     plain = _PLAIN.get(path)
     server = ""
     if plain is None and path.startswith(_SERVERS):
--- a/routing/plan.py
+++ b/routing/plan.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+import msgspec
+
 from lynxrouter import interface as api
 
 from .checks import Checked, faults, shown
@@ -12,7 +14,7 @@
 from .matcher import HeaderRule, Matcher
 from .paths import BadPath, Pattern, Reading, parse_pattern, segments_of
 from .problems import OperatorError, Problem
-from .schema import ClassTable, HeaderTable, OperatorFile, PeersTable, RouteTable, read_all
+from .schema import MS, AccordTable, ClassTable, HeaderTable, OperatorFile, PeersTable, RouteTable, read_all
 
 __all__ = ["Denied", "Plan", "Route", "compile_file", "compile_plan", "declared_settings"]
 
@@ -56,6 +58,8 @@
     reading: Reading
     headers: frozenset[bytes]  # those on which routes or buckets decide
     peers: PeersTable | None = None  # whether, and how, nodes tell one another of their load
+    accord: AccordTable | None = None  # whether, and how, nodes agree on the policy
+    bare: bool = False  # it says nothing of routes and limits
 
     def route_of(
         self, method: bytes, target: bytes, given: Mapping[bytes, bytes]
@@ -98,6 +102,25 @@
         return frozenset([route.name for route in self.routes] + [one.scope for one in self.by_class])
 
 
+def _accord(table: AccordTable | None, problems: list[Problem]) -> None:
+    """What does not hold in [accord]."""
+    if table is None:
+        return
+    count = len(table.keepers)
+    if count % 2 == 0:
+        reason = "an even number: with one more, no more may fail"
+        problems.append(Problem("accord", "keepers", count, reason))
+    if len(set(table.keepers)) < count:
+        problems.append(Problem("accord", "keepers", table.keepers, "one stands twice"))
+    for key, value, least, most in (
+        ("lease", table.lease, 500 * MS, 60_000 * MS),
+        ("narrow_for", table.narrow_for, 1000 * MS, 86_400_000 * MS),
+    ):
+        if not least <= value <= most:
+            reason = f"must be from {least // MS} ms to {most // MS} ms"
+            problems.append(Problem("accord", key, value, reason))
+
+
 def _host(given: Mapping[bytes, bytes]) -> str:
     """The host that a request names, in lower case, without port or final dot."""
     host = given.get(b"host", b"").decode("latin-1").strip().lower()
@@ -147,6 +170,7 @@
                 "decides between them: tell them apart by host, path, method or headers",
             )
         )
+    _accord(tables.accord, problems)
     if tables.peers is not None and tables.peers.forget < 2 * tables.peers.every:
         reason = (
             f"is under twice [peers] every ({tables.peers.every} ns): one lost datagram would silence a node"
@@ -166,6 +190,8 @@
         Reading(tables.paths.encoded_slash == "keep", tables.paths.empty_segments == "keep"),
         frozenset(headers),
         tables.peers,
+        tables.accord,
+        msgspec.structs.replace(tables, peers=None, accord=None) == OperatorFile(),
     )
 
 
--- a/routing/schema.py
+++ b/routing/schema.py
@@ -15,6 +15,7 @@
 MS = 1_000_000
 
 __all__ = [
+    "AccordTable",
     "ClassTable",
     "HeaderTable",
     "LimitsTable",
@@ -143,10 +144,29 @@
     forget: Duration = 1500 * MS  # for so long what a node said counts
 
 
+Door = Annotated[
+    str, msgspec.Meta(max_length=100, pattern=r"^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9._-]+):[0-9]{1,5}$")
+]
+
+
+class AccordTable(Table, frozen=True):
+    """How nodes agree on a policy: who decides, for how long a node is sure, what it does when it is not."""
+
+    all_or_nothing = True
+
+    keepers: Annotated[list[Door], msgspec.Meta(min_length=1, max_length=5)]  # their doors for operators
+    folder: Annotated[str, msgspec.Meta(min_length=1, max_length=400)]  # for what must outlive a process
+    door: Door | None = None  # where others call this node, if not at its own address for operators
+    lease: Duration = 5000 * MS
+    when_unsure: Literal["leave", "narrow"] = "leave"
+    narrow_for: Duration = 60_000 * MS  # so long after its lease a node may serve under the narrower
+
+
 class OperatorFile(Table, frozen=True):
     """The whole file."""
 
     peers: PeersTable | None = None
+    accord: AccordTable | None = None
 
     paths: PathsTable = PathsTable()
     defaults: LimitsTable = LimitsTable()
--- /dev/null
+++ b/tests/test_accord_scenes.py
@@ -0,0 +1,186 @@
+"""Several real processes that agree on a policy, and faults between them: everywhere or nowhere.
+
+Each scene is a run of the tier under load: real nodes, their doors behind a relay that loses and delays, and
+operators who propose changes by the steps of `hollybay policy`. The oracle reads under which policies each
+request began, over all processes. Runs go side by side, a handful at a time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tier.plan import compile_plan
+from tier.report import Report, report_of
+from tier.rig import RigFailed, play
+
+from .test_tier_scenes import RIG, fault, group
+
+SIDE_BY_SIDE = 6
+FILE = '[[route]]\\nname = \\"halls\\"\\npath = { prefix = \\"/view-schedule/halls\\" }\\n'
+
+
+def run_of(nodes: int = 5, seconds: float = 9.0, **more: object) -> str:
+    words: dict[str, object] = {
+        "seconds": f"{seconds}s", "warm": "1s", "nodes": nodes, "servers": 6, "load": 0.3, "door": True,
+        "keepers": 3, "lease": "1500ms",
+    }  # fmt: skip
+    lines = "".join(
+        f"{k} = {str(v).lower() if isinstance(v, bool) else repr(v)}\n" for k, v in (words | more).items()
+    )
+    rig = RIG + "server_processes = 1\nclient_processes = 1\n"
+    return f"[run]\n{lines}{rig}"
+
+
+def change(at: str, file: str | None = FILE, **more: object) -> str:
+    lines = f'[[change]]\nat = "{at}"\n' + (f'file = "{file}"\n' if file is not None else "")
+    return lines + "".join(f"{k} = {v!r}\n" for k, v in more.items())
+
+
+def death(node: int, event: str, stage: str = "", back: str = "1s") -> str:
+    return f'[[death]]\nnode = {node}\nevent = "{event}"\nstage = "{stage}"\nback = "{back}"\n'
+
+
+async def _played(text: str, gate: asyncio.Semaphore) -> Report:
+    why: object = None
+    async with gate:
+        for _ in range(2):
+            try:
+                report = report_of(await play(compile_plan(text, "scene", 1)))
+            except RigFailed as error:
+                why = error
+                continue
+            if report.trusted:
+                return report
+            why = report.reasons
+    raise AssertionError(f"not to be trusted, twice: {why}")
+
+
+def played(**texts: str) -> dict[str, Report]:
+    """Play these side by side."""
+
+    async def all_of() -> list[Report]:
+        gate = asyncio.Semaphore(SIDE_BY_SIDE)
+        return await asyncio.gather(*(_played(text, gate) for text in texts.values()))
+
+    return dict(zip(texts, asyncio.run(all_of()), strict=True))
+
+
+def held(label: str, report: Report) -> None:
+    """The guarantee, the four rules, and that requests began at all."""
+    assert not report.torn, (label, report.torn, report.changes)
+    assert not any(report.rules.values()), (label, report.rules, report.faults)
+    assert sum(report.under.values()) > 50, (label, report.under)
+
+
+def codes(report: Report) -> list[int]:
+    return [code for code, _, _, _ in report.changes]
+
+
+def at_the_end(report: Report) -> set[tuple[str, ...]]:
+    """Under which policies nodes serve when the run is over."""
+    return {tuple(one.get("serves", ("?",))) for one in report.status.values()}
+
+
+def everywhere(label: str, report: Report, n: int = 0) -> None:
+    """The change holds, at every node."""
+    held(label, report)
+    assert report.changes[n][0] == 0, (label, report.changes)
+    assert at_the_end(report) == {(report.changes[n][1],)}, (label, report.changes, report.status)
+
+
+STEPS = {
+    "proposed": death(0, "proposed"),
+    "drives prepare": death(0, "drives", "PREPARE"),
+    "decided prepare": death(0, "decided", "PREPARE"),
+    "drives narrow": death(0, "drives", "NARROW"),
+    "decided narrow": death(0, "decided", "NARROW"),
+    "drives settled": death(0, "drives", "SETTLED"),
+    "decided settled": death(0, "decided", "SETTLED"),
+    "keeper before its disk": death(1, "write"),
+    "keeper between disk and word": death(1, "flush folder"),
+}
+
+
+def test_whoever_drives_is_killed_at_each_step_and_the_keepers_end_the_change() -> None:
+    """Also a keeper between storing and saying."""
+    found = played(**{label: run_of() + change("1500ms") + words for label, words in STEPS.items()})
+    for label, report in found.items():
+        everywhere(label, report)
+        assert report.excused.get("killed", 0) < 40
+
+
+def test_nodes_that_are_down_stopped_or_cut_off_during_a_change() -> None:
+    last = group("last", "nodes", 0.8, 1.0) + group("rest", "nodes", 0.0, 0.8)
+    halves = group("one", "nodes", 0.0, 0.4) + group("other", "nodes", 0.4, 1.0)
+    cut = {"between": ["last", "rest"]}
+    found = played(
+        stopped=run_of(6) + last + fault("stop", "1s", "4s", on="last") + change("1500ms"),
+        killed=run_of(6) + last + fault("kill", "1s", "2s", on="last") + change("1500ms"),
+        cut=run_of(6) + last + fault("cut", "1s", "4s", **cut) + change("1500ms"),
+        deaf=run_of(6) + last + fault("lose-down", "1s", "4s", **cut) + change("1500ms"),
+        dumb=run_of(6) + last + fault("lose-up", "1s", "4s", **cut) + change("1500ms"),
+        halves=run_of(6) + halves + fault("cut", "1s", "3s", between=["one", "other"]) + change("1500ms"),
+        loss=run_of(6) + fault("lose", "1s", "6s", between=["nodes", "nodes"], by=0.15) + change("1500ms"),
+        late=run_of(6) + fault("lag", "1s", "6s", between=["nodes", "nodes"], by=0.1) + change("1500ms"),
+    )
+    for label, report in found.items():
+        everywhere(label, report)
+    # Whoever is silent holds a change up until its lease is over, and no longer.
+    for label in ("stopped", "cut"):
+        assert 0.5 < found[label].changes[0][3] < 4.5, (label, found[label].changes)
+
+
+def test_most_nodes_killed_all_keepers_down_and_two_changes_at_once() -> None:
+    most = group("most", "nodes", 0.3, 1.0)
+    keepers = group("keepers", "nodes", 0.0, 0.5)
+    odd = change("1500ms", None, out=["s-001"])
+    narrow = run_of(6, 10.0, narrow_for="5s") + group("keepers", "nodes", 0.0, 0.5)
+    found = played(
+        most=run_of(10, 10.0) + most + fault("kill", "1600ms", "3s", on="most") + change("1500ms"),
+        keepers=run_of(6, 12.0) + keepers + fault("kill", "1500ms", "3s", on="keepers") + change("2s"),
+        narrow=narrow + fault("kill", "1500ms", "3s", on="keepers"),
+        both=run_of() + change("1500ms") + odd.replace("[[change]]", "[[change]]\nto = 1"),
+        dropped=run_of() + change("1500ms", drop="10ms") + change("4s", None, out=["s-001"]),
+        old=run_of() + change("1500ms", parent="7-0123456789ab"),
+    )
+    everywhere("most", found["most"])
+    everywhere("keepers", found["keepers"])
+    for label in ("narrow", "both", "dropped", "old"):
+        held(label, found[label])
+    # With no keeper a node leaves when its lease is over, and is back with them; or goes on where it may.
+    assert found["keepers"].door.get("503", 0) > found["narrow"].door.get("503", 0)
+    assert found["narrow"].figures["refused"] < 0.05 < found["keepers"].figures["refused"]
+    assert sorted(codes(found["both"])) == [0, 1], found["both"].changes
+    assert codes(found["dropped"])[0] == 1 and codes(found["dropped"])[1] == 0, found["dropped"].changes
+    assert codes(found["old"]) == [1] and "made on 7-0123456789ab" in found["old"].changes[0][2]
+
+
+def test_what_no_node_or_one_node_cannot_serve_is_nowhere() -> None:
+    bad = change("1500ms", '[[route]]\\nname = \\"x\\"\\nclass = \\"nobody\\"\\n')
+    found = played(
+        bad=run_of() + bad,
+        keeper=run_of(6) + change("1500ms", None, keepers=[0, 1, 4]) + change("4s"),
+        stranger=run_of(6) + change("1500ms", None, keepers=[0, 4, 5]),
+        even=run_of(6) + change("1500ms", None, keepers=[0, 1]),
+    )
+    for label, report in found.items():
+        held(label, report)
+    assert codes(found["bad"]) == [1] and "does not hold here" in found["bad"].changes[0][2]
+    assert any("nobody" in text for one in found["bad"].reasons_by_node for r in one.values() for text in r)
+    assert codes(found["keeper"]) == [0, 0], found["keeper"].changes
+    assert at_the_end(found["keeper"]) == {(found["keeper"].changes[1][1],)}
+    assert codes(found["stranger"]) == [1] and "one at a time" in found["stranger"].changes[0][2]
+    assert codes(found["even"]) == [1] and "keepers: 2" in found["even"].changes[0][2]
+
+
+@pytest.mark.parametrize("nodes", [100])
+def test_a_hundred_nodes_of_which_a_third_is_down_stopped_or_cut_off(nodes: int) -> None:
+    down = group("down", "nodes", 0.66, 0.77) + group("held", "nodes", 0.77, 0.88)
+    down += group("away", "nodes", 0.88, 1.0) + group("there", "nodes", 0.0, 0.66)
+    text = run_of(nodes, 12.0, servers=12) + down
+    text += fault("kill", "1s", "5s", on="down") + fault("stop", "1s", "5s", on="held")
+    text += fault("cut", "1s", "5s", between=["away", "there"]) + change("1500ms")
+    found = played(hundred=text)
+    everywhere("hundred", found["hundred"])
--- a/tests/test_routing_file.py
+++ b/tests/test_routing_file.py
@@ -123,7 +123,7 @@
         """
     )
     for part in [
-        "colour = 'red': unknown key; the nearest known one is 'route'",
+        "colour = 'red': unknown key; the nearest known one is 'accord'",
         "[defaults]: request_timout = '1s': unknown key; the nearest known one is 'request_timeout'",
         "[defaults]: attempts = 0: expected `int` >= 1",
         "[defaults]: body = '64 kilo': is no size",
--- a/tier/books.py
+++ b/tier/books.py
@@ -51,6 +51,8 @@
     posts: dict[str, list[Posting]]
     excused: Counter[str]
     calls: list[records.Called]  # of operators
+    began: list[records.Under] = field(default_factory=list)  # requests, where nodes agree on a policy
+    said: list[records.Said] = field(default_factory=list)
     verdict: Verdict = field(default_factory=lambda: Verdict(()))
 
 
@@ -69,6 +71,8 @@
         self.starts: dict[str, Start] = {}
         self.ended: list[Excuse] = []
         self.calls: list[records.Called] = []
+        self.began: list[records.Under] = []
+        self.said: list[records.Said] = []
 
     def node_of(self, rid: str) -> str:
         """The node that a request was given to last."""
@@ -117,6 +121,10 @@
                 self.ended.append(Excuse(event.node, event.at, event.at, "killed"))
         elif isinstance(event, records.Called):
             self.calls.append(event)
+        elif isinstance(event, records.Under):
+            self.began.append(event)
+        elif isinstance(event, records.Said):
+            self.said.append(event)
         else:
             self.beats.append(event)
 
@@ -188,6 +196,8 @@
         dict(replay.posts),
         excused,
         replay.calls,
+        replay.began,
+        replay.said,
     )
     books.verdict = replay.ledger.check()
     return books
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -49,6 +49,8 @@
 # What may happen to datagrams between nodes; and what only to them.
 DATAGRAM_KINDS = ("cut", "lag", "lose")
 LIST_KINDS = ("lists-late",)
+# Steps of a change at which a process may end itself.
+DEATHS = ("proposed", "drives", "decided", "hears", "serves", "write", "flush", "rename", "flush folder")
 
 
 class RunTable(Table, frozen=True):
@@ -72,6 +74,9 @@
     move: Literal["any", "neighbour"] = "any"
     talk: bool = False  # nodes tell one another what they have at servers (docs/OPERATORS-fleet.md)
     door: bool = False  # nodes have a door for operators, who call at each once a second
+    keepers: Annotated[int, msgspec.Meta(ge=0, le=5)] = 0  # the first of the nodes; 0: there is no accord
+    lease: Duration = 2 * SECOND
+    narrow_for: Moment = 0  # 0: a node that is unsure leaves
     start_late: Moment = 0  # the last node to start begins so much later than the first
 
 
@@ -109,6 +114,32 @@
     by: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
 
 
+class ChangeTable(Table, frozen=True):
+    """A change of policy that operators propose: an operator file's text, servers out, other keepers."""
+
+    all_or_nothing = True
+
+    at: Moment
+    file: Annotated[str, msgspec.Meta(max_length=100_000)] | None = None
+    out: list[str] | None = None
+    keepers: list[int] | None = None  # by their numbers among the nodes
+    to: Annotated[int, msgspec.Meta(ge=0, le=4)] = 0  # the keeper that is called first
+    drop: Moment | None = None  # given up so much later
+    parent: str = ""  # the policy that it says it was made on; "": the present one
+    limit: Duration = 20 * SECOND  # followed so long
+
+
+class DeathTable(Table, frozen=True):
+    """A process that ends itself, without a word, when it comes to a step of a change."""
+
+    all_or_nothing = True
+
+    node: Annotated[int, msgspec.Meta(ge=0, le=1999)]
+    event: str  # of accord: "drives", "decided", "serves", "hears", or a step of its disk
+    stage: str = ""  # of the epoch, where the event has one
+    back: Moment = SECOND  # a new process of it starts so much later
+
+
 class PlanFile(Table, frozen=True):
     """The whole file."""
 
@@ -116,6 +147,8 @@
     rig: RigTable = RigTable()
     group: dict[str, GroupTable] = msgspec.field(default_factory=dict)
     faults: list[FaultTable] = msgspec.field(default_factory=list, name="fault")
+    changes: list[ChangeTable] = msgspec.field(default_factory=list, name="change")
+    deaths: list[DeathTable] = msgspec.field(default_factory=list, name="death")
     most: dict[str, float] = msgspec.field(default_factory=dict)
 
 
@@ -150,6 +183,8 @@
     servers: tuple[str, ...]
     faults: tuple[Fault, ...]
     most: dict[str, float]
+    changes: tuple[ChangeTable, ...] = ()
+    deaths: tuple[DeathTable, ...] = ()
 
     @property
     def sides(self) -> dict[str, int]:
@@ -241,11 +276,13 @@
     for figure, value in tables.most.items():
         if figure not in FIGURES:
             problems.append(Problem("most", figure, value, f"unknown figure{_near(figure, FIGURES)}"))
+    _accord(tables, run, problems)
     if problems:
         raise OperatorError(file, problems)
     return Plan(
-        Path(file).stem, seed, run, tables.rig, names["nodes"], names["servers"], tuple(faults), tables.most
-    )
+        Path(file).stem, seed, run, tables.rig, names["nodes"], names["servers"], tuple(faults), tables.most,
+        tuple(tables.changes), tuple(tables.deaths),
+    )  # fmt: skip
 
 
 def _fault(
@@ -291,9 +328,10 @@
         link = "-".join(ends)
         if link == "operators-nodes" and not run.door:
             problems.append(Problem(at, "between", table.between, "nodes have no door: [run] door = true"))
-        if link == "nodes-nodes" and not run.talk:
-            problems.append(Problem(at, "between", table.between, "nodes say nothing: [run] talk = true"))
-        if (kind not in DATAGRAM_KINDS) if link == "nodes-nodes" else kind == "lose":
+        if link == "nodes-nodes" and not run.talk and not run.keepers:
+            problems.append(Problem(at, "between", table.between, "nodes say nothing: [run] talk or keepers"))
+        datagrams = link == "nodes-nodes" and run.talk
+        if (kind not in DATAGRAM_KINDS) if datagrams else kind == "lose" and link != "nodes-nodes":
             problems.append(Problem(at, "kind", kind, f"is none for {link}: datagrams have {DATAGRAM_KINDS}"))
         found = dict(groups[name] for name in reversed(table.between))
         others = groups[table.between[1]][1] if link == "nodes-nodes" else ()
@@ -320,6 +358,29 @@
     )
 
 
+def _accord(tables: PlanFile, run: RunTable, problems: list[Problem]) -> None:
+    """What does not hold in what is said of an accord."""
+    if run.keepers and (run.keepers % 2 == 0 or run.keepers > run.nodes):
+        problems.append(Problem("run", "keepers", run.keepers, "an odd number of the nodes, 5 at most"))
+    if run.keepers and not run.door:
+        problems.append(Problem("run", "keepers", run.keepers, "nodes have no door: [run] door = true"))
+    if not run.keepers and (tables.changes or tables.deaths):
+        problems.append(Problem("run", "keepers", 0, "there is no accord to change a policy by"))
+    for n, change in enumerate(tables.changes, 1):
+        if change.at >= run.seconds:
+            problems.append(Problem(f"change {n}", "at", change.at / SECOND, "is after the run's end"))
+        if change.file is None and change.out is None and change.keepers is None:
+            problems.append(Problem(f"change {n}", "file", None, "nothing changes: no file, out or keepers"))
+        if any(number >= run.nodes for number in change.keepers or ()):
+            problems.append(Problem(f"change {n}", "keepers", change.keepers, "is no node"))
+    for n, death in enumerate(tables.deaths, 1):
+        if death.node >= run.nodes:
+            problems.append(Problem(f"death {n}", "node", death.node, f"is none of {run.nodes} nodes"))
+        if death.event not in DEATHS:
+            reason = f"unknown event{_near(death.event, DEATHS)}"
+            problems.append(Problem(f"death {n}", "event", death.event, reason))
+
+
 def _clash(faults: list[Fault], problems: list[Problem]) -> None:
     """Two faults of one sort on one member at once would undo each other."""
     for n, one in enumerate(faults):
--- a/tier/records.py
+++ b/tier/records.py
@@ -16,7 +16,7 @@
 
 __all__ = [
     "Answered", "Arrived", "Asked", "Beat", "Began", "Called", "Event", "Journal", "Left", "NodeEnded",
-    "Posted", "ServerDown", "ServerUp", "Told", "read",
+    "Posted", "Said", "ServerDown", "ServerUp", "Told", "Under", "read",
 ]  # fmt: skip
 
 _LENGTH = struct.Struct(">I")
@@ -129,6 +129,22 @@
     starved: int
 
 
+class Under(_Event, frozen=True):
+    """A request has begun at a node, under the narrower of these policies."""
+
+    node: str
+    names: tuple[str, ...]
+
+
+class Said(_Event, frozen=True):
+    """An operator was told what became of a change: an exit status of `hollybay policy`; began: ns."""
+
+    change: str
+    code: int
+    text: str
+    began: int
+
+
 Event: TypeAlias = (
     Asked
     | Posted
@@ -142,6 +158,8 @@
     | NodeEnded
     | Called
     | Beat
+    | Under
+    | Said
 )
 _decoder: msgspec.msgpack.Decoder[Event] = msgspec.msgpack.Decoder(Event)
 
--- a/tier/report.py
+++ b/tier/report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +12,7 @@
 
 from standins.ledger import Final
 
+from .books import Books
 from .evenness import FIGURES, evenness, idle_series, settle_time, share_time
 from .models import Played, drawn, one
 from .rig import Outcome
@@ -61,11 +62,17 @@
     node_memory_mb: float
     rig_cpu: float
     series: tuple[tuple[float, float], ...]  # seconds, idle while queued, mean of half a second
+    changes: tuple[tuple[int, str, str, float], ...] = ()  # of policy: code, name, what was said, seconds
+    under: dict[str, int] = field(default_factory=dict)  # requests that began, by the policies
+    torn: tuple[str, ...] = ()  # where a policy was not everywhere or nowhere
+    status: dict[str, Any] = field(default_factory=dict)  # what nodes said of themselves at the end
+    reasons_by_node: tuple[dict[str, list[str]], ...] = ()  # of each change, why nodes could not serve it
 
     @property
     def exit_status(self) -> int:
         """0 held, 1 a rule or a bound broken, 3 not to be trusted."""
-        return 3 if not self.trusted else 1 if self.broken or any(self.rules.values()) else 0
+        wrong = self.broken or self.torn or any(self.rules.values())
+        return 3 if not self.trusted else 1 if wrong else 0
 
     def as_json(self) -> dict[str, Any]:
         """Everything, for a file; without figures where the run is not to be trusted."""
@@ -152,9 +159,30 @@
         outcome.node_memory_mb,
         outcome.rig_cpu,
         tuple(_halves(series, outcome.began)),
+        tuple((one[0], one[1], one[2], one[4]) for one in outcome.changed if one),
+        dict(Counter(" and ".join(one.names) for one in books.began)),
+        _torn(books),
+        outcome.status,
+        tuple(one[3] for one in outcome.changed if one),
     )
 
 
+def _torn(books: Books) -> tuple[str, ...]:
+    """Where a change of policy was not everywhere or nowhere (accord.oracle)."""
+    if not books.began and not books.said:
+        return ()
+    from accord.oracle import Begun, Outcome, Said, check
+
+    outcomes = {0: Outcome.HOLDS, 1: Outcome.NOWHERE}
+    events: list[Begun | Said] = [Begun(one.at, one.node, one.names) for one in books.began]
+    events += [
+        Said(one.at, one.change, outcomes[one.code])
+        for one in books.said
+        if one.change and one.code in outcomes
+    ]
+    return tuple(f"{fault.node}: {fault.reason}" for fault in check(events)[:50])
+
+
 def _halves(series: list[tuple[int, float]], began: int) -> list[tuple[float, float]]:
     of: dict[int, list[float]] = {}
     for at, part in series:
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -14,7 +14,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -71,6 +71,8 @@
     node_cpu: float  # s of a core for each second, mean of the nodes
     node_memory_mb: float  # that a node has for itself, mean
     rig_cpu: float  # s of a core for each second, all processes of the rig but the nodes
+    changed: list[list[Any]] = field(default_factory=list)  # of each change: code, name, text, reasons, s
+    status: dict[str, Any] = field(default_factory=dict)  # of each node at the end, where there is an accord
 
 
 def _stat(pid: int) -> tuple[float, float, float]:
@@ -178,16 +180,23 @@
         self.homes: dict[str, str] = {}
         self.registry_port: dict[str, int] = {}
         self.away: set[str] = set()
+        self.dying: dict[str, int] = {}  # nodes that will end themselves, and when they are back after it
+        self.later: list[asyncio.Task[None]] = []
         self.peers: list[str] = []  # where each node hears the others
         self.via: dict[tuple[str, str], str] = {}  # and by pair of nodes, where the switch carries them
         self.numbers = [*plan.nodes, *(["-"] * max(0, (plan.run.configured or 0) - plan.run.nodes))]
         self.doors: list[str] = []  # and where operators call at it
+        self.called: list[str] = []  # and where other nodes call it for a policy
+        self.deaths = {plan.nodes[death.node]: death for death in plan.deaths}
+        self.changed: list[list[Any]] = []  # what came of each change of the plan
+        self.status: dict[str, Any] = {}  # what nodes said of themselves at the end
         self.workers = [
             "registry",
             *(f"servers{n}" for n in range(plan.rig.server_processes)),
             *(f"clients{n}" for n in range(plan.rig.client_processes)),
             *(("operators",) if plan.run.door else ()),
-            *(("switch",) if pairs(plan) else ()),
+            *(("switch",) if plan.run.talk and pairs(plan) else ()),
+            *(("relay", "governors") if plan.run.keepers else ()),
         ]
 
     # What comes in
@@ -198,6 +207,9 @@
             self.hub.note()
 
     def _process_ended(self, name: str, pid: int, status: int) -> None:
+        if name in self.dying and self.phase != "over":
+            self.later.append(self.loop.create_task(self._died(name)))
+            return
         if name in self.expected or self.phase == "over":
             return
         log = self.folder / f"{name}.log"
@@ -252,17 +264,52 @@
             await self._switch()
         if run.door:
             self.doors = _free_addresses(run.nodes, socket.SOCK_STREAM)
+        if run.keepers:
+            self.called = _free_addresses(run.nodes, socket.SOCK_STREAM)
+            doors = [list(one) for one in zip(plan.nodes, self.called, self.doors, strict=True)]
+            await self.far("relay").call("open", doors=doors)
         began = time.monotonic()
         for n, name in enumerate(plan.nodes):
             delay = run.start_late / SECOND * n / max(1, run.nodes - 1)
             if run.start_late:
                 await asyncio.sleep(max(0.0, began + delay - time.monotonic()))
             self._fork_node(name)
+        if run.keepers:
+            keepers = self.called[: run.keepers]
+            await self._until(
+                lambda: all(name in self.hub.known for name in plan.nodes[: run.keepers]), "the keepers"
+            )
+            await self.far("governors").call("found", doors=keepers, file="")
         await self._nodes_ready(plan.nodes)
+        if run.keepers:
+            await self._all_serve()
         self.up_seconds = time.monotonic() - began
         if run.door:
             await self.far("operators").call("call", doors=dict(zip(plan.nodes, self.doors, strict=True)))
 
+    async def _all_serve(self) -> None:
+        """Wait until every node serves under something."""
+        until = self.loop.time() + START_LIMIT
+        while True:
+            found = await self.far("governors").call("status", doors=self.doors)
+            if all(one.get("serves") for one in found.values()):
+                return
+            if self.loop.time() > until:
+                raise RigFailed(f"nodes that serve under nothing: {found}")
+            await asyncio.sleep(0.1)
+
+    async def _change(self, n: int) -> None:
+        """One change of the plan."""
+        change = self.plan.changes[n]
+        await self._at(change.at)
+        words = msgspec.to_builtins(change)
+        if change.keepers is not None:
+            words["keepers"] = [self.called[number] for number in change.keepers]
+        doors = self.called[: self.run.keepers]
+        limit = change.limit / SECOND + 60.0
+        found = await self.far("governors").call("change", limit, doors=doors, to=change.to, change=words)
+        self.changed[n] = found
+
     def rate(self) -> float:
         """Requests a second of the plan's load."""
         return self.run.load * sum(kind.capacity for kind in self._kinds()) / MEAN_WORK
@@ -317,7 +364,7 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.run.sockets},
             "settings": words_of(self.run, n),
         }
-        words = {"defect": self.defect}
+        words: dict[str, Any] = {"defect": self.defect}
         if self.run.talk:
             peers = [
                 self.via.get((name, other), at) for other, at in zip(self.numbers, self.peers, strict=True)
@@ -326,10 +373,46 @@
             words["operator"] = str(self.folder / "operator.toml")
         if self.run.door:
             config["admin"] = self.doors[n]
+        if self.run.keepers:
+            path = self.folder / f"{name}.toml"
+            path.write_text(self._accord_of(n))
+            words |= {"operator": str(path), "keepers": self.run.keepers}
+            death = self.deaths.pop(name, None)
+            if death is not None:
+                words["death"] = msgspec.to_builtins(death)
+                self.expected.add(name)
+                self.dying[name] = death.back
         (self.folder / f"{name}.json").write_text(json.dumps(config))
-        self.expected.discard(name)
+        if "death" not in words:
+            self.expected.discard(name)
         self.zygote.fork("node", name, words)
 
+    def _accord_of(self, n: int) -> str:
+        """The operator file that a node starts with."""
+        run = self.run
+        lines = [
+            "[accord]",
+            f"keepers = {json.dumps(self.called[: run.keepers])}",
+            f"folder = {json.dumps(str(self.folder / 'accord'))}",
+            f'door = "{self.called[n]}"',
+            f'lease = "{run.lease // 1_000_000}ms"',
+        ]
+        if run.narrow_for:
+            lines += ['when_unsure = "narrow"', f'narrow_for = "{run.narrow_for // 1_000_000}ms"']
+        return "\n".join([*lines, *(("[peers]",) if run.talk else ()), ""])
+
+    async def _died(self, name: str) -> None:
+        """A node has ended itself, as planned; its successor starts later."""
+        now = time.monotonic_ns()
+        self.touched.add(name)
+        self.events.append(NodeEnded(now, name, True))
+        self.excuses.append(Excuse(name, now - SECOND // 2, now, "killed"))
+        self.heard.discard(name)
+        await self.far("registry").call("anew", names=[name])
+        await asyncio.sleep(self.dying.pop(name) / SECOND)
+        self._fork_node(name)
+        await self._nodes_ready((name,))
+
     async def _nodes_ready(self, names: tuple[str, ...]) -> None:
         """Wait until these listen and have a list, and tell the clients where."""
         known = self.hub.known
@@ -529,7 +612,9 @@
             mine = sorted({sides[name] for name in fault.nodes})
             await self._servers_do(fault.servers, "link", sides=mine, state=words)
         elif fault.link == "nodes-nodes":
-            await self.far("switch").call("link", names=fault.nodes, others=fault.others, state=words)
+            for name in ("switch", "relay"):
+                if name in self.workers:
+                    await self.far(name).call("link", names=fault.nodes, others=fault.others, state=words)
         elif fault.link in ("nodes-discovery", "operators-nodes"):
             far = self.far("registry" if fault.link == "nodes-discovery" else "operators")
             await far.call("link", names=fault.nodes, state=words)
@@ -562,17 +647,21 @@
         ]
         beside = [self.loop.create_task(work) for work in (self._keep_listing(), self._watch())]
         faults = [self.loop.create_task(self._bring(fault)) for fault in self.plan.faults]
+        self.changed = [[] for _ in self.plan.changes]
+        faults += [self.loop.create_task(self._change(n)) for n in range(len(self.plan.changes))]
         await self._at(run.warm)
         pids = dict(self.zygote.pids)
         first = {name: _stat(pid) for name, pid in pids.items()}
         since = time.monotonic_ns()
         try:
             await self._all(runs, faults, beside)
-            await asyncio.gather(*faults)
+            await asyncio.gather(*faults, *self.later)
+            if run.keepers:
+                self.status = await self.far("governors").call("status", doors=self.doors)
         finally:
-            for task in (*beside, *faults, *runs):
+            for task in (*beside, *faults, *runs, *self.later):
                 task.cancel()
-            await asyncio.gather(*beside, *faults, *runs, return_exceptions=True)
+            await asyncio.gather(*beside, *faults, *runs, *self.later, return_exceptions=True)
         ended = time.monotonic_ns()
         last = {name: _stat(pid) for name, pid in pids.items() if self.zygote.pids.get(name) == pid}
         self.phase = "over"
@@ -653,6 +742,8 @@
             sum(used[name][0] for name in nodes) / count,
             sum(last[name][2] for name in nodes) / count,
             sum(used[name][0] for name in self.workers if name in used),
+            self.changed,
+            self.status,
         )
 
 
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import contextlib
+import functools
 import logging
 import os
 import random
@@ -44,9 +46,11 @@
     Journal,
     Left,
     Posted,
+    Said,
     ServerDown,
     ServerUp,
     Told,
+    Under,
 )
 from .records import Asked as AskedEvent
 from .registry import Registry, Seat
@@ -150,10 +154,67 @@
         line.connect(str(folder / CONTROL))
         line.sendall(msgspec.json.encode({"name": name, "port": port, "pid": os.getpid()}) + b"\n")
 
+    journals: list[Journal] = []
+    if words.get("keepers"):
+        journals.append(_accounted(name, folder, words))
     uvloop.run(serve(load(environ), environ, started=started, port=0))
+    for journal in journals:
+        journal.close()
     return 0
 
 
+def _accounted(name: str, folder: Path, words: dict[str, Any]) -> Journal:
+    """Write down under which policies requests begin here; and end without a word at a step, if one is
+    given."""
+    from accord.store import Store
+    from elderscale.accord import Accord
+
+    # Of the clock that leases are counted on, in that of all other journals.
+    ahead = time.clock_gettime_ns(time.CLOCK_BOOTTIME) - time.monotonic_ns()
+    journal = Journal(folder / f"{name}.{os.getpid()}.journal")
+    due = False
+
+    def flush() -> None:
+        nonlocal due
+        due = False
+        journal.flush()
+
+    def began(at: int, names: tuple[str, ...]) -> None:
+        nonlocal due
+        journal.write(Under(at - ahead, name, names))
+        if not due:
+            due = True
+            asyncio.get_running_loop().call_soon(flush)
+
+    death = words.get("death")
+
+    def reached(event: str, **found: Any) -> None:
+        if death is not None and event == death["event"] and found.get("stage", "") in (death["stage"], ""):
+            journal.flush()
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    say, start = Accord.say, Accord.start
+
+    def saying(self: Accord, event: str, **found: object) -> None:
+        say(self, event, **found)
+        reached(event, **found)
+
+    async def starting(self: Accord) -> None:
+        self.began = began
+        await start(self)
+
+    Accord.say, Accord.start = saying, starting  # type: ignore[method-assign]
+    put = Store.put
+
+    def putting(self: Store, data: bytes) -> None:
+        if self.paths[0].name == "keeper.0":
+            self.step = reached
+        put(self, data)
+
+    Store.put = putting  # type: ignore[method-assign]
+    return journal
+
+
 async def _worker(role: str, name: str, folder: Path, words: dict[str, Any]) -> None:
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: None)
     journal = Journal(folder / f"{name}.journal")
@@ -600,10 +661,148 @@
             self.status.set_result(0)
 
 
+# The way to nodes' doors
+
+
+class _Relay(_Player):
+    """Stands before the doors of all nodes, where other nodes call them, and knows who calls: each call goes
+    over a link of the pair's own."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.states: dict[tuple[str, str], State] = {}
+        self.chance = random.Random(self.name)
+        self.servers: list[asyncio.Server] = []
+        self.changed = asyncio.Event()
+
+    async def do_open(self, doors: list[list[str]]) -> None:
+        """doors: name, where it is called, where it listens."""
+        for name, at, real in doors:
+            host, _, port = at.rpartition(":")
+            self.servers.append(
+                await asyncio.start_server(
+                    functools.partial(self._carry, name, real),
+                    host,
+                    int(port),
+                    backlog=512,
+                )
+            )
+
+    async def _carry(
+        self, name: str, real: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = real.rpartition(":")
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            caller = head.partition(b"ser-Agent: hollybay ")[2].partition(b"\r\n")[0].decode("latin-1")
+            length = int(head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0] or 0)
+            body = await reader.readexactly(length)
+            await self._passes(caller, name, True)
+            there, on = await asyncio.open_connection(host, int(port))
+            try:
+                on.write(head + body)
+                answer = await there.read(-1)
+                await self._passes(caller, name, False)
+                writer.write(answer)
+                await writer.drain()
+            finally:
+                on.close()
+        writer.close()
+
+    async def _passes(self, caller: str, name: str, to: bool) -> None:
+        """Come back when bytes are through; for ever if they are lost. OSError: the connection is reset."""
+        while True:
+            state = self.states.get((caller, name), State())
+            if state.reset:
+                raise ConnectionResetError
+            lost = state.lost_up if to else state.lost_down
+            if not (state.cut or state.hold or lost):
+                break
+            self.changed.clear()
+            await self.changed.wait()
+        if state.lose and self.chance.random() < state.lose:
+            raise ConnectionResetError
+        if state.lag:
+            await asyncio.sleep(state.lag)
+
+    async def do_link(self, names: list[str], others: list[str], state: dict[str, Any]) -> None:
+        """Between these and those, either way: up is from the first to the second."""
+        found = msgspec.convert(state, State)
+        turned = msgspec.structs.replace(found, lost_up=found.lost_down, lost_down=found.lost_up)
+        for one in names:
+            for other in others:
+                self.states[one, other] = found
+                self.states[other, one] = turned
+        self.changed.set()
+
+
+# Those who change the policy
+
+
+class _Governors(_Player):
+    """They begin the accord and propose changes, by the same steps as `hollybay policy`."""
+
+    async def call(self, door: str, path: str, body: bytes | None) -> bytes:
+        from elderscale.accord import call
+
+        return await call(door, path, body, 2.0)
+
+    async def do_found(self, doors: list[str], file: str) -> None:
+        """Begin."""
+        from accord import words as w
+
+        body = w.encode(w.Founding(file=base64.b64encode(file.encode()).decode()))
+        await self.call(doors[0], "found", body)
+
+    async def do_change(self, doors: list[str], to: int, change: dict[str, Any]) -> Any:
+        """Propose and follow a change; what came of it."""
+        from accord.follow import Follow, Known, Verdict
+
+        began = time.monotonic_ns()
+        follow = Follow(self.call, doors)
+        if to:
+            # Of several keepers that answer this one takes the proposal.
+            look = follow.look
+
+            async def looked() -> Known:
+                known = await look()
+                known.statuses = dict(sorted(known.statuses.items(), key=lambda item: item[0] != doors[to]))
+                return known
+
+            follow.look = looked  # type: ignore[method-assign]
+        file = change["file"].encode() if change["file"] is not None else None
+        words = (file, change["out"], change["keepers"], "a change of the plan", "the rig")
+        if change["drop"] is None:
+            verdict = await follow.propose(*words, limit=change["limit"] / SECOND, parent=change["parent"])
+        else:
+            verdict = await follow.propose(*words, limit=0.0, parent=change["parent"])
+            if verdict.change:
+                await asyncio.sleep(change["drop"] / SECOND)
+                await follow.drop(verdict.change)
+                verdict = await follow.follow(verdict.change, verdict.epoch, change["limit"] / SECOND)
+        assert isinstance(verdict, Verdict)
+        now = time.monotonic_ns()
+        self.books.write(Said(now, verdict.change, verdict.code, verdict.text, began))
+        return [verdict.code, verdict.change, verdict.text, verdict.reasons, (now - began) / SECOND]
+
+    async def do_status(self, doors: list[str]) -> Any:
+        """What all these processes say of themselves, by door."""
+
+        async def one(door: str) -> Any:
+            try:
+                return msgspec.json.decode(await self.call(door, "", None))
+            except Exception as error:  # told as it is
+                return {"error": str(error)}
+
+        return dict(zip(doors, await asyncio.gather(*map(one, doors)), strict=True))
+
+
 _ROLES: dict[str, Callable[..., _Player]] = {
     "servers": _Servers,
     "registry": _Discovery,
     "clients": _Clients,
     "operators": _Operators,
     "switch": _Switch,
+    "relay": _Relay,
+    "governors": _Governors,
 }
