--- a/tier/rig.py
+++ b/tier/rig.py
@@ -36,6 +36,8 @@
 SECOND = 1_000_000_000
 # Limits in seconds: until all of a sort have started, and until a node that was told to end has ended.
 START_LIMIT, END_LIMIT = 60.0, 15.0
+# How long after a run nodes may take to serve under the same policy (s).
+AGREE_LIMIT = 8.0
 # Between the last ready line and the first request; and how long after its end a run may take to be quiet.
 LEAD = 0.4
 # Until the list tells of a server that crashed or came back.
@@ -298,6 +300,16 @@
                 raise RigFailed(f"nodes that serve under nothing: {found}")
             await asyncio.sleep(0.1)
 
+    async def _all_agree(self) -> None:
+        """Wait a while until all nodes serve under the same; what they say then is the run's."""
+        until = self.loop.time() + AGREE_LIMIT
+        while True:
+            self.status = await self.far("governors").call("status", doors=self.doors)
+            under = {tuple(one.get("serves", ())) for one in self.status.values()}
+            if (len(under) == 1 and under != {()}) or self.loop.time() > until:
+                return
+            await asyncio.sleep(0.1)
+
     async def _change(self, n: int) -> None:
         """One change of the plan."""
         change = self.plan.changes[n]
@@ -657,7 +669,7 @@
             await self._all(runs, faults, beside)
             await asyncio.gather(*faults, *self.later)
             if run.keepers:
-                self.status = await self.far("governors").call("status", doors=self.doors)
+                await self._all_agree()
         finally:
             for task in (*beside, *faults, *runs, *self.later):
                 task.cancel()
