--- /dev/null
+++ b/benchmarks/accord.py
@@ -0,0 +1,128 @@
+"""How long a change of policy takes, and what being in an accord costs.
+
+    python -m benchmarks.accord --nodes 5,40,200
+
+For each size: a change with no node silent, one stopped, and a third stopped, on real processes under load;
+beside it the same time without a change. Then the cost of looking at a lease, for each request.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import tempfile
+import time
+import timeit
+from pathlib import Path
+
+from accord.core import Node, Stage, State
+from accord.policy import Policy
+from accord.service import Service, Terms
+from tier.plan import compile_plan
+from tier.report import Report, report_of
+from tier.rig import RigFailed, play
+
+__all__ = ["main"]
+
+LEASE = 3.0  # seconds
+CHANGE = '[[change]]\nat = "4s"\nout = ["s-001"]\n'
+
+
+def _plan(nodes: int, silent: float, changes: bool) -> str:
+    run = f"""[run]
+seconds = "12s"
+warm = "2s"
+nodes = {nodes}
+servers = 24
+load = 0.5
+door = true
+keepers = 3
+lease = "{LEASE}s"
+[rig]
+late = "150ms"
+late_part = 0.04
+starved_part = 0.45
+"""
+    if silent:
+        run += f'[group.silent]\nof = "nodes"\nbegin = {1 - silent}\nend = 1.0\n'
+        run += '[[fault]]\nkind = "stop"\nat = "3500ms"\nlasts = "6s"\non = "silent"\n'
+    return run + (CHANGE if changes else "")
+
+
+def _played(nodes: int, silent: float, changes: bool) -> Report | str:
+    try:
+        return report_of(asyncio.run(play(compile_plan(_plan(nodes, silent, changes), "accord", 1))))
+    except RigFailed as error:
+        return str(error)[:80]
+
+
+class _Hands:
+    async def compile(self, policy: Policy) -> list[str]:
+        return []
+
+    def put(self, policies: tuple[Policy, ...]) -> None:
+        """Nothing is served here."""
+
+    def say(self, event: str, **words: object) -> None:
+        """Nothing is written."""
+
+
+async def _cost() -> float:
+    """ns that looking at a lease takes."""
+
+    async def way(door: str, path: str, body: bytes | None, limit: float) -> bytes:
+        raise AssertionError("nobody is called")
+
+    async def disk(work: object) -> None:
+        raise AssertionError("nothing is kept")
+
+    with tempfile.TemporaryDirectory() as folder:
+        terms = Terms("n0", "127.0.0.1:1", (), 10**12, 0, Path(folder))
+
+        def clock() -> int:
+            return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+        service = Service(terms, way, _Hands(), clock, clock, disk, random.Random(1), "boot")
+        state = State(0, Stage.SETTLED, "0-000000000000")
+        service.node = Node(1, at=state, until=clock() + 10**12, want=state)
+        service.until = service.node.until
+        rounds = 200_000
+        return min(timeit.repeat(service.look, number=rounds, repeat=5)) / rounds * 1e9
+
+
+def main() -> int:
+    """Play and print."""
+    parser = argparse.ArgumentParser(description=(__doc__ or "").split("\n")[0])
+    parser.add_argument("--nodes", default="5,40,200")
+    words = parser.parse_args()
+    print(f"looking at a lease: {asyncio.run(_cost()):.0f} ns a request")
+    print("nodes silent    in force s  refused %  p99 ms  node CPU %  keeper calls/s in, out  said")
+    for nodes in map(int, words.nodes.split(",")):
+        for label, silent, changes in (
+            ("no change", 0.0, False),
+            ("none", 0.0, True),
+            ("one", 1 / nodes, True),
+            ("a third", 1 / 3, True),
+        ):
+            found = _played(nodes, silent, changes)
+            if isinstance(found, str) or not found.trusted:
+                why = found if isinstance(found, str) else found.reasons
+                print(f"{nodes:5d} {label:9s} not to be trusted: {why}")
+                continue
+            took = f"{found.changes[0][3]:10.2f}" if found.changes else " " * 10
+            keeper = next(iter(found.status.values()))
+            lived = 12.0 + found.up_seconds
+            refused, p99 = 100 * found.figures["refused"], found.figures["p99_ms"]
+            calls = f"{keeper['calls_in'] / lived:10.0f} {keeper['calls_out'] / lived:6.0f}"
+            said = found.changes[0][2] if found.changes else ""
+            cpu = 100 * found.node_cpu
+            print(
+                f"{nodes:5d} {label:9s} {took}  {refused:8.2f} {p99:8.0f} {cpu:9.2f}  {calls}  {said}"
+                f"{f', torn {len(found.torn)}' if found.torn else ''}"
+            )
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -147,6 +147,10 @@
             self.began(clock(), self.service.under)
         return sure
 
+    def sure(self) -> bool:
+        """Whether a request might begin now."""
+        return self.service.look()
+
     # What the service does to the node
 
     async def compile(self, policy: Policy) -> list[str]:
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -717,7 +717,7 @@
     @property
     def well(self) -> bool:
         """Whether the front may send clients here."""
-        return self.ready and not self.draining and (self.accord is None or self.accord.look())
+        return self.ready and not self.draining and (self.accord is None or self.accord.sure())
 
     async def listen(self, port: int | None = None) -> int:
         """Begin to accept, at the configured port if no other is given; the port."""
--- a/elderscale/ports.py
+++ b/elderscale/ports.py
@@ -14,7 +14,11 @@
     """Whether the policy that is set up here is what is in force at all nodes."""
 
     def look(self) -> bool:
-        """Whether a request may begin now."""
+        """Whether a request may begin now; one does."""
+        ...
+
+    def sure(self) -> bool:
+        """Whether one might."""
         ...
 
 
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -77,6 +77,9 @@
     keepers: Annotated[int, msgspec.Meta(ge=0, le=5)] = 0  # the first of the nodes; 0: there is no accord
     lease: Duration = 2 * SECOND
     narrow_for: Moment = 0  # 0: a node that is unsure leaves
+    # Nodes, by number, at which no new policy compiles, and those whose disk is full once they have started.
+    unfit: Annotated[list[int], msgspec.Meta(max_length=100)] = msgspec.field(default_factory=list)
+    full: Annotated[list[int], msgspec.Meta(max_length=100)] = msgspec.field(default_factory=list)
     start_late: Moment = 0  # the last node to start begins so much later than the first
 
 
@@ -366,6 +369,9 @@
         problems.append(Problem("run", "keepers", run.keepers, "nodes have no door: [run] door = true"))
     if not run.keepers and (tables.changes or tables.deaths):
         problems.append(Problem("run", "keepers", 0, "there is no accord to change a policy by"))
+    for key, numbers in (("unfit", run.unfit), ("full", run.full)):
+        if any(not 0 <= number < run.nodes for number in numbers):
+            problems.append(Problem("run", key, numbers, f"is none of {run.nodes} nodes"))
     for n, change in enumerate(tables.changes, 1):
         if change.at >= run.seconds:
             problems.append(Problem(f"change {n}", "at", change.at / SECOND, "is after the run's end"))
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -389,6 +389,7 @@
             path = self.folder / f"{name}.toml"
             path.write_text(self._accord_of(n))
             words |= {"operator": str(path), "keepers": self.run.keepers}
+            words |= {"unfit": n in self.run.unfit, "full": n in self.run.full}
             death = self.deaths.pop(name, None)
             if death is not None:
                 words["death"] = msgspec.to_builtins(death)
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -212,9 +212,36 @@
         put(self, data)
 
     Store.put = putting  # type: ignore[method-assign]
+    if words.get("unfit") or words.get("full"):
+        _hampered(bool(words.get("full")))
     return journal
 
 
+def _hampered(full: bool) -> None:
+    """No policy after the first compiles here, or its disk is full from then on."""
+    from accord.policy import Policy
+    from accord.shelf import Shelf
+    from accord.store import StoreFailed
+    from elderscale.accord import Accord
+
+    if not full:
+        compiled = Accord.compile
+
+        async def compile(self: Accord, policy: Policy) -> list[str]:
+            return ["[route 1]: does not hold here"] if policy.version else await compiled(self, policy)
+
+        Accord.compile = compile  # type: ignore[method-assign]
+        return
+    kept = Shelf.put
+
+    def put(self: Shelf, policy: Policy) -> None:
+        if policy.version and self.get(policy.name) is None:
+            raise StoreFailed("[Errno 28] No space left on device")
+        kept(self, policy)
+
+    Shelf.put = put  # type: ignore[method-assign]
+
+
 async def _worker(role: str, name: str, folder: Path, words: dict[str, Any]) -> None:
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, lambda: None)
     journal = Journal(folder / f"{name}.journal")
