A door displaces callers that wait, not those that are being answered; an accord's founding can be repeated

Cause: with 200 nodes starting, the founding call was the oldest at the keeper's door while its disk worked, and was displaced by asks. Read again and mended: two proposals that pass each other while a file compiles; what a node said of a change before it was proposed again; servers out that a file of before the accord holds; a founding that reached one keeper. peers: an unused logger and field, one reader.

--- a/accord/keeping.py
+++ b/accord/keeping.py
@@ -170,7 +170,8 @@
         if self.keeper is None:
             return Telling(False)
         accepted = self.keeper.accepted
-        return Telling(True, self.keeper.decided, accepted[1] if accepted is not None else None)
+        promised = self.keeper.promised != NO_BALLOT
+        return Telling(True, promised, self.keeper.decided, accepted[1] if accepted is not None else None)
 
     # Calls
 
--- a/accord/service.py
+++ b/accord/service.py
@@ -335,6 +335,10 @@
             if self.node.want is not None and state.epoch <= self.node.want.epoch:
                 return
             boards: list[frozenset[int]] = []
+            if state.stage is Stage.PREPARE and state.new in self.unfit:
+                # It may hold now, as a disk that was full may have room.
+                del self.unfit[state.new]
+                self.node = self.node._replace(unfit=self.node.unfit - {state.new})
             for name in named(state):
                 policy = await self._fetched(name, by)
                 if policy is None:
@@ -461,6 +465,10 @@
             await keeping.shelve(policy)
         async with self.keeper_lock:
             new = await keeping.know(state)
+        if new and state.stage is Stage.PREPARE:
+            keeping.refusals.pop(state.new, None)  # of an earlier time that it was proposed
+        if new and state.stage is Stage.SETTLED:
+            self.dropping.clear()
         if new:
             keeping.heard = self.clock()
             self.shelf.prune({*named(state), *self.under})
@@ -579,13 +587,18 @@
         doors = sorted(self.terms.keepers)
         others = [door for door in doors if door != self.terms.door]
         told = dict(await self._all(others, "tell", None, w.Telling))
-        begun = [door for door, one in told.items() if one.founded]
-        if begun:
-            raise Refused(f"founded already at {', '.join(begun)}; this keeper learns from them by itself")
+        mine = keeping.tell()
+        # Only what this very keeper began, and nobody has gone on with, may be brought to its end.
+        begun = [
+            door for door, one in told.items() if one.founded and (one.promised or one.state != mine.state)
+        ]
+        if begun or mine.promised or (mine.state is not None and mine.state.epoch):
+            where = ", ".join(begun) or self.terms.door
+            raise Refused(f"founded already at {where}; a keeper learns from the others by itself")
         if len(told) < len(others):
             silent = ", ".join(door for door in others if door not in told)
             raise Refused(f"keepers: {silent} did not answer; all must be there when an accord begins")
-        policy = first(_file(founding.file) or b"", (), doors)
+        policy = first(_file(founding.file), (), doors)
         problems = await self._compiled(policy)
         if problems:
             raise Refused("file: " + "; ".join(problems))
@@ -654,6 +667,10 @@
             return Answer(
                 422, w.encode({"refused": f"{policy.name} does not hold here", "problems": problems})
             )
+        if keeping.keeper.decided != state or (
+            self.pending is not None and self.pending.policy.name != policy.name
+        ):
+            raise Refused("another change came first")
         self.pending = _Change(policy, state.epoch + 1)
         self.dropping.discard(policy.name)
         self.refused.pop(policy.name, None)
@@ -797,7 +814,7 @@
     def _mine(self) -> bool:
         """Whether there is something to drive here, now."""
         keeping = self.keeping
-        if keeping is None or keeping.keeper is None or self.clock() < 0:
+        if keeping is None or keeping.keeper is None:
             return False
         state = keeping.keeper.decided
         if state.stage is Stage.SETTLED:
--- a/accord/words.py
+++ b/accord/words.py
@@ -110,9 +110,11 @@
 
 
 class Telling(_Words, frozen=True):
-    """What a keeper knows, for one that knows nothing. founded: whether it is a keeper of anything yet."""
+    """What a keeper knows, for one that knows nothing. founded: whether it is a keeper of anything yet;
+    promised: whether it has promised anything since the last epoch."""
 
     founded: bool
+    promised: bool = False
     state: State | None = None
     accepted: State | None = None
 
--- a/benchmarks/accord.py
+++ b/benchmarks/accord.py
@@ -97,7 +97,9 @@
     parser.add_argument("--nodes", default="5,40,200")
     words = parser.parse_args()
     print(f"looking at a lease: {asyncio.run(_cost()):.0f} ns a request")
-    print("nodes silent    in force s  refused %  p99 ms  node CPU %  keeper calls/s in, out  said")
+    print(
+        "nodes silent    in force s  refused %  p99 ms  node CPU %  keeper + %  keeper calls/s in, out  said"
+    )
     for nodes in map(int, words.nodes.split(",")):
         for label, silent, changes in (
             ("no change", 0.0, False),
@@ -116,9 +118,10 @@
             refused, p99 = 100 * found.figures["refused"], found.figures["p99_ms"]
             calls = f"{keeper['calls_in'] / lived:10.0f} {keeper['calls_out'] / lived:6.0f}"
             said = found.changes[0][2] if found.changes else ""
-            cpu = 100 * found.node_cpu
+            cpu, keeps = 100 * found.node_cpu, 100 * found.keeper_cpu
             print(
-                f"{nodes:5d} {label:9s} {took}  {refused:8.2f} {p99:8.0f} {cpu:9.2f}  {calls}  {said}"
+                f"{nodes:5d} {label:9s} {took}  {refused:8.2f} {p99:8.0f} {cpu:9.2f} {keeps:11.2f}"
+                f"  {calls}  {said}"
                 f"{f', torn {len(found.torn)}' if found.torn else ''}"
             )
     return 0
--- a/elderscale/desk.py
+++ b/elderscale/desk.py
@@ -202,7 +202,7 @@
     def _read(self) -> None:
         """Take over what the file says, where it has changed; what does not hold changes nothing."""
         path = self._file
-        if path is None or not self._note():
+        if path is None or self.accord is not None or not self._note():
             return
         try:
             out = unpack(system.read_bytes(path))
--- a/elderscale/door.py
+++ b/elderscale/door.py
@@ -223,10 +223,11 @@
         return self.port
 
     def admit(self, caller: _Caller) -> None:
-        """Take a caller in; beyond what there is room for, the first that came goes."""
+        """Take a caller in; beyond what there is room for, the first that came goes whose call is not being
+        answered yet, or the new one where all are."""
         self.callers[caller] = None
         if len(self.callers) > self.room:
-            next(iter(self.callers)).drop()
+            next(one for one in self.callers if one.answering is None).drop()
 
     def close(self) -> None:
         """Take no more calls, and end those that are open."""
--- a/elderscale/peers.py
+++ b/elderscale/peers.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import socket
 from collections.abc import Iterable, Mapping
@@ -23,8 +22,6 @@
 
 __all__ = ["Peers", "addresses"]
 
-log = logging.getLogger("elderscale")
-
 # Datagrams read at once at the most, and the least time (s) between two sayings.
 BATCH, GAP = 1024, 0.001
 # What has come is read when a request is to be decided, as only then it matters; and so often (s) all the
@@ -67,7 +64,6 @@
         settings = node.settings
         self.node = node
         self.me = settings.node
-        self.known = known
         self.others = [at for n, at in enumerate(known) if n != self.me]
         self.number = {at: n for n, at in enumerate(known)}
         self.process = int.from_bytes(os.urandom(4), "big")
@@ -107,8 +103,22 @@
         self.held.know(servers)
 
     def look(self) -> None:
-        """A request is about to be decided: what is too old by now must not count."""
-        self._read()
+        """Read what has come. A request is about to be decided: what is too old by now must not count."""
+        now = system.monotonic_ns()
+        changed = self.held.look(now)
+        for _ in range(BATCH):
+            try:
+                data, at = self.sock.recvfrom(SIZE + 1)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # a peer's refusal of an earlier datagram
+                continue
+            saying = parse(data)
+            if saying is None or self.number.get(at[:2]) != saying.node:
+                self.foreign += 1
+                continue
+            changed |= self.held.hear(saying, now)
+        self._tell(changed)
 
     # Saying
 
@@ -137,24 +147,7 @@
 
     def _read_again(self) -> None:
         self.reading = self.loop.call_later(READ_EVERY, self._read_again)
-        self._read()
-
-    def _read(self) -> None:
-        now = system.monotonic_ns()
-        changed = self.held.look(now)
-        for _ in range(BATCH):
-            try:
-                data, at = self.sock.recvfrom(SIZE + 1)
-            except (BlockingIOError, InterruptedError):
-                break
-            except OSError:  # a peer's refusal of an earlier datagram
-                continue
-            saying = parse(data)
-            if saying is None or self.number.get(at[:2]) != saying.node:
-                self.foreign += 1
-                continue
-            changed |= self.held.hear(saying, now)
-        self._tell(changed)
+        self.look()
 
     def _tell(self, changed: Mapping[api.ServerId, int]) -> None:
         if changed or self.held.heard != self.told:
--- a/tier/report.py
+++ b/tier/report.py
@@ -62,6 +62,7 @@
     node_memory_mb: float
     rig_cpu: float
     series: tuple[tuple[float, float], ...]  # seconds, idle while queued, mean of half a second
+    keeper_cpu: float = 0.0
     changes: tuple[tuple[int, str, str, float], ...] = ()  # of policy: code, name, what was said, seconds
     under: dict[str, int] = field(default_factory=dict)  # requests that began, by the policies
     torn: tuple[str, ...] = ()  # where a policy was not everywhere or nowhere
@@ -159,6 +160,7 @@
         outcome.node_memory_mb,
         outcome.rig_cpu,
         tuple(_halves(series, outcome.began)),
+        outcome.keeper_cpu,
         tuple((one[0], one[1], one[2], one[4]) for one in outcome.changed if one),
         dict(Counter(" and ".join(one.names) for one in books.began)),
         _torn(books),
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -73,6 +73,7 @@
     node_cpu: float  # s of a core for each second, mean of the nodes
     node_memory_mb: float  # that a node has for itself, mean
     rig_cpu: float  # s of a core for each second, all processes of the rig but the nodes
+    keeper_cpu: float = 0.0  # s of a core for each second that a keeper takes beyond other nodes, mean
     changed: list[list[Any]] = field(default_factory=list)  # of each change: code, name, text, reasons, s
     status: dict[str, Any] = field(default_factory=dict)  # of each node at the end, where there is an accord
 
@@ -745,6 +746,9 @@
             {name: used[name][1] for name in nodes},
         )
         count = max(1, len(nodes))
+        keepers = [used[name][0] for name in self.plan.nodes[: self.run.keepers] if name in nodes]
+        others = [used[name][0] for name in self.plan.nodes[self.run.keepers :] if name in nodes]
+        beyond = sum(keepers) / len(keepers) - sum(others) / len(others) if keepers and others else 0.0
         return Outcome(
             self.plan,
             books,
@@ -755,6 +759,7 @@
             sum(used[name][0] for name in nodes) / count,
             sum(last[name][2] for name in nodes) / count,
             sum(used[name][0] for name in self.workers if name in used),
+            beyond,
             self.changed,
             self.status,
         )
