--- a/accord/service.py
+++ b/accord/service.py
@@ -273,6 +273,8 @@
             if moved or self.poked.is_set():
                 continue  # at once: keepers let go of the lease before when they hear what it serves under
             wait = period * self.chance.uniform(0.85, 1.0)
+            if self.node.want is None:
+                wait *= 2  # nobody knows anything yet, and all who start ask at once
             wait -= (self.clock() - self.node.asked) / SECOND
             try:
                 async with asyncio.timeout(max(0.02, wait)):
--- a/routing/gate.py
+++ b/routing/gate.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Mapping
-from dataclasses import replace
 
 from .limits import Effective, Rate
 from .narrow import Narrow
@@ -60,32 +59,6 @@
         self.by: tuple[bytes, bool] = (b"", False)
 
 
-def _apart(parts: tuple[Effective, ...]) -> tuple[Effective, ...]:
-    """Limits of two policies, each under a name of its own, so that a request counts once under each.
-
-    Under one name they become one: the fewer in flight, the lower rate. Rates that share their buckets in
-    different ways cannot be compared, and the second goes under another name.
-    """
-    one, other = parts
-    if one.scope != other.scope:
-        return parts
-    counts = [part.in_flight for part in parts if part.in_flight]
-    rate, second = one.rate, other.rate
-    rest: tuple[Effective, ...] = ()
-    if rate is None or second is None:
-        rate = rate or second
-    elif (rate.header, rate.tenant) == (second.header, second.tenant):
-        rate = replace(
-            rate,
-            per_second=min(rate.per_second, second.per_second),
-            burst=min(rate.burst, second.burst),
-            most_keys=min(rate.most_keys, second.most_keys),
-        )
-    else:
-        rest = (replace(other, scope=f"{other.scope} (its successor)", in_flight=0),)
-    return (replace(one, rate=rate, in_flight=min(counts, default=0)), *rest)
-
-
 class Gate:
     """The plan in force and what counts under it."""
 
@@ -124,7 +97,6 @@
     def _admit_all(
         self, parts: tuple[Effective, ...], tenant: int, given: Mapping[bytes, bytes], now: int
     ) -> int | None:
-        parts = _apart(parts)
         for n, one in enumerate(parts):
             wait = self.admit(one, tenant, given, now)
             if wait is not None:
@@ -136,7 +108,7 @@
     def done(self, limits: Effective) -> None:
         """A request that was let in under these limits is over."""
         if limits.parts:
-            for one in _apart(limits.parts):
+            for one in limits.parts:
                 self.done(one)
             return
         if not limits.in_flight:
--- a/routing/narrow.py
+++ b/routing/narrow.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from lynxrouter import interface as api
 
@@ -16,7 +17,7 @@
 from .limits import GROUPS, Effective, Sourced, effective
 from .plan import Denied, Plan
 
-__all__ = ["Narrow", "narrower"]
+__all__ = ["Narrow", "apart", "narrower"]
 
 # A request that two policies take for two classes: which of them it is will be known in a moment.
 BETWEEN = 503
@@ -91,6 +92,32 @@
     )
 
 
+def apart(parts: tuple[Effective, ...]) -> tuple[Effective, ...]:
+    """Limits of two policies, each under a name of its own, so that a request counts once under each.
+
+    Under one name they become one: the fewer in flight, the lower rate. Rates that share their buckets in
+    different ways cannot be compared, and the second goes under another name.
+    """
+    one, other = parts
+    if one.scope != other.scope:
+        return parts
+    counts = [part.in_flight for part in parts if part.in_flight]
+    rate, second = one.rate, other.rate
+    rest: tuple[Effective, ...] = ()
+    if rate is None or second is None:
+        rate = rate or second
+    elif (rate.header, rate.tenant) == (second.header, second.tenant):
+        rate = replace(
+            rate,
+            per_second=min(rate.per_second, second.per_second),
+            burst=min(rate.burst, second.burst),
+            most_keys=min(rate.most_keys, second.most_keys),
+        )
+    else:
+        rest = (replace(other, scope=f"{other.scope} (its successor)", in_flight=0),)
+    return (replace(one, rate=rate, in_flight=min(counts, default=0)), *rest)
+
+
 def narrower(one: Effective, other: Effective, cls: api.RequestClass) -> Effective:
     """What both limits allow a request of a class. ValueError: they are of two classes."""
     if one.cls != other.cls:
@@ -110,7 +137,7 @@
         both.retry_after,
         both.module,
         words,
-        (one, other),
+        apart((one, other)),
     )
 
 
--- a/tests/test_routing_narrow.py
+++ b/tests/test_routing_narrow.py
@@ -13,7 +13,7 @@
 from routing.checks import REACH, Checked, faults
 from routing.gate import Gate
 from routing.limits import GROUPS, Effective, Rate, Sourced, effective
-from routing.narrow import Narrow, narrower
+from routing.narrow import Narrow, apart, narrower
 from routing.plan import Denied, Plan, compile_file
 from standins.world import CELL, MS, SAFE, SECOND, UNSAFE, make_settings
 
@@ -137,7 +137,7 @@
     found = both.apply(b"GET", b"/read/halls/2", {})
     assert isinstance(found, Effective)
     assert found.module is not None and found.module.attempts == 2
-    assert [part.in_flight for part in found.parts] == [2, 5]
+    assert [part.in_flight for part in found.parts] == [2]
     assert both.apply(b"GET", b"/read/halls/3", {}) is found
     special = both.apply(b"GET", b"/read/halls/1", {})
     assert isinstance(special, Effective) and [part.scope for part in special.parts] == ["halls", "special"]
@@ -176,10 +176,10 @@
     base = effective("r", 0, Sourced(source={}))
     slow, fast = Rate(1.0, 2), Rate(10.0, 5)
     gate = Gate(plan(""), 1, 0)
-    pair = replace(base, parts=(replace(base, rate=fast), replace(base, rate=slow)))
+    pair = replace(base, parts=apart((replace(base, rate=fast), replace(base, rate=slow))))
     assert sum(gate.admit(pair, 0, {}, 0) is None for _ in range(9)) == 2
     gate = Gate(plan(""), 1, 0)
     tenants = Rate(1.0, 2, tenant=True)
-    pair = replace(base, parts=(replace(base, rate=Rate(1.0, 3)), replace(base, rate=tenants)))
+    pair = replace(base, parts=apart((replace(base, rate=Rate(1.0, 3)), replace(base, rate=tenants))))
     assert sum(gate.admit(pair, 1, {}, 0) is None for _ in range(9)) == 2  # a tenant's two
     assert sum(gate.admit(pair, 2, {}, 0) is None for _ in range(9)) <= 1  # of three for all
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -279,9 +279,7 @@
             self._fork_node(name)
         if run.keepers:
             keepers = self.called[: run.keepers]
-            await self._until(
-                lambda: all(name in self.hub.known for name in plan.nodes[: run.keepers]), "the keepers"
-            )
+            await self._until(lambda: all(name in self.hub.known for name in plan.nodes), "the nodes")
             await self.far("governors").call("found", doors=keepers, file="")
         await self._nodes_ready(plan.nodes)
         if run.keepers:
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -777,9 +777,17 @@
     async def do_found(self, doors: list[str], file: str) -> None:
         """Begin."""
         from accord import words as w
+        from accord.service import Unreachable
 
         body = w.encode(w.Founding(file=base64.b64encode(file.encode()).decode()))
-        await self.call(doors[0], "found", body)
+        for left in range(9, -1, -1):
+            try:
+                await self.call(doors[0], "found", body)
+                return
+            except Unreachable:  # hundreds of nodes that start at once are all at the keepers' doors
+                if not left:
+                    raise
+                await asyncio.sleep(0.5)
 
     async def do_change(self, doors: list[str], to: int, change: dict[str, Any]) -> Any:
         """Propose and follow a change; what came of it."""
