--- a/accord/keeping.py
+++ b/accord/keeping.py
@@ -34,7 +34,8 @@
 __all__ = ["Keeping", "Member", "margin"]
 
 HISTORY = 200  # epochs that are kept
-FORGOTTEN = 600_000_000_000  # ns after which a process that asks no more is not shown any longer
+SECOND = 1_000_000_000
+FORGOTTEN = 600 * SECOND  # ns after which a process that asks no more is not shown any longer
 
 
 def margin(lease: int) -> int:
@@ -97,6 +98,7 @@
         self.members: dict[int, Member] = {}
         self.refusals: dict[str, dict[str, list[str]]] = {}  # policy, node: why it cannot serve it
         self.failed = ""  # why what it says cannot be kept
+        self._swept = 0
         self.heard = 0  # when somebody last drove here, ns
 
     def open(self) -> None:
@@ -211,8 +213,10 @@
             self.refusals.setdefault(ask.state.new, {})[words.name] = list(words.reasons)
             while len(self.refusals) > 16:
                 del self.refusals[next(iter(self.refusals))]
-        for process in [p for p, one in self.members.items() if now - one.heard > FORGOTTEN]:
-            del self.members[process]
+        if now - self._swept > SECOND:
+            self._swept = now
+            for process in [p for p, one in self.members.items() if now - one.heard > FORGOTTEN]:
+                del self.members[process]
 
     async def prepare(self, call: Prepare) -> Promising:
         """Somebody who drives asks for a promise."""
--- a/accord/service.py
+++ b/accord/service.py
@@ -34,6 +34,8 @@
 VOTE_AGAIN, VOTE_SELDOM = 0.02, 0.1
 # Seconds after which a keeper takes over a change that nobody brings further; each place on the board more.
 TAKE_OVER, TAKE_OVER_EACH = 1.0, 0.4
+# Seconds after which those are told again who have not moved on.
+TELL_AGAIN = 0.5
 # Nodes that are told of an epoch at once, at most.
 TOLD_AT_ONCE = 32
 IDLE = 0.25  # seconds between two looks for a change that hangs
@@ -264,7 +266,7 @@
 
     async def _renew(self) -> None:
         """Ask for a lease, again and again."""
-        period = self.terms.lease / SECOND / 3
+        period = self.terms.lease / SECOND / 2
         while True:
             before = self.node.at
             self.poked.clear()
@@ -272,9 +274,13 @@
             moved = self.node.at != before and self.node.at is not None
             if moved or self.poked.is_set():
                 continue  # at once: keepers let go of the lease before when they hear what it serves under
-            wait = period * self.chance.uniform(0.85, 1.0)
-            if self.node.want is None:
-                wait *= 2  # nobody knows anything yet, and all who start ask at once
+            granted = self.node.at is not None and enough(self.node.boards, self.node.grants)
+            if granted or self.node.want is None:
+                wait = period * self.chance.uniform(0.85, 1.0)
+            else:
+                wait = (
+                    period / 5 * self.chance.uniform(0.5, 1.0)
+                )  # while the lease lasts there is time for a few
             wait -= (self.clock() - self.node.asked) / SECOND
             try:
                 async with asyncio.timeout(max(0.02, wait)):
@@ -926,8 +932,12 @@
         forward = asked.state == self._wish_now(state)
         again = VOTE_AGAIN
         silent = 0
+        told = self.loop.time()
         while True:
             keeping.heard = self.clock()
+            if self.loop.time() - told > TELL_AGAIN and state.stage is not Stage.SETTLED:
+                told = self.loop.time()
+                self._tell_all(state)  # whoever has not heard of it holds it up
             waits: dict[int, w.Waiting] = {}
             heard = False
             left = [door for door in doors if door not in voted]
--- a/benchmarks/accord.py
+++ b/benchmarks/accord.py
@@ -25,13 +25,13 @@
 
 __all__ = ["main"]
 
-LEASE = 3.0  # seconds
+LEASE = 5.0  # seconds
 CHANGE = '[[change]]\nat = "4s"\nout = ["s-001"]\n'
 
 
 def _plan(nodes: int, silent: float, changes: bool) -> str:
     run = f"""[run]
-seconds = "12s"
+seconds = "13s"
 warm = "2s"
 nodes = {nodes}
 servers = 24
@@ -46,7 +46,7 @@
 """
     if silent:
         run += f'[group.silent]\nof = "nodes"\nbegin = {1 - silent}\nend = 1.0\n'
-        run += '[[fault]]\nkind = "stop"\nat = "3500ms"\nlasts = "6s"\non = "silent"\n'
+        run += '[[fault]]\nkind = "stop"\nat = "3500ms"\nlasts = "7s"\non = "silent"\n'
     return run + (CHANGE if changes else "")
 
 
@@ -114,7 +114,7 @@
                 continue
             took = f"{found.changes[0][3]:10.2f}" if found.changes else " " * 10
             keeper = next(iter(found.status.values()))
-            lived = 12.0 + found.up_seconds
+            lived = 13.0 + found.up_seconds
             refused, p99 = 100 * found.figures["refused"], found.figures["p99_ms"]
             calls = f"{keeper['calls_in'] / lived:10.0f} {keeper['calls_out'] / lived:6.0f}"
             said = found.changes[0][2] if found.changes else ""
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -42,6 +42,7 @@
 # Descriptors that it takes: callers at the door, and calls that are out at once.
 LEAST_CALLERS, MOST_CALLERS, OUT = 16, 256, 40
 MOST_ANSWER = MOST_CALL
+BACKLOG = 1024
 KEPT = 8  # compiled policies that are kept
 
 
@@ -311,6 +312,9 @@
     """Bring a node into its accord."""
     desk.door.most = MOST_CALL
     desk.door.room = callers(config.sockets)
+    # Hundreds call at once when an epoch is decided; a connect that finds the queue full is tried again a
+    # second later.
+    desk.door.backlog = BACKLOG
     accord = Accord(terms, config, operator, clients, desk)
     desk.accord = clients.accord = accord
     return accord
--- a/elderscale/door.py
+++ b/elderscale/door.py
@@ -79,10 +79,11 @@
             self.answering.cancel()
 
     def eof_received(self) -> bool:
-        # A caller may end its sending once its call is whole.
+        # A caller may end its sending once its call is whole. One that has its answer closes: kept until it
+        # is dropped, it would hold the place of the next.
         if not self.over and self.answering is None:
             self.drop()
-        return True
+        return not self.over
 
     @property
     def most(self) -> int:
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -38,6 +38,8 @@
 START_LIMIT, END_LIMIT = 60.0, 15.0
 # How long after a run nodes may take to serve under the same policy (s).
 AGREE_LIMIT = 8.0
+# Between two looks at what all nodes serve under (s): each is a call to every node.
+LOOK = 0.25
 # Between the last ready line and the first request; and how long after its end a run may take to be quiet.
 LEAD = 0.4
 # Until the list tells of a server that crashed or came back.
@@ -300,8 +302,9 @@
             if all(one.get("serves") for one in found.values()):
                 return
             if self.loop.time() > until:
-                raise RigFailed(f"nodes that serve under nothing: {found}")
-            await asyncio.sleep(0.1)
+                idle = {door: one for door, one in found.items() if not one.get("serves")}
+                raise RigFailed(f"{len(idle)} nodes that serve under nothing: {str(idle)[:2000]}")
+            await asyncio.sleep(LOOK)
 
     async def _all_agree(self) -> None:
         """Wait a while until all nodes serve under the same; what they say then is the run's."""
@@ -311,7 +314,7 @@
             under = {tuple(one.get("serves", ())) for one in self.status.values()}
             if (len(under) == 1 and under != {()}) or self.loop.time() > until:
                 return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(LOOK)
 
     async def _change(self, n: int) -> None:
         """One change of the plan."""
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -134,6 +134,7 @@
 def play(role: str, name: str, folder: Path, words: dict[str, Any]) -> int:
     """Be a process of the run until it ends; its exit status."""
     logging.basicConfig(stream=sys.stderr, level=logging.WARNING, format="%(levelname)s %(message)s")
+    logging.getLogger("hollybay.accord").setLevel(logging.INFO)
     if role == "node":
         return _node(name, folder, words)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -823,9 +824,12 @@
     async def do_status(self, doors: list[str]) -> Any:
         """What all these processes say of themselves, by door."""
 
+        few = asyncio.Semaphore(16)
+
         async def one(door: str) -> Any:
             try:
-                return msgspec.json.decode(await self.call(door, "", None))
+                async with few:
+                    return msgspec.json.decode(await self.call(door, "", None))
             except Exception as error:  # told as it is
                 return {"error": str(error)}
 
