accord read again: one place for boards, waits and words; the tier's scenes share their player

No behaviour changed. The numbers of a policy's board were worked out in three places, the word on an epoch in four, an event waited for in two, policies brought to the keeper's disk in three; states in calls are all checked where calls are decoded. Gone: fields that nothing read, a check that stood twice, a way round the protocol for a file's keepers, an unused hook of the rehearsal, a wrapper in the command. The rig has one loop that asks all nodes, not two; the accord's scenes use run_of and _played of the tier's.

--- a/accord/rehearsal.py
+++ b/accord/rehearsal.py
@@ -138,6 +138,9 @@
         await asyncio.sleep(self.stage.chance.uniform(0.001, 0.03))
         return ["route x: does not hold here"] if policy.file.startswith(UNFIT) and self.n % 2 else []
 
+    def keepers_of(self, file: bytes) -> list[str] | None:
+        return None
+
     def put(self, policies: tuple[Policy, ...]) -> None:
         self.under = tuple(policy.name for policy in policies)
 
@@ -148,13 +151,10 @@
 
 
 class _Stage:
-    def __init__(
-        self, seed: int, shape: Shape, folder: Path, plant: Callable[[Service], None] | None
-    ) -> None:
+    def __init__(self, seed: int, shape: Shape, folder: Path) -> None:
         self.seed = seed
         self.shape = shape
         self.folder = folder
-        self.plant = plant
         self.loop = SimLoop(seed, most_steps=20_000_000)  # type: ignore[abstract]
         self.chance = random.Random(f"stage {seed}")
         self.seats = [_Seat(self, n) for n in range(shape.nodes)]
@@ -427,7 +427,7 @@
     """One seed; the same seed plays the same."""
     with tempfile.TemporaryDirectory(prefix="accord-") as folder, warnings.catch_warnings():
         warnings.filterwarnings("ignore", "coroutine .* was never awaited")  # of processes that were killed
-        return _Stage(seed, shape or shape_of(seed), Path(folder), None).run()
+        return _Stage(seed, shape or shape_of(seed), Path(folder)).run()
 
 
 def shape_of(seed: int) -> Shape:
--- a/accord/service.py
+++ b/accord/service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
@@ -27,7 +28,6 @@
 __all__ = ["Answer", "Hands", "Service", "Terms", "Unreachable", "Way"]
 
 SECOND = 1_000_000_000
-MS = 1_000_000
 # Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
 CALL_LIMIT, MORE_PROMISES = 1.0, 0.03
 # Seconds between two asks for votes that must wait for leases: soon, then seldom.
@@ -64,6 +64,10 @@
         """Make a policy ready to be in force; why it cannot be: nothing if it can."""
         ...
 
+    def keepers_of(self, file: bytes) -> list[str] | None:
+        """The keepers that a policy's file names; None: it names none."""
+        ...
+
     def put(self, policies: tuple[Policy, ...]) -> None:
         """From now on requests begin under the narrower of these; of none: none may begin."""
         ...
@@ -150,14 +154,15 @@
         self.driving = ""
         self.waits: list[w.Waiting] = []
         self.refused: dict[str, str] = {}  # changes that never began: why
-        self.last_reasons: dict[str, dict[str, list[str]]] = {}
         self.loop = asyncio.get_running_loop()
         self.poked = asyncio.Event()
         self.work = asyncio.Event()
         self.keeper_lock = asyncio.Lock()
         self.learning = asyncio.Lock()
         self.tasks: set[asyncio.Task[Any]] = set()
-        self.kept_late = 0
+        self._kept: State | None = None  # what it left to the process after it, and until when that counts
+        self._kept_late = 0
+        self._ballot = 0  # the highest count of a ballot that it has seen
         self.beaten = False
         self.lost = 0  # rounds of ballots that came to nothing, one after another
         self.calls_out = self.calls_in = 0
@@ -278,15 +283,10 @@
             if granted or self.node.want is None:
                 wait = period * self.chance.uniform(0.85, 1.0)
             else:
-                wait = (
-                    period / 5 * self.chance.uniform(0.5, 1.0)
-                )  # while the lease lasts there is time for a few
+                # While the lease lasts there is time for a few.
+                wait = period / 5 * self.chance.uniform(0.5, 1.0)
             wait -= (self.clock() - self.node.asked) / SECOND
-            try:
-                async with asyncio.timeout(max(0.02, wait)):
-                    await self.poked.wait()
-            except TimeoutError:
-                pass
+            await _waited(self.poked, max(0.02, wait))
 
     def doors_of(self, state: State | None) -> list[str]:
         """The keepers whose leases it needs for an epoch; of what it does not know, all that it knows of."""
@@ -352,7 +352,7 @@
                 if policy is None:
                     return  # it will be told again
                 self.known_doors |= set(policy.keepers)
-                boards.append(frozenset(number_of(door) for door in policy.keepers))
+                boards.append(_board(policy))
                 problems = await self._compiled(policy)
                 if problems and name not in self.node.unfit:
                     # Not kept on this disk: it cannot serve it now, and may later.
@@ -384,11 +384,11 @@
         node = self.node
         if not self.terms.late or node.at is None:
             return
-        same = self.memory.data and self.kept_late > node.late - self.terms.late // 2
+        same = self.memory.data and self._kept_late > node.late - self.terms.late // 2
         if same and self._kept == node.at:
             return
         self._kept = node.at
-        self.kept_late = node.late
+        self._kept_late = node.late
         boards = [list(p.keepers) for name in named(node.at) if (p := self.shelf.get(name)) is not None]
         data = msgspec.msgpack.encode(_Remembered(self.boot, node.at, boards, node.late))
 
@@ -400,8 +400,6 @@
 
         self._spawn(keep())
 
-    _kept: State | None = None
-
     # The keeper
 
     def _maybe_keeper(self) -> None:
@@ -438,19 +436,13 @@
             return
         latest = max(one.state for one in heard.values() if one.state is not None)
         by = next(door for door, one in heard.items() if one.state == latest)
-        policies = [await self._fetched(name, by) for name in named(latest)]
-        if any(policy is None for policy in policies):
-            return
-        boards: Boards = tuple(
-            frozenset(number_of(door) for door in policy.keepers) for policy in policies if policy is not None
-        )
-        self.known_doors |= {door for policy in policies if policy is not None for door in policy.keepers}
-        if not enough(boards, (number_of(door) for door in heard)):
-            return
         try:
-            for policy in policies:
-                if policy is not None:
-                    await keeping.shelve(policy)
+            if not await self._shelved(keeping, latest, by):
+                return
+            boards = self._boards(latest)
+            self.known_doors |= set(self.doors_of(latest))
+            if not enough(boards, (number_of(door) for door in heard)):
+                return
             async with self.keeper_lock:
                 await keeping.learn_all(
                     (one.state, one.accepted) for one in heard.values() if one.state is not None
@@ -461,16 +453,27 @@
         assert keeping.keeper is not None
         self.hands.say("keeper learned", epoch=keeping.keeper.decided.epoch, mute=keeping.keeper.mute)
 
-    async def _learn_keeper(self, state: State, by: str) -> bool:
-        """What is decided reaches the keeper here, once it has the policies; whether that was news."""
-        keeping = self.keeping
-        if keeping is None or keeping.keeper is None or state.epoch <= keeping.keeper.decided.epoch:
-            return False
+    async def _shelved(self, keeping: Keeping, state: State, by: str) -> bool:
+        """Bring the policies that an epoch names to the keeper's disk; whether all are there."""
         for name in named(state):
             policy = await self._fetched(name, by)
             if policy is None:
                 return False
             await keeping.shelve(policy)
+        return True
+
+    def _boards(self, state: State) -> Boards:
+        """The boards of the policies that an epoch names, as far as these are here."""
+        policies = [self.shelf.get(name) for name in named(state)]
+        return tuple(_board(policy) for policy in policies if policy is not None)
+
+    async def _learn_keeper(self, state: State, by: str) -> bool:
+        """What is decided reaches the keeper here, once it has the policies; whether that was news."""
+        keeping = self.keeping
+        if keeping is None or keeping.keeper is None or state.epoch <= keeping.keeper.decided.epoch:
+            return False
+        if not await self._shelved(keeping, state, by):
+            return False
         async with self.keeper_lock:
             new = await keeping.know(state)
         if new and state.stage is Stage.PREPARE:
@@ -515,15 +518,8 @@
         keeping = self._keeper()
         if path == "ask":
             asking = w.decode(body, w.Asking)
-            state = asking.ask.state
-            if state is not None and not w.sane(state):
-                raise Refused(f"state: {state} is none")
-            if (
-                keeping.keeper is not None
-                and state is not None
-                and state.epoch > keeping.keeper.decided.epoch
-            ):
-                await self._learn_keeper(state, asking.door)
+            if asking.ask.state is not None:
+                await self._learn_keeper(asking.ask.state, asking.door)
             async with self.keeper_lock:
                 return Answer(200, w.encode(keeping.ask(asking)))
         if path == "prepare":
@@ -531,12 +527,7 @@
             async with self.keeper_lock:
                 return Answer(200, w.encode(await keeping.prepare(preparing.call)))
         accepting = w.decode(body, w.Accepting)
-        if not w.sane(accepting.call.state):
-            raise Refused(f"state: {accepting.call.state} is none")
-        for name in named(accepting.call.state):
-            policy = await self._fetched(name, accepting.by)
-            if policy is not None:
-                await keeping.shelve(policy)
+        await self._shelved(keeping, accepting.call.state, accepting.by)
         async with self.keeper_lock:
             return Answer(200, w.encode(await keeping.accept(accepting.call)))
 
@@ -649,7 +640,7 @@
             raise Refused(f"{state.policy} is not on this disk")
         file = old.file if words.file is None else _file(words.file)
         out = old.out if words.out is None else words.out
-        keepers = await self._board(words.keepers, file)
+        keepers = self._keepers(words.keepers, file)
         policy = successor(old, bytes.fromhex(words.parent), file, out, words.reason, words.author, keepers)
         if state.stage is not Stage.SETTLED:
             if state.new == policy.name:  # asked for again, by one who does not know what came of it
@@ -662,14 +653,11 @@
         missing = [door for door in strangers if door not in doors]
         if missing:
             raise Refused(f"keepers: {', '.join(missing)} is no node that holds a lease here")
-        knowing = w.encode(w.Knowing(w.FORM, state, self.terms.door))
         for door in strangers:
             try:
-                await self._call(door, "join", knowing)
+                await self._call(door, "join", self._knowing(state))
             except Unreachable as error:
                 raise Refused(f"keepers: {door}: {error}") from None
-        if keeping.keeper.decided != state:
-            raise Refused("another change came first")
         problems = await self._compiled(policy)
         if problems:
             return Answer(
@@ -686,9 +674,9 @@
         self.work.set()
         return Answer(202, w.encode(w.Changed(policy.name, state.epoch + 1)))
 
-    async def _board(self, keepers: list[str] | None, file: bytes) -> list[str] | None:
+    def _keepers(self, keepers: list[str] | None, file: bytes) -> list[str] | None:
         """The keepers that a proposal names, by its call or in its file."""
-        named_in_file = getattr(self.hands, "keepers_of", lambda file: None)(file)
+        named_in_file = self.hands.keepers_of(file)
         if keepers is not None and named_in_file is not None and set(keepers) != set(named_in_file):
             raise Refused("keepers: the file's [accord] names others")
         return keepers if keepers is not None else named_in_file
@@ -813,11 +801,7 @@
                 await asyncio.sleep(IDLE)
             self.driving = ""
             self.waits = []
-            try:
-                async with asyncio.timeout(IDLE * self.chance.uniform(0.8, 1.2)):
-                    await self.work.wait()
-            except TimeoutError:
-                pass
+            await _waited(self.work, IDLE * self.chance.uniform(0.8, 1.2))
 
     def _mine(self) -> bool:
         """Whether there is something to drive here, now."""
@@ -871,11 +855,7 @@
         wish = self._wish(state)
         self.driving = wish.new or state.new
         doors = self.doors_of(state)
-        boards: Boards = tuple(
-            frozenset(number_of(door) for door in policy.keepers)
-            for name in named(state)
-            if (policy := self.shelf.get(name)) is not None
-        )
+        boards = self._boards(state)
         if len(boards) < len(named(state)):
             await asyncio.sleep(IDLE)
             return
@@ -912,7 +892,7 @@
                 await self.learn(answer.know, door)
                 return driver, None
             if answer.epoch < state.epoch:
-                self._spawn(self._reaches(door, "know", w.encode(w.Knowing(w.FORM, state, self.terms.door))))
+                self._spawn(self._reaches(door, "know", self._knowing(state)))
             found.append((door, answer))
         found.sort(key=lambda one: one[1].promise is None or one[1].promise.accepted is not None)
         asked: Accept | None = None
@@ -922,8 +902,6 @@
                 asked = asked or accept
         return driver, asked
 
-    _ballot = 0
-
     async def _votes(self, driver: Driver, asked: Accept, state: State, doors: list[str]) -> bool:
         """Ask for votes until a majority has voted; False: it must begin anew."""
         keeping = self._keeper()
@@ -960,8 +938,7 @@
                     self.beaten = True
                     return False
                 elif answer.epoch < state.epoch:
-                    know_body = w.encode(w.Knowing(w.FORM, state, self.terms.door))
-                    self._spawn(self._reaches(door, "know", know_body))
+                    self._spawn(self._reaches(door, "know", self._knowing(state)))
                 for one in answer.waits:
                     waits[one.process] = one
             self.waits = sorted(waits.values(), key=lambda one: one.name)
@@ -987,10 +964,12 @@
             change=state.new,
         )
         await self._learn_keeper(state, self.terms.door)
-        if state.stage is Stage.SETTLED:
-            self.dropping.clear()
         self._tell_all(state, doors)
 
+    def _knowing(self, state: State) -> bytes:
+        """The words by which others hear of an epoch."""
+        return w.encode(w.Knowing(w.FORM, state, self.terms.door))
+
     def _tell_all(self, state: State, doors: list[str] | None = None) -> None:
         """Tell keepers and nodes of an epoch, those first that this keeper heard last."""
         keeping = self._keeper()
@@ -999,7 +978,7 @@
         found = dict.fromkeys([*(doors or self.doors_of(state))])
         found |= dict.fromkeys(m.door for m in members if m.heard > recent and m.serving < state.epoch)
         found.pop(self.terms.door, None)
-        body = w.encode(w.Knowing(w.FORM, state, self.terms.door))
+        body = self._knowing(state)
         waiting = iter(found)
 
         async def tell() -> None:
@@ -1064,14 +1043,26 @@
                 task.cancel()
 
 
+async def _waited(event: asyncio.Event, seconds: float) -> None:
+    """Wait for an event, so long at the most."""
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        pass
+
+
+def _board(policy: Policy) -> frozenset[int]:
+    """The numbers of a policy's keepers."""
+    return frozenset(number_of(door) for door in policy.keepers)
+
+
 def _told(status: int, reason: str) -> Answer:
     return Answer(status, w.encode({"refused": reason}))
 
 
 def _file(text: str) -> bytes:
     """A file out of a call."""
-    import base64
-
     try:
         return base64.b64decode(text, validate=True)
     except ValueError as error:
--- a/accord/words.py
+++ b/accord/words.py
@@ -175,13 +175,14 @@
     form = getattr(found, "form", FORM)
     if form != FORM:
         raise Refused(f"form: {form}, and this build speaks {FORM}")
-    for state in (getattr(found, "state", None), getattr(found, "know", None)):
-        if isinstance(state, State) and not sane(state):
-            raise Refused(f"state: {state} is none")
+    for part in (found, getattr(found, "ask", None), getattr(found, "call", None)):
+        for state in (getattr(part, "state", None), getattr(part, "know", None)):
+            if isinstance(state, State) and not _sane(state):
+                raise Refused(f"state: {state} is none")
     return found
 
 
-def sane(state: State) -> bool:
+def _sane(state: State) -> bool:
     """Whether an epoch can be one at all."""
     return state.epoch >= 0 and bool(state.new) == (state.stage != 0) and state.policy != ""
 
--- a/benchmarks/accord.py
+++ b/benchmarks/accord.py
@@ -61,6 +61,9 @@
     async def compile(self, policy: Policy) -> list[str]:
         return []
 
+    def keepers_of(self, file: bytes) -> list[str] | None:
+        return None
+
     def put(self, policies: tuple[Policy, ...]) -> None:
         """Nothing is served here."""
 
--- a/hollybay/policy.py
+++ b/hollybay/policy.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import difflib
 import getpass
 import json
 import os
 import sys
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -49,13 +50,6 @@
     return Follow(_call, _doors(doors), show)
 
 
-def _run(work: Awaitable[Any]) -> Any:
-    async def whole() -> Any:
-        return await work
-
-    return asyncio.run(whole())
-
-
 _DOOR = click.option(
     "--door",
     "doors",
@@ -135,8 +129,6 @@
 @_DOOR
 def found(file: str | None, doors: tuple[str, ...]) -> None:
     """Begin an accord, once, with FILE or with no routes and limits: all keepers must be there."""
-    import base64
-
     data = _read(file) if file is not None else b""
     body = w.encode(w.Founding(file=base64.b64encode(data).decode()))
 
@@ -154,7 +146,7 @@
                 why = str(error)
         raise click.ClickException(why)
 
-    click.echo(_run(work()))
+    click.echo(asyncio.run(work()))
 
 
 def _read(file: str) -> bytes:
@@ -205,7 +197,7 @@
         name = author if author is not None else _user()
         return await follow.propose(data, servers, list(keepers) or None, reason, name, limit, parent)
 
-    _end(_run(work()), as_json)
+    _end(asyncio.run(work()), as_json)
 
 
 def _user() -> str:
@@ -221,7 +213,7 @@
 def status(as_json: bool, doors: tuple[str, ...]) -> None:
     """What is in force, where a change is, and every node. Exit status 3 if no keeper answers."""
     follow = _follow(doors)
-    known = _run(follow.look())
+    known = asyncio.run(follow.look())
     latest = known.latest
     if as_json:
         click.echo(json.dumps({"statuses": known.statuses}))
@@ -270,7 +262,7 @@
                 continue
         return [found[epoch] for epoch in sorted(found)]
 
-    entries = _run(work())
+    entries = asyncio.run(work())
     if as_json:
         click.echo(json.dumps(entries))
         return
@@ -295,12 +287,12 @@
         await follow.look()
         return [await follow.policy(one), await follow.policy(other)]
 
-    found = _run(work())
-    for name, policy_ in zip((one, other), found, strict=True):
+    texts = []
+    for name, policy_ in zip((one, other), asyncio.run(work()), strict=True):
         if policy_ is None:
             click.echo(f"{name}: no keeper has it", err=True)
             sys.exit(2)
-    texts = [_as_text(policy_) for policy_ in found]
+        texts.append(_as_text(policy_))
     click.echo("".join(difflib.unified_diff(texts[0], texts[1], one, other)), nl=False)
 
 
@@ -341,7 +333,7 @@
             return Verdict(2, name, text=why)
         return await follow.follow(name, max(begun, default=int(latest["epoch"]) + 1), limit)
 
-    _end(_run(work()), as_json)
+    _end(asyncio.run(work()), as_json)
 
 
 @policy.command()
@@ -368,4 +360,4 @@
             before.file, list(before.out), list(before.keepers), reason, _user(), limit
         )
 
-    _end(_run(work()), as_json)
+    _end(asyncio.run(work()), as_json)
--- a/tests/test_accord_scenes.py
+++ b/tests/test_accord_scenes.py
@@ -11,26 +11,18 @@
 
 import pytest
 
-from tier.plan import compile_plan
-from tier.report import Report, report_of
-from tier.rig import RigFailed, play
+from tier.report import Report
 
-from .test_tier_scenes import RIG, fault, group
+from .test_tier_scenes import _played, fault, group
+from .test_tier_scenes import run_of as tier_run_of
 
 SIDE_BY_SIDE = 10
 FILE = '[[route]]\\nname = \\"halls\\"\\npath = { prefix = \\"/view-schedule/halls\\" }\\n'
 
 
 def run_of(nodes: int = 5, seconds: float = 7.0, **more: object) -> str:
-    words: dict[str, object] = {
-        "seconds": f"{seconds}s", "warm": "1s", "nodes": nodes, "servers": 6, "load": 0.3, "door": True,
-        "keepers": 3, "lease": "1500ms",
-    }  # fmt: skip
-    lines = "".join(
-        f"{k} = {str(v).lower() if isinstance(v, bool) else repr(v)}\n" for k, v in (words | more).items()
-    )
-    rig = RIG + "server_processes = 1\nclient_processes = 1\n"
-    return f"[run]\n{lines}{rig}"
+    words = {"warm": "1s", "servers": 6, "load": 0.3, "door": True, "keepers": 3, "lease": "1500ms"}
+    return tier_run_of(nodes, seconds, **(words | more)) + "server_processes = 1\nclient_processes = 1\n"  # type: ignore[arg-type]
 
 
 def change(at: str, file: str | None = FILE, **more: object) -> str:
@@ -42,19 +34,9 @@
     return f'[[death]]\nnode = {node}\nevent = "{event}"\nstage = "{stage}"\nback = "{back}"\n'
 
 
-async def _played(text: str, gate: asyncio.Semaphore, defect: str) -> Report:
-    why: object = None
+async def _gated(text: str, gate: asyncio.Semaphore, defect: str) -> Report:
     async with gate:
-        for _ in range(2):
-            try:
-                report = report_of(await play(compile_plan(text, "scene", 1), defect=defect))
-            except RigFailed as error:
-                why = error
-                continue
-            if report.trusted:
-                return report
-            why = report.reasons
-    raise AssertionError(f"not to be trusted, twice: {why}")
+        return await _played(text, defect=defect)
 
 
 def played(defects: dict[str, str] | None = None, **texts: str) -> dict[str, Report]:
@@ -64,7 +46,7 @@
     async def all_of() -> list[Report]:
         gate = asyncio.Semaphore(SIDE_BY_SIDE)
         return await asyncio.gather(
-            *(_played(text, gate, planted.get(label, "")) for label, text in texts.items())
+            *(_gated(text, gate, planted.get(label, "")) for label, text in texts.items())
         )
 
     return dict(zip(texts, asyncio.run(all_of()), strict=True))
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -296,25 +296,24 @@
 
     async def _all_serve(self) -> None:
         """Wait until every node serves under something."""
-        until = self.loop.time() + START_LIMIT
+        await self._statuses(START_LIMIT, lambda under: () not in under)
+        idle = {door: one for door, one in self.status.items() if not one.get("serves")}
+        if idle:
+            raise RigFailed(f"{len(idle)} nodes that serve under nothing: {str(idle)[:2000]}")
+
+    async def _statuses(self, limit: float, holds: Callable[[set[tuple[str, ...]]], bool]) -> None:
+        """Ask all nodes what they serve under until that holds, or so many seconds are over."""
+        until = self.loop.time() + limit
         while True:
-            found = await self.far("governors").call("status", doors=self.doors)
-            if all(one.get("serves") for one in found.values()):
+            self.status = await self.far("governors").call("status", doors=self.doors)
+            under = {tuple(one.get("serves", ())) for one in self.status.values()}
+            if holds(under) or self.loop.time() > until:
                 return
-            if self.loop.time() > until:
-                idle = {door: one for door, one in found.items() if not one.get("serves")}
-                raise RigFailed(f"{len(idle)} nodes that serve under nothing: {str(idle)[:2000]}")
             await asyncio.sleep(LOOK)
 
     async def _all_agree(self) -> None:
         """Wait a while until all nodes serve under the same; what they say then is the run's."""
-        until = self.loop.time() + AGREE_LIMIT
-        while True:
-            self.status = await self.far("governors").call("status", doors=self.doors)
-            under = {tuple(one.get("serves", ())) for one in self.status.values()}
-            if (len(under) == 1 and under != {()}) or self.loop.time() > until:
-                return
-            await asyncio.sleep(LOOK)
+        await self._statuses(AGREE_LIMIT, lambda under: len(under) == 1 and under != {()})
 
     async def _change(self, n: int) -> None:
         """One change of the plan."""
