Mended: a node that is a keeper, too, could refuse a policy for ever; a driver could wait for ever

Cause of the change that hung, found by playing one scene nine times side by side: a process is node and keeper, and both brought the same policy to the shelf, each in a thread over one temporary name; the second rename failed, and the node took the policy for one that it cannot keep. The shelf takes one at a time now; a test of two threads fails without that.

Read in the code beside it: whoever drove and had adopted one keeper's vote for NARROW, while a node said no, asked for it without end; it begins anew now, and a majority without that vote leaves it free.

--- a/accord/service.py
+++ b/accord/service.py
@@ -38,6 +38,8 @@
 TELL_AGAIN = 0.5
 # Nodes that are told of an epoch at once, at most.
 TOLD_AT_ONCE = 32
+# Calls to each keeper that an accord begins with, until it answers.
+FOUND_TRIES = 4
 IDLE = 0.25  # seconds between two looks for a change that hangs
 
 _T = TypeVar("_T")
@@ -604,7 +606,11 @@
         async with self.keeper_lock:
             await keeping.found(policy)
         body = w.encode(w.Founding(policy=w.packed(policy)))
-        answers = [door for door in others if await self._reaches(door, "found", body)]
+        # A keeper that is not reached learns from the others, and has no vote on the first change.
+        left = others
+        for _ in range(FOUND_TRIES):
+            left = [door for door in left if not await self._reaches(door, "found", body)]
+        answers = [door for door in others if door not in left]
         self.hands.say("founded", policy=policy.name, keepers=doors)
         return Answer(200, w.encode({"policy": policy.name, "keepers": [self.terms.door, *answers]}))
 
@@ -907,7 +913,6 @@
         keeping = self._keeper()
         body = w.encode(w.Accepting(w.FORM, asked, self.terms.door))
         voted: set[str] = set()
-        forward = asked.state == self._wish_now(state)
         again = VOTE_AGAIN
         silent = 0
         told = self.loop.time()
@@ -943,7 +948,8 @@
                     waits[one.process] = one
             self.waits = sorted(waits.values(), key=lambda one: one.name)
             silent = 0 if heard else silent + 1
-            if silent > 3 or (forward and asked.state != self._wish_now(state)):
+            if silent > 3 or asked.state != self._wish_now(state):
+                # One vote among those that promised made it ask for this; another majority may leave it free.
                 return False
             await asyncio.sleep(again)
             again = min(VOTE_SELDOM, again * 1.3)
--- a/accord/shelf.py
+++ b/accord/shelf.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from threading import Lock
 
 import msgspec
 
@@ -34,6 +35,8 @@
         self.folder = folder
         self.step = step
         self._read: dict[str, Policy] = {}
+        # A process is node and keeper, and both may bring the same policy here, each in a thread.
+        self._putting = Lock()
 
     def names(self) -> list[str]:
         """What stands there, the oldest first."""
@@ -63,6 +66,10 @@
 
     def put(self, policy: Policy) -> None:
         """Bring a policy to the disk; once this returns it may be relied on. StoreFailed: it may not."""
+        with self._putting:
+            self._put(policy)
+
+    def _put(self, policy: Policy) -> None:
         if self.get(policy.name) is not None:
             return
         fresh = self.folder / f"{policy.name}.new"
--- a/tests/test_accord_node.py
+++ b/tests/test_accord_node.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import logging
 import subprocess
 import sys
 from collections.abc import AsyncIterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
+from threading import Barrier, BrokenBarrierError
 from typing import Any
 
 import msgspec
@@ -335,6 +338,21 @@
     assert subprocess.run([sys.executable, "-c", code], cwd=root, check=False).returncode == 0
 
 
+def test_two_threads_bring_one_policy_to_the_shelf_and_both_find_it_there(tmp_path: Path) -> None:
+    both = Barrier(2)
+
+    def step(word: str) -> None:
+        # Were they both under way, each would wait here for the other; one that comes second never does.
+        with contextlib.suppress(BrokenBarrierError):
+            both.wait(0.2)
+
+    shelf, policy = Shelf(tmp_path / "policies", step), first(b"# one")
+    with ThreadPoolExecutor(2) as pool:
+        for done in [pool.submit(shelf.put, policy) for _ in range(2)]:
+            done.result()
+    assert both.broken and Shelf(tmp_path / "policies").get(policy.name) == policy
+
+
 def test_a_policy_on_the_shelf_is_whole_or_not_there(tmp_path: Path) -> None:
     shelf = Shelf(tmp_path / "policies")
     kept = [first(b"# %d" % n) for n in range(3)]
--- a/tests/test_accord_scenes.py
+++ b/tests/test_accord_scenes.py
@@ -162,6 +162,7 @@
     found = played(
         bad=run_of(5, 5.0) + bad,
         unfit=run_of(5, 5.5, unfit=[4]) + change("1500ms"),
+        full=run_of(5, 5.5, full=[4]) + change("1500ms"),
         keeper=run_of(6) + change("1500ms", None, keepers=[0, 1, 4]) + change("4s"),
         stranger=run_of(6, 5.0) + change("1500ms", None, keepers=[0, 4, 5]),
         even=run_of(6, 5.0) + change("1500ms", None, keepers=[0, 1]),
@@ -182,7 +183,7 @@
     assert codes(found["bad"]) == [1] and "does not hold here" in found["bad"].changes[0][2]
     assert any("nobody" in text for one in found["bad"].reasons_by_node for r in one.values() for text in r)
     # One node says no, and it is nowhere; the operator is told which node, and why.
-    for label, why in (("unfit", "does not hold here"),):
+    for label, why in (("unfit", "does not hold here"), ("full", "No space left")):
         assert codes(found[label]) == [1], (label, found[label].changes)
         (reasons,) = found[label].reasons_by_node
         assert list(reasons) == ["n004"] and why in reasons["n004"][0], (label, reasons)
