--- a/fleet/__init__.py
+++ b/fleet/__init__.py
@@ -4,11 +4,12 @@
 from .census import Census
 from .pressure import Pressure
 from .reach import Reach
+from .room import Room
 from .shares import cold_gap, heed, place
 from .told import Failures
 from .worth import by_worth, deal
 
 __all__ = [
-    "Census", "Failures", "Pressure", "Reach", "by_worth", "cold_gap", "deal", "first_call", "heed",
+    "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal", "first_call", "heed",
     "next_call", "place",
 ]  # fmt: skip
--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -123,9 +123,8 @@
             if s.trial:
                 s.cap *= TRIAL_PART
         mean = self.learned.mean_work
-        # Where nodes do not talk the lot decides: a server is on the idle lists of about OWNERS nodes of a
-        # zone, whose own work there then tells whether it is idle.
-        listed = 1.0 if self.heard else OWNERS * settings.zones / self.learned.nodes
+        # The lot decides who has a server on its idle lists: few nodes, or where nodes talk all that fit.
+        listed = self.learned.room.listed(now, OWNERS * settings.zones / self.learned.nodes, self.heard > 0)
         classes: dict[int, SpeedClass] = {}
         bounds: list[float] = []
         drawn: list[Server] = []
@@ -226,7 +225,7 @@
             s = servers[min(at, len(servers) - 1)]
             if s.warmth < 1.0 and s.cold_at > now:
                 continue
-            if not s.held and s.answered > now - self.kept:
+            if s.held == s.others and s.answered > now - self.kept:
                 return s
             first = first or s
         return first
--- a/lynxrouter/learning.py
+++ b/lynxrouter/learning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fleet import Census, Failures, Reach, heed
+from fleet import Census, Failures, Reach, Room, heed
 from fleet.told import SPAN
 
 from .interface import Outcome, Result, Settings
@@ -54,6 +54,7 @@
         self.longest_aim = max(c.aim for c in settings.classes)
         self.failures = Failures(settings.report_fields)
         self.reach = Reach()
+        self.room = Room()
         self.census = Census(settings.nodes, settings.report_fields, now)
         self.nodes = float(settings.nodes)  # 1 over this node's share of all traffic
         self.reviewed = now
@@ -164,6 +165,7 @@
         if result == Result.CONNECT_FAILED:
             self.reach.note(near, True, self.heed)
             s.refused += 1
+            self.room.refused(now)
         elif result != Result.TIMEOUT:  # which on an old connection tells nothing of new ones
             self.reach.note(near, False, self.heed)
             if s.refused >= REFUSED_LIMIT:
--- a/tests/test_tier_scenes.py
+++ b/tests/test_tier_scenes.py
@@ -151,11 +151,19 @@
     lost_ = run_of(16, 10.0, talk=True) + group("west", "nodes", 0.0, 0.5) + group("east", "nodes", 0.5, 1.0)
     lost_ += fault("lose", "2s", "3s", between=["west", "east"], by=0.7)
     lost_ += fault("cut", "5s", "3s", between=["west", "east"])
-    alone, told, killed, kept, lost = played(
-        run_of(40), run_of(40, talk=True), killed_, killed_, lost_, defects=("", "", "", "keeps-shares", "")
+    alone, told, killed, kept, lost, few = played(
+        run_of(40),
+        run_of(40, talk=True),
+        killed_,
+        killed_,
+        lost_,
+        run_of(30, talk=True, connections=8),
+        defects=("", "", "", "keeps-shares", "", ""),
     )
     for report in (alone, told, killed, lost):
         held(report)
+    # More nodes than a server holds connections: 0.25 were refused while all nodes kept to the fastest.
+    assert not any(few.rules.values()) and few.figures["refused"] < 0.16, (few.faults, few.figures)
     # While most words are lost, or half of the nodes are not heard, it is no worse than where nobody speaks.
     assert lost.figures["idle_while_queued"] < 0.2 and lost.figures["unused_over_chance"] < 4.0
     assert told.figures["idle_while_queued"] < 0.05 < alone.figures["idle_while_queued"]
