--- a/accord/rehearsal.py
+++ b/accord/rehearsal.py
@@ -25,6 +25,7 @@
 from typing import Any
 
 from simulation.loop import Process, SimLoop
+from standins.scratch import in_memory
 
 from . import words as w
 from .follow import Follow, Verdict
@@ -430,7 +431,7 @@
 
 def play(seed: int, shape: Shape | None = None) -> Played:
     """One seed; the same seed plays the same."""
-    with tempfile.TemporaryDirectory(prefix="accord-") as folder, warnings.catch_warnings():
+    with tempfile.TemporaryDirectory(prefix="accord-", dir=in_memory()) as folder, warnings.catch_warnings():
         warnings.filterwarnings("ignore", "coroutine .* was never awaited")  # of processes that were killed
         return _Stage(seed, shape or shape_of(seed), Path(folder)).run()
 
--- a/tests/test_lag.py
+++ b/tests/test_lag.py
@@ -90,7 +90,7 @@
             await server.until(lambda: len(server.heads) == 1)
             (conn,) = node.node.servers.connections
             conn.read_on(False)
-            time.sleep(0.03)  # the server's own time: the kernel tells lateness in whole ms, and less than it is
+            time.sleep(0.03)  # the server's own time, as the kernel tells lateness in whole ms
             server.writers[0].write(OK)
             while not conn.unread() or conn.waited()[1] < 200:
                 pass  # the answer is there, the loop is busy with something else
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 import resource
 import shutil
@@ -23,6 +22,7 @@
 
 from standins.fleet import Kind
 from standins.scene import MEAN_WORK, usual_kinds
+from standins.scratch import in_memory
 
 from .books import Books, Excuse, books_of
 from .control import CallFailed, Far, Hub, happens
@@ -47,8 +47,6 @@
 LIST_LATE = 0.6
 # One turn of a starved process's duty cycle (s).
 DUTY = 0.05
-# A file system in memory, and how much must be free there for a run's folder (bytes).
-MEMORY, SCRATCH = "/dev/shm", 1 << 30
 
 
 class RigFailed(Exception):
@@ -807,16 +805,6 @@
 }
 
 
-def _scratch() -> str | None:
-    """Where a run's folder is made: in memory where there is room, as all processes of a run (and of those
-    beside it) share one disk that tiers of real machines do not, and its flushes take seconds at times."""
-    try:
-        room = shutil.disk_usage(MEMORY).free
-    except OSError:
-        return None
-    return MEMORY if room >= SCRATCH and os.access(MEMORY, os.W_OK | os.X_OK) else None
-
-
 async def play(
     plan: Plan,
     show: Callable[[Tick], None] = lambda tick: None,
@@ -827,7 +815,7 @@
 
     RigFailed or CallFailed: the rig could not carry it. Nothing is left running, whatever happens.
     """
-    folder = Path(tempfile.mkdtemp(prefix="tier-", dir=_scratch()))
+    folder = Path(tempfile.mkdtemp(prefix="tier-", dir=in_memory()))
     rig = _Rig(plan, folder, show, defect)
     try:
         return await rig.play()
