Word between nodes opens no lists where most nodes have no address

Cause: 27 of the 40 have no address, so 13 hear one another and take what they do not hear of for idle (choice.py, listed = 1 once anybody is heard). Decided in fleet/room.py; without [peers] nothing changes.

--- a/fleet/room.py
+++ b/fleet/room.py
@@ -7,6 +7,8 @@
 # What a refused connect leaves of the part of all nodes that may keep to a server, and the time (ns) in which
 # that part doubles again: long against the seconds for which connections are kept.
 LEAVES, DOUBLES = 0.8, 30_000_000_000
+# Word counts for nothing where there are so many times the nodes that have an address.
+STRANGERS = 1.5
 
 
 class Room:
@@ -20,15 +22,22 @@
     part is less for a while then, which does no harm where it is still many nodes. Not thread-safe.
     """
 
-    __slots__ = ("at", "part")
+    __slots__ = ("at", "part", "told")
 
-    def __init__(self) -> None:
+    def __init__(self, told: int) -> None:
+        self.told = told  # the number of nodes in the settings: so many have an address
         self.part = 1.0
         self.at = 0
 
-    def listed(self, now: int, least: float, talk: bool) -> float:
-        """The part at this time (ns); least: that of nodes that do not talk, which it never falls below."""
-        return max(self._grown(now), least) if talk else least
+    def listed(self, now: int, owners: float, nodes: float, heard: int) -> float:
+        """The part at this time (ns).
+
+        owners: how many keep to a server where nodes do not talk, at the least; nodes: how many there are, as
+        far as this one knows; heard: how many have told what they have at servers. Where there are many more
+        nodes than the settings tell, most have no address and are heard by nobody: what seems idle is not.
+        """
+        least = owners / nodes
+        return max(self._grown(now), least) if heard and nodes < STRANGERS * self.told else least
 
     def refused(self, now: int) -> None:
         """A connect was refused."""
--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -124,7 +124,7 @@
                 s.cap *= TRIAL_PART
         mean = self.learned.mean_work
         # The lot decides who has a server on its idle lists: few nodes, or where nodes talk all that fit.
-        listed = self.learned.room.listed(now, OWNERS * settings.zones / self.learned.nodes, self.heard > 0)
+        listed = self.learned.room.listed(now, OWNERS * settings.zones, self.learned.nodes, self.heard)
         classes: dict[int, SpeedClass] = {}
         bounds: list[float] = []
         drawn: list[Server] = []
--- a/lynxrouter/learning.py
+++ b/lynxrouter/learning.py
@@ -54,7 +54,7 @@
         self.longest_aim = max(c.aim for c in settings.classes)
         self.failures = Failures(settings.report_fields)
         self.reach = Reach()
-        self.room = Room()
+        self.room = Room(settings.nodes)
         self.census = Census(settings.nodes, settings.report_fields, now)
         self.nodes = float(settings.nodes)  # 1 over this node's share of all traffic
         self.reviewed = now
