--- a/tests/test_accord_scenes.py
+++ b/tests/test_accord_scenes.py
@@ -167,12 +167,13 @@
         stranger=run_of(6, 5.0) + change("1500ms", None, keepers=[0, 4, 5]),
         even=run_of(6, 5.0) + change("1500ms", None, keepers=[0, 1]),
         # And what the oracle must see.
-        blind=run_of(6, load=0.6)
+        blind=run_of(6, servers=24, load=0.6)
         + last
         + fault("cut", "1s", "4s", between=["last", "rest"])
         + change("1500ms"),
-        abrupt=run_of(6, load=0.6)
-        + fault("lag", "1s", "5s", between=["nodes", "nodes"], by=0.15)
+        abrupt=run_of(6, servers=24, load=0.6)
+        + last
+        + fault("lag", "1s", "5s", between=["last", "rest"], by=0.15)
         + change("1500ms"),
         defects={"blind": "lease-never-over", "abrupt": "narrow-skipped"},
     )
