One place for a request without time left, for how long a client waits, and for what is too late

Whether there is time left was asked in both classes of clients, and a second time with a method of its own where a connection is up too late: it is asked where a connection is opened, and a line that is up too late ends as any that breaks. How long a client waits after its deadline stood in the clients and in the tier's books (Limits.patience); the simulation's oracle reads the bound on answers that the ledger has (the same figure there). No behaviour changed.

--- a/simulation/watch.py
+++ b/simulation/watch.py
@@ -188,7 +188,7 @@
     def deadline(self, rid: str, deadline: int) -> None:
         """By when (ns) a request's client wants its answer."""
         self.requests[rid].deadline = deadline
-        heapq.heappush(self._due, (deadline + self.limits.slack + 1, rid))
+        heapq.heappush(self._due, (deadline + self.limits.late + 1, rid))
 
     def left(self, rid: str) -> None:
         """A client has left: it waits for nothing more, and no new work is to begin for it."""
@@ -242,6 +242,6 @@
         while self._due and self._due[0][0] <= now:
             _, rid = heapq.heappop(self._due)
             entry = self.requests[rid]
-            overdue = entry.deadline + self.limits.slack < now
+            overdue = entry.deadline + self.limits.late < now
             if overdue and entry.final is None and not entry.excused and self.accepted(rid):
                 self.report("lost", rid, "no answer by its deadline")
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -80,14 +80,11 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.callers.lines.add(self)
-        call = self.call
-        assert call is not None
-        if call.timer is not None and call.left():
-            self.send(call)
+        assert self.call is not None
+        if self.call.left():
+            self.send(self.call)
         else:  # its time was up while the connection was opened
-            self.call = None
             self.transport.abort()
-            self.callers.unsent(call)
 
     def send(self, call: Call) -> None:
         assert self.transport is not None
@@ -215,7 +212,7 @@
         call = Call(entry, mix, data, repeat, starved())
         self.out += 1
         self.quiet.clear()
-        wait = (cls.deadline + self.ledger.limits.late + self.ledger.limits.slack) / SECOND
+        wait = (cls.deadline + self.ledger.limits.patience) / SECOND
         call.timer = self.loop.call_later(wait, self._silent, call)
         self._send(call, self.random.choice(self.ports))
         return entry
@@ -268,19 +265,16 @@
             self.loop.call_later(self.pause if after is None else after, self.ask, call.mix, True)
 
     def broke(self, call: Call, part: bytes) -> None:
-        """The connection ended. One that the node closed between requests may have crossed this one, which is
-        then sent anew if there is time left."""
-        if not call.fresh and not part and not call.entry.arrived and call.left():
+        """The connection ended. One that the node closed between requests may have crossed this one."""
+        if not call.fresh and not part and not call.entry.arrived:
             self._open_anew(call, self.random.choice(self.ports))
             return
         self._end(call, Final.BROKEN)
 
-    def unsent(self, call: Call) -> None:
-        """There was no time left for a request when it could be sent at last."""
-        if call.timer is not None:
-            self._end(call, Final.BROKEN)
-
     def _open_anew(self, call: Call, port: int) -> None:
+        if not call.left():  # nobody would wait for the answer
+            self._end(call, Final.BROKEN)
+            return
         call.fresh = True
         task = self.loop.create_task(self._open(call, port))
         self._tasks.add(task)
--- a/standins/ledger.py
+++ b/standins/ledger.py
@@ -45,6 +45,11 @@
     slack: int = 50 * MS
     late: int = 50 * MS  # an answer so long after its deadline is worth nothing, and a later one is lost
 
+    @property
+    def patience(self) -> int:
+        """How long after its deadline (ns) a client hangs up: later than an answer would be lost."""
+        return self.late + self.slack
+
     @classmethod
     def of(cls, settings: api.Settings) -> Limits:
         """Those of a node's settings."""
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -525,7 +525,7 @@
 
     def broke(self, call: Call, part: bytes) -> None:
         safe = self.ledger.limits.classes[call.entry.cls].effect == api.Effect.SAFE
-        if not call.fresh and not part and safe and call.left():
+        if not call.fresh and not part and safe:
             self._open_anew(call, 0)
             return
         self._end(call, Final.BROKEN)
