A policy is fetched by its name in one place, and a keeper's others are told in one

Read again. service._fetched and follow.policy held the same loop over doors (policy_from), and the keepers of an epoch without this one were worked out twice.

--- a/accord/follow.py
+++ b/accord/follow.py
@@ -16,7 +16,7 @@
 
 from . import words as w
 from .policy import Policy, Refused
-from .service import Unreachable
+from .service import Unreachable, policy_from
 
 __all__ = ["Follow", "Known", "Verdict", "judge"]
 
@@ -148,14 +148,7 @@
 
     async def policy(self, name: str) -> Policy | None:
         """A policy, from whoever has it."""
-        for door in self.doors:
-            try:
-                return w.unpacked(
-                    (await self.call(door, f"file/{name}", None)).decode("ascii", "replace"), name
-                )
-            except (Unreachable, Refused):
-                continue
-        return None
+        return await policy_from(self.call, self.doors, name)
 
     async def propose(
         self,
--- a/accord/service.py
+++ b/accord/service.py
@@ -10,7 +10,7 @@
 import asyncio
 import base64
 import random
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
@@ -25,7 +25,7 @@
 from .store import Store, StoreFailed
 from .words import number_of
 
-__all__ = ["Answer", "Hands", "Service", "Terms", "Unreachable", "Way"]
+__all__ = ["Answer", "Hands", "Service", "Terms", "Unreachable", "Way", "policy_from"]
 
 SECOND = 1_000_000_000
 # Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
@@ -298,6 +298,10 @@
             doors |= set(policy.keepers) if policy is not None else set()
         return sorted(doors or self.known_doors)
 
+    def _others(self, state: State) -> list[str]:
+        """The same without this process."""
+        return [door for door in self.doors_of(state) if door != self.terms.door]
+
     async def _round(self) -> None:
         """One call to all keepers; over when a majority has granted, all have answered, or there is news."""
         self.node, ask = self.node.begin(self.clock())
@@ -370,16 +374,8 @@
         known = self.shelf.get(name)
         if known is not None:
             return known
-        for door in dict.fromkeys([by, *self.doors_of(self.node.want), *sorted(self.known_doors)]):
-            if door == self.terms.door:
-                continue
-            try:
-                return w.unpacked(
-                    (await self._call(door, f"file/{name}", None)).decode("ascii", "replace"), name
-                )
-            except (Unreachable, Refused):
-                continue
-        return None
+        doors = dict.fromkeys([by, *self.doors_of(self.node.want), *sorted(self.known_doors)])
+        return await policy_from(self._call, [door for door in doors if door != self.terms.door], name)
 
     def _remember(self) -> None:
         """Leave to the process after this one what it may go on with; seldom, as each is a write."""
@@ -691,7 +687,7 @@
         """Hear from the other keepers whether there is something later."""
         keeping = self._keeper()
         assert keeping.keeper is not None
-        doors = [d for d in self.doors_of(keeping.keeper.decided) if d != self.terms.door]
+        doors = self._others(keeping.keeper.decided)
         for door, one in await self._all(doors, "tell", None, w.Telling, most=0.3):
             if one.state is not None:
                 await self._learn_keeper(one.state, door)
@@ -717,8 +713,7 @@
         which may be the one that drives, this one drives; were all of them to, each would take back what the
         others were promised."""
         body = w.encode(w.Dropping(change, True))
-        others = [door for door in self.doors_of(state) if door != self.terms.door]
-        reached = await asyncio.gather(*(self._reaches(door, "drop", body) for door in others))
+        reached = await asyncio.gather(*(self._reaches(door, "drop", body) for door in self._others(state)))
         if not all(reached) and change in self.dropping:
             self.driving = change
             self.work.set()
@@ -1057,6 +1052,18 @@
                 task.cancel()
 
 
+async def policy_from(
+    call: Callable[[str, str, bytes | None], Awaitable[bytes]], doors: Iterable[str], name: str
+) -> Policy | None:
+    """A policy by its name, from the first of these doors that has it; None: nobody does."""
+    for door in doors:
+        try:
+            return w.unpacked((await call(door, f"file/{name}", None)).decode("ascii", "replace"), name)
+        except (Unreachable, Refused):
+            continue
+    return None
+
+
 async def _waited(event: asyncio.Event, seconds: float) -> None:
     """Wait for an event, so long at the most."""
     try:
