Nothing is begun for a client that has gone; nobody is reset where room is short or at the end

Reading is paused while bytes beyond SMALL_BODY lie ahead of an answer, and what is due in the same turn as the close may run before it is read. Node._send now asks the kernel (TCP_INFO, one system call) unless it did within 10 ms, and so does ServerConnection before a request's first and last byte: a connection may take long to come up, and a body long to go. Behind 32 KiB of unread bytes a close cannot show: then what is out is waited for, and no further attempt begins. - Node.gone left attempts that had not begun to the module's Cancel, which the settings may not allow: they went out once their connection was up. - Clients.stop_listening accepted as many as there was room for; the rest of the kernel's queue was reset with its requests. - Clients._victim chose silent and unfinished connections without a look at unread bytes, and as a last resort any. - Node._expire ended attempts one by one, and the module began others meanwhile when the node ended before the deadline. - A request that was whole only after Node.end_all was sent on and never answered.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -271,7 +271,8 @@
     else:
         clients.draining = True
     await asyncio.sleep(accept_on)
-    clients.stop_listening()
+    while not clients.stop_listening(anyway=loop.time() >= latest - answer_room):
+        await asyncio.sleep(0.01)
     if place is not None:
         place.leave()
     while clients.any_left() and loop.time() < latest - answer_room:
@@ -280,6 +281,7 @@
     while clients.any_left() and loop.time() < latest - 0.1:
         clients.close_idle()
         await asyncio.sleep(0.02)
+    clients.over = True  # a request that is whole only now gets its refusal, and is not begun
     node.end_all()
     await asyncio.sleep(0.1 if clients.any_left() else 0)
     log.info("drained in %.2f s, %d connections left", loop.time() - began, len(clients.connections))
--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -33,7 +33,7 @@
     not_passed_on,
     pairs,
 )
-from .ports import Agreed
+from .ports import Agreed, Presence
 from .upload import Room, Upload
 
 if TYPE_CHECKING:
@@ -51,6 +51,8 @@
 ACCEPT_BATCH = 8
 # The pause after an accept that failed for want of something.
 ACCEPT_PAUSE = 0.1
+# The same where every connection is owed an answer, or holds bytes that are yet to be read.
+FULL_PAUSE = 0.01
 # The kernel's queue of connections not yet accepted: a crowd waits there and is not turned away.
 BACKLOG = 4096
 # One deadline for each phase of a connection, in seconds and from the phase's beginning, so that neither
@@ -85,6 +87,9 @@
 # The same (s) where the answer came while its client was still sending a long body: a client that first
 # writes all would never read it.
 LINGER_UPLOAD = 4.0
+# With so many bytes unread (and reading paused) the kernel takes no more: a close that comes behind them does
+# not show. Half of the least receive buffer that Linux gives a connection, of which it offers a half.
+HIDING = 32 << 10
 # For how long at least a request's id is remembered after it came, and the most that are.
 ID_MEMORY = 10.0
 ID_MOST = 20_000
@@ -278,6 +283,18 @@
         self.transport.abort()
         return True
 
+    def presence(self) -> Presence:
+        """Whether the client waits for its answer: a close is not read while reading is paused."""
+        if not self.connected():
+            return Presence.GONE
+        if not self.reading and self.ahead > SMALL_BODY and self.unread() >= HIDING:
+            return Presence.UNKNOWN
+        return Presence.HERE
+
+    def depart(self) -> None:
+        """The kernel knows that the client has gone."""
+        self.eof_received()
+
     def _over(self) -> None:
         """The present request is over: the gate counts it no longer, under the limits that it began with."""
         let_in, self.let_in = self.let_in, None
@@ -478,7 +495,7 @@
         if self.clients.ids.known(given[b"x-correlation-id"], self.clients.loop.time()):
             self._reject(409, "X-Correlation-Id: another request has it")
             return
-        if self.clients.full or not self.sure:
+        if self.clients.full or self.clients.over or not self.sure:
             # Worded by the node itself: nothing was sent on for this request.
             self.clients.node.tally.refused[self.cls] += 1
             self.refuse(self.clients.config.settings.max_retry_after)
@@ -709,6 +726,7 @@
         self.draining = False  # it takes no more clients on
         self.leaving = False  # the process ends
         self.closing = False  # answers end their connections
+        self.over = False  # all has been answered, the process is about to exit: nothing is sent on
         self.ready = False
         self.listener: socket.socket | None = None
         self.taking: set[asyncio.Task[None]] = set()  # accepted, and not yet among the connections
@@ -740,32 +758,46 @@
         if self.listener is not None:
             self.loop.add_reader(self.listener, self._accept)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
         """Accept all that waits, as far as there is room, and a few beyond it: these displace others.
 
+        True: nothing waits any more.
+
         What is left to the kernel's queue grows old there unseen: with a fixed number for each turn of the
         loop, a busy node reads only what clients gave up a second ago, and stays busy with that. Accepting
         ever all would let a crowd use up the descriptors before a single connection could be dropped.
         """
         if self.listener is None:
-            return
+            return True
+        self._make_room()  # who could not be displaced a moment ago may be answered by now
         pending = len(self.taking)
-        for _ in range(max(ACCEPT_BATCH - pending, self.limit - len(self.connections) - pending)):
+        room = self.limit - len(self.connections) - pending
+        # Where nobody could be displaced there are more than the limit already, and the few beyond it are the
+        # same few: who waits in the kernel's queue loses nothing by it.
+        room = max(room, ACCEPT_BATCH + min(room, 0))
+        for _ in range(room):
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError):
-                return
+                return True
             except ConnectionError:  # it has gone again
                 continue
             except OSError as error:
                 log.error("accept: %s", error)
-                self.loop.remove_reader(self.listener)
-                self.loop.call_later(ACCEPT_PAUSE, self._accept_on)
-                return
+                self._accept_later(ACCEPT_PAUSE)
+                return False
             sock.setblocking(False)
             task = self.loop.create_task(self._take(sock))
             self.taking.add(task)
             task.add_done_callback(self.taking.discard)
+        if room <= 0:
+            self._accept_later(FULL_PAUSE)
+        return False
+
+    def _accept_later(self, pause: float) -> None:
+        if self.listener is not None:
+            self.loop.remove_reader(self.listener)
+            self.loop.call_later(pause, self._accept_on)
 
     async def _take(self, sock: socket.socket) -> None:
         try:
@@ -803,28 +835,43 @@
         """Take in a new connection; the one that is missed least makes room for it."""
         self.connections[conn] = None
         self.move(conn, self.silent)
-        if len(self.connections) <= self.limit:
-            return
-        victim = self._victim()
-        victim.transport.abort()
-        self.dropped(victim)
+        self._make_room()
 
-    def _victim(self) -> ClientConnection:
-        """The connection that is missed least; never one that is owed an answer."""
+    def _make_room(self) -> None:
+        while len(self.connections) > self.limit:
+            victim = self._victim()
+            if victim is None:
+                return
+            victim.transport.abort()
+            self.dropped(victim)
+
+    def _victim(self) -> ClientConnection | None:
+        """The connection that is missed least; never one that is owed an answer.
+
+        Nor one with unread bytes: they may be a whole request, and a close over them is a reset, which could
+        destroy an answer on its way. None where all are like that: they will be read within a turn.
+        """
         suspect = self.loop.time() - SUSPECT
+        young = []
         for group in (self.ending, self.silent, self.unfinished):
             for conn, since in group.items():
-                if conn.upload is not None:
-                    continue  # its request is under way already
-                if group is self.ending or since <= suspect:
+                if group is not self.ending and since > suspect:
+                    young.append(group)
+                    break
+                if self._spare(conn):
+                    return conn
+        # A kept connection may be closed between requests: its client sends on a new one. After those come
+        # the ones that are new, of which one is usually silent: the one that is being taken in.
+        for group in (self.idle, *young):
+            for conn in group:
+                if self._spare(conn):
                     return conn
-                break
-        # A kept connection may be closed between requests: its client sends on a new one. The new one itself
-        # is silent, so there is always one.
-        for conn in self.idle:
-            if not conn.unread():
-                return conn
-        return next(c for group in (self.silent, self.idle) for c in group)
+        return None
+
+    @staticmethod
+    def _spare(conn: ClientConnection) -> bool:
+        """Whether a close loses nothing here; with an upload a request is under way already."""
+        return conn.upload is None and not conn.unread()
 
     def thin_out(self) -> None:
         """Close the connections that have rested longest while clients hold more than their share.
@@ -868,17 +915,23 @@
             for conn in list(group):
                 conn.rest_over()
 
-    def stop_listening(self) -> None:
-        """Accept no more."""
+    def stop_listening(self, anyway: bool = False) -> bool:
+        """Accept no more, once all are accepted whom the kernel has taken for the node: they are to be
+        answered, and closed over them the listener would reset them. False: some wait for room yet.
+
+        anyway: close it all the same.
+        """
         if self.listener is not None:
-            self._accept()  # what the kernel has taken for the node is the node's to answer
+            if not self._accept() and not anyway:
+                return False
             self.loop.remove_reader(self.listener)
             self.listener.close()
             self.listener = None
+        return True
 
     def close(self) -> None:
         """End the listener and all connections at once."""
-        self.stop_listening()
+        self.stop_listening(anyway=True)
         if self.sweeper is not None:
             self.sweeper.cancel()
         for conn in list(self.connections):
--- a/elderscale/messages.py
+++ b/elderscale/messages.py
@@ -139,10 +139,16 @@
     def resume_writing(self) -> None:
         self.unsent = False
 
-    def unread(self) -> bool:
-        """Whether the kernel holds bytes of the peer that the loop has not come to yet."""
+    def unread(self) -> int:
+        """How many bytes of the peer the kernel holds that the loop has not come to yet."""
         return system.unread(self.sock)
 
+    def connected(self) -> bool:
+        """Whether the kernel knows the connection as whole in both directions, whatever the loop has read."""
+        if self.transport.is_closing():
+            return False
+        return bool(self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == TCP_ESTABLISHED)
+
     def waited(self) -> tuple[bool, int]:
         """Whether the peer holds the connection open, and for how long (ms) its last bytes have been here.
 
--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -14,7 +14,7 @@
 from . import system
 from .config import MS, Listing
 from .messages import Answer, Message
-from .ports import Client
+from .ports import Client, Presence
 from .servers import Attempt, Servers
 from .tally import Tally
 
@@ -22,6 +22,9 @@
 
 # A final answer leaves this long before the client's deadline, so that it is there in time.
 ANSWER_EARLY = 4 * MS
+# A client that was seen to be there so long ago (ns) is looked at again before a byte is sent on for it. What
+# its connection has not read yet, or does not read while a request is under way, only the kernel tells.
+LOOK = 10 * MS
 
 
 class Lists(Protocol):
@@ -43,7 +46,10 @@
 class Open:
     """A request that is owed an answer, or whose attempts are still out."""
 
-    __slots__ = ("attempts", "client", "cls", "deadline", "done", "id", "message", "out", "stream", "timer")
+    __slots__ = (
+        "attempts", "client", "cls", "deadline", "done", "expired", "id", "message", "out", "seen", "stream",
+        "timer",
+    )  # fmt: skip
 
     def __init__(self, rid: int, client: Client, message: Message, cls: int) -> None:
         self.id = rid
@@ -54,6 +60,8 @@
         self.attempts: list[Attempt | None] = []
         self.out = 0
         self.done = False
+        self.expired = False  # its time is up: nothing new is sent for it
+        self.seen = 0  # when (ns) its client was last seen to be there
         self.stream: Attempt | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -148,6 +156,7 @@
         request = Open(rid, client, message, cls)
         self.requests[rid] = request
         self.owed += 1
+        request.seen = system.monotonic_ns()
         self._expires_in(request, time_left)
         if self.peers is not None:
             self.peers.look()
@@ -175,8 +184,29 @@
         self._conclude(request)
         if request.stream is not None:
             request.stream.cancel()
+        # What no server can have begun ends here, also where the settings allow no cancel.
+        for attempt in list(request.attempts):
+            if attempt is not None and not attempt.written:
+                attempt.cancel()
         self.feed(api.Gone(rid))
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether the client of an attempt is there: nothing is sent on for one that has gone."""
+        request: Open = attempt.owner
+        return not request.done and self._awaited(request)
+
+    def _awaited(self, request: Open) -> bool:
+        """Whether a request's client is there, as far as can be told; one that has gone departs."""
+        now = system.monotonic_ns()
+        if now - request.seen < LOOK:
+            return True
+        presence = request.client.presence()
+        if presence is Presence.HERE:
+            request.seen = now
+        elif presence is Presence.GONE:
+            request.client.depart()
+        return presence is Presence.HERE
+
     def end_all(self) -> None:
         """The node is about to exit: whatever is owed gets its final answer now."""
         for request in list(self.requests.values()):
@@ -221,8 +251,10 @@
         message = request.message
         if (
             request.done
+            or request.expired
             or request.stream
             or message is None
+            or not self._awaited(request)
             or number >= self.settings.max_attempts
             # A long body is here for one attempt at a time, and may be gone with the last.
             or (message.upload is not None and (request.out or message.upload.taken))
@@ -304,6 +336,7 @@
 
     def _expire(self, request: Open) -> None:
         """The time is up: the attempts end, and what the module answers to that is still in time."""
+        request.expired = True
         for attempt in request.attempts:
             if attempt is not None and attempt is not request.stream:
                 attempt.end(api.Result.TIMEOUT)
--- a/elderscale/ports.py
+++ b/elderscale/ports.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import Protocol
 
 from .flow import Source
 from .messages import Answer
 
-__all__ = ["Agreed", "Client"]
+__all__ = ["Agreed", "Client", "Presence"]
+
+
+class Presence(Enum):
+    """Whether a client still waits for its answer, as the kernel tells it."""
+
+    HERE = 0
+    GONE = 1  # it has closed, half-closed or reset its connection, whether or not the loop has read that
+    UNKNOWN = 2  # so much of it lies unread that its close would not show
 
 
 class Agreed(Protocol):
@@ -23,7 +32,16 @@
 
 
 class Client(Protocol):
-    """Where answers go. Exactly one of answer, refuse, fail, or start with finish or cut is called."""
+    """Where answers go. Exactly one of answer, refuse, fail, or start with finish or cut is called, unless it
+    has departed."""
+
+    def presence(self) -> Presence:
+        """Whether it is there, at the cost of a system call or two."""
+        ...
+
+    def depart(self) -> None:
+        """It has gone, which its connection has not read yet: nothing is owed to it any more."""
+        ...
 
     def answer(self, answer: Answer) -> None: ...
     def refuse(self, retry_after: int) -> None: ...
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -73,6 +73,9 @@
 class Listener(Protocol):
     """Who is told how attempts go."""
 
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether anybody still waits for it: asked before its first byte, and before its last."""
+
     def started(self, attempt: Attempt, answer: Answer) -> Client | None:
         """A long answer has begun to come; where it goes, None to give the attempt up."""
 
@@ -210,9 +213,7 @@
 
         A close or bytes may have come that the loop has not seen yet.
         """
-        if self.lost or self.transport.is_closing():
-            return False
-        if self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != TCP_ESTABLISHED:
+        if self.lost or not self.connected():
             return False
         # Nothing has been asked in full: bytes that wait to be read belong to no request, and would be taken
         # for the answer to the next one.
@@ -241,6 +242,10 @@
 
     def begin(self, attempt: Attempt) -> None:
         """Write a request, all but its last piece; see _last."""
+        if not attempt.listener.wanted(attempt):
+            # Its client left while the connection came up, which is as good for the next one.
+            self.rest(attempt)
+            return
         message = attempt.message
         assert message is not None
         self.attempt = attempt
@@ -272,6 +277,12 @@
         self.pieces = pieces
         self._write()
 
+    def rest(self, attempt: Attempt) -> None:
+        """Nothing is to be written for an attempt after all."""
+        self.answered = self.servers.loop.time()
+        self.servers.pool(self)
+        attempt.end(api.Result.NOT_SENT)
+
     def _begin_upload(self, message: Message, upload: Upload, headers: Headers) -> None:
         assert self.attempt is not None
         framing = (b"transfer-encoding", b"chunked")
@@ -341,6 +352,12 @@
         if not self.alive():
             self._broke()
             return
+        attempt = self.attempt
+        if attempt is None:
+            return
+        if not attempt.listener.wanted(attempt):
+            attempt.end(api.Result.NOT_SENT)
+            return
         self.transport.write(self.pieces.pop())
         if self.transport.is_closing():
             self._broke()
@@ -704,6 +721,9 @@
         self.names = names
         self.feed = feed
 
+    def wanted(self, attempt: Attempt) -> bool:
+        return True
+
     def started(self, attempt: Attempt, answer: Answer) -> None:
         return None
 
--- a/elderscale/system.py
+++ b/elderscale/system.py
@@ -9,6 +9,7 @@
 import fcntl
 import gc
 import socket
+import sys
 import termios
 import time
 from collections.abc import Callable
@@ -39,13 +40,13 @@
     return socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
 
 
-def _unread(sock: socket.socket) -> bool:
-    """Whether the kernel holds bytes of the peer that nobody has read yet."""
-    return any(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
+def _unread(sock: socket.socket) -> int:
+    """How many bytes of the peer the kernel holds that nobody has read yet."""
+    return int.from_bytes(fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
 
 
 tcp_socket: Callable[[str], socket.socket] = _tcp_socket
-unread: Callable[[socket.socket], bool] = _unread
+unread: Callable[[socket.socket], int] = _unread
 
 
 def _read_bytes(path: str | Path) -> bytes:
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -161,8 +161,8 @@
     Defect(
         "uploads-make-room",
         CLIENTS,
-        "if conn.upload is not None:\n                    continue",
-        "if conn.upload is not None:\n                    pass",
+        "return conn.upload is None and not conn.unread()",
+        "return not conn.unread()",
     ),
     Defect(
         "last-byte-of-an-upload-early",
@@ -240,7 +240,7 @@
     Defect(
         "accept-queue-dropped",
         CLIENTS,
-        "            self._accept()  # what the kernel has taken for the node is the node's to answer\n",
+        "            if not self._accept() and not anyway:\n                return False\n",
         "",
     ),
     # Discovery
--- a/simulation/machine.py
+++ b/simulation/machine.py
@@ -203,8 +203,8 @@
             end.abort()
 
     @staticmethod
-    def _unread(sock: Any) -> bool:
-        return sock.end is not None and any(sock.end.unread)
+    def _unread(sock: Any) -> int:
+        return sum(len(data) for data in sock.end.unread if isinstance(data, bytes)) if sock.end else 0
 
     # The loop's calls
 
