A discovery that was away is heard within a part of the drain grace; calls in turn fit in 6 s

Cause: elderscale/discovery.py, _follow. While the agent is away a watch of 2 s is given up after 2.7 s and the next one begins up to 1 s later; a call that it got while it was away need not be answered at its return. What it has counts as told from then on. Ruled out: the servers' side (withdrawn at three quarters of the grace; the log shows time-outs of calls only).

Change: after a failure two calls are out at a time, one with 2.2 s, and others of a quarter of the drain grace (0.1 to 0.5 s) in a row, until one is answered. A watch waits for 1 s and is given up at 1.6 s (2.7 s), so that further silences fit into 6 s.

Also, each with a test that was seen to fail without it (tests/test_discovery_orders.py, tests/test_fleet_shares.py): - Where discovery is asked, a failed call waited for the node's turn: with 200 nodes up to 45 s. fleet/calls.py (Calls) keeps the turns within 6 s less the call's own time; only calls that fail after a wait in the queue wait longer from the second on.

--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from .config import Listing, Names
+from .config import SECOND, Listing, Names
 from .messages import MAX_HEAD, READ_SIZE
 
 if TYPE_CHECKING:
@@ -18,18 +18,24 @@
 
 log = logging.getLogger("elderscale")
 
+LIST = "/registry/instances"
 # How long one watch may wait, in milliseconds. Short, as a watch that has fallen silent shows only by its
-# being overdue; where discovery is one service for all nodes, each call is work for it.
-WATCH_MS = 2_000
+# being overdue, and what it misses counts as told 6 s after it fell silent: further silences fit in. Where
+# discovery is one service for all nodes, each call is work for it, and what a silent watch misses counts as
+# told 2 s after its wait.
+WATCH_MS = 1_000
 WATCH_ASKED_MS = 10_000
-# An answer that waits for nothing takes no longer than this, and an overdue one no longer beyond its wait.
-CALL_LIMIT = 3.0
-OVERDUE = 0.7
+# An answer that waits for nothing takes no longer than this (a discovery that is asked lets none wait for
+# over 2 s), and an overdue one no longer beyond its wait.
+CALL_LIMIT = 2.2
+OVERDUE, OVERDUE_ASKED = 0.6, 0.7
+# Where lists are pushed an agent answers at once, and what it has counts as told, a call being out or not.
+# After a failure it is asked again after this part of the drain grace, within bounds (s), and so on until it
+# answers: an outage may end in the middle of a call that it never answers.
+QUICK_PART, QUICK_LEAST, QUICK_MOST = 0.25, 0.1, 0.5
 # Pause after an answer that came before its wait was over and brought nothing: a discovery that does not wait
 # would else be asked as fast as it answers. A watch goes on if the next call comes within 200 ms.
 NOTHING_NEW_PAUSE = 0.05
-# Pause before the next call after a failure, doubled up to the longest.
-BACKOFF_FIRST, BACKOFF_MOST = 0.05, 1.0
 # A list takes about 150 bytes a server, and many times that while it is read.
 MAX_LIST = 2 << 20
 
@@ -38,6 +44,10 @@
     """A call brought no whole, sound list."""
 
 
+class CallOverdue(CallFailed):
+    """It brought nothing in time."""
+
+
 class Discovery:
     """Keeps the node's list fresh: by itself where lists are pushed, else as the module asks."""
 
@@ -109,53 +119,80 @@
         return task
 
     async def _follow(self) -> None:
-        """Watch for ever. A failure costs a pause; the list that is held stays in force meanwhile."""
-        pause = BACKOFF_FIRST
+        """Watch for ever. The list that is held stays in force while calls fail."""
+        loop = asyncio.get_running_loop()
         while True:
+            version, began = self.version, loop.time()
+            wait = WATCH_MS if version >= 0 else 0
             try:
-                if self.version < 0:
-                    await self._call("/registry/instances", CALL_LIMIT)
-                else:
-                    version, began = self.version, asyncio.get_running_loop().time()
-                    await self._call(self._watch_path(WATCH_MS), WATCH_MS / 1000 + OVERDUE)
-                    early = asyncio.get_running_loop().time() - began < WATCH_MS / 2000
-                    if self.version == version and early:
-                        await asyncio.sleep(NOTHING_NEW_PAUSE)
-                pause = BACKOFF_FIRST
+                await self._call(self._path(wait), wait / 1000 + OVERDUE)
             except CallFailed as error:
                 log.info("discovery: %s", error)
+                await asyncio.sleep(NOTHING_NEW_PAUSE)
+                await self._reach()
+                continue
+            if self.version == version and loop.time() - began < WATCH_MS / 2000:
+                await asyncio.sleep(NOTHING_NEW_PAUSE)
+
+    async def _reach(self) -> None:
+        """Call until an answer comes, two at a time: one call has time, others come quickly in a row.
+        An agent that is slow answers the one, and one that is back the next of the others."""
+        quick = self.node.settings.drain_grace / SECOND * QUICK_PART
+        quick = max(QUICK_LEAST, min(quick, QUICK_MOST))
+        calls = [asyncio.ensure_future(self._insist(limit, quick / 2)) for limit in (quick, CALL_LIMIT)]
+        try:
+            await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for call in calls:
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    async def _insist(self, limit: float, pause: float) -> None:
+        while True:
+            try:
+                await self._call(self._path(0), limit, shared=False)
+                return
+            except CallFailed as error:
+                log.debug("discovery: %s", error)
                 await asyncio.sleep(pause)
-                pause = min(2 * pause, BACKOFF_MOST)
 
     async def _subscribe(self) -> None:
         """Watch until a call fails, which the module is told: it decides when to ask again."""
         # The first call answers what the module waits for, so it does not wait itself.
-        path = self._watch_path(0) if self.version >= 0 else "/registry/instances"
-        limit = CALL_LIMIT
+        wait = 0
         try:
             while True:
-                await self._call(path, limit)
-                path, limit = self._watch_path(WATCH_ASKED_MS), WATCH_ASKED_MS / 1000 + OVERDUE
+                try:
+                    limit = wait / 1000 + OVERDUE_ASKED if wait else CALL_LIMIT
+                    await self._call(self._path(wait), limit)
+                    wait = WATCH_ASKED_MS if self.version >= 0 else 0
+                except CallOverdue as error:
+                    # Silent: of all nodes this one alone is known to need another, and at once.
+                    if not wait:
+                        raise
+                    log.info("discovery: %s", error)
+                    wait = 0
         except CallFailed as error:
             log.info("discovery: %s", error)
             self.node.asking_failed()
 
     async def _fetch(self) -> None:
         try:
-            await self._call("/registry/instances", CALL_LIMIT, shared=False)
+            await self._call(LIST, CALL_LIMIT, shared=False)
         except CallFailed as error:
             log.info("discovery: %s", error)
             self.node.asking_failed()
 
-    def _watch_path(self, wait: int) -> str:
-        return f"/registry/instances?index={self.version}&wait={wait}"
+    def _path(self, wait: int) -> str:
+        """Of a call that waits so long (ms) for news; of the whole list where none is held."""
+        return f"{LIST}?index={self.version}&wait={wait}" if self.version >= 0 else LIST
 
     async def _call(self, path: str, limit: float, shared: bool = True) -> None:
         """One call; its list goes to the node, whole or not at all."""
         streams = self._streams if shared else None
         if shared:
             self._streams = None
-        address = self.address
+        address, held = self.address, self.version
         try:
             try:
                 async with asyncio.timeout(limit):
@@ -165,21 +202,29 @@
                         streams = await asyncio.open_connection(*address, limit=READ_SIZE)
                     body, kept = await _get(streams, address[0], path)
                 listing = self.names.listing(json.loads(body))
+            except TimeoutError:
+                raise CallOverdue(f"{path}: no answer within {limit:.1f} s") from None
             except Exception as error:
                 # Whatever discovery says wrong, in framing, JSON or content, fails this call and no more: the
                 # watch goes on, the list that is held stays. It could hide a fault of ours, hence the log.
                 raise CallFailed(f"{path}: {type(error).__name__} {error}") from None
             if address != self.address:
                 raise CallFailed(f"{path}: an answer of the discovery that was left")
-            self._take(listing)
+            self._take(listing, held)
             if kept and shared:
                 self._streams, streams = streams, None
         finally:
             if streams is not None:
                 streams[1].transport.abort()
 
-    def _take(self, listing: Listing) -> None:
-        self.version = listing.servers.version
+    def _take(self, listing: Listing, held: int) -> None:
+        """held: the version that the call began with."""
+        version = listing.servers.version
+        if version < self.version and self.version != held:
+            return  # another call was quicker, and what it brought is newer
+        # Fewer than were held: a discovery that counts anew. It would let a watch of the old number wait for
+        # news that it has long had, so the whole list is asked for next.
+        self.version = version if listing.servers.kind or version >= held else -1
         self.heard.set()
         self.fresh.set()
         if listing.servers.servers or listing.servers.kind or self.asked:
--- a/fleet/__init__.py
+++ b/fleet/__init__.py
@@ -1,6 +1,6 @@
 """A node's part of what all nodes of a tier use together: pure, and known to each from what all are told."""
 
-from .calls import first_call, next_call
+from .calls import Calls, first_call
 from .census import Census
 from .pressure import Pressure
 from .reach import Reach
@@ -10,6 +10,6 @@
 from .worth import by_worth, deal
 
 __all__ = [
-    "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal", "first_call", "heed",
-    "next_call", "place",
+    "Calls", "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal", "first_call",
+    "heed", "place",
 ]  # fmt: skip
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -9,7 +9,7 @@
 import random
 from heapq import heappop, heappush
 
-from fleet import first_call, next_call, place
+from fleet import Calls, place
 
 from .admission import SHED_FROM, Admission
 from .choice import Choice
@@ -43,7 +43,8 @@
         self.actions: list[Action] = []
         self.requests: dict[int, Owed] = {}
         self.started = False
-        self.ask_failed = 0  # calls for the list that failed in a row
+        turn = place("calls", settings.node, settings.nodes)
+        self.calls = Calls(turn, settings.nodes, settings.must_ask_within)
         self.wakes: list[tuple[int, int, int, int]] = []  # (due, tie-break, what, request id)
         self.ties = 0
         self.armed = 0  # the earliest time a timer is set for, 0: none
@@ -105,6 +106,7 @@
                 self._review()
                 self._wake(self.now + REVIEW, WAKE_REVIEW, 0)
             elif what == WAKE_CALL:
+                self.calls.began(self.now)
                 self.actions.append(Watch(True))
             elif request is None or request.done:
                 continue
@@ -115,19 +117,17 @@
                 self._again(request)
 
     def _server_list(self, event: ServerList) -> None:
-        now, nodes, within = self.now, self.settings.nodes, self.settings.must_ask_within
+        now = self.now
         if not self.started:
             self.started = True
             self._wake(now + REVIEW, WAKE_REVIEW, 0)
             if self.settings.must_ask and event.kind == ListKind.CACHED:
-                turn = place("calls", self.settings.node, nodes)
-                self._wake(now + first_call(turn, nodes, within), WAKE_CALL, 0)
+                self._wake(now + self.calls.first(), WAKE_CALL, 0)
         if event.kind == ListKind.FAILED:
-            self.ask_failed += 1
-            self._wake(now + next_call(self.ask_failed, nodes, within, self.random.random()), WAKE_CALL, 0)
+            self._wake(now + self.calls.failed(now, self.random.random()), WAKE_CALL, 0)
             return
         if event.kind != ListKind.CACHED:
-            self.ask_failed = 0
+            self.calls.answered()
         self.roster.take(event, now)
         self.choice.rebuild(now)
         self._cross()
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -253,14 +253,14 @@
     Defect(
         "broken-list-ends-the-watch",
         DISCOVERY,
-        "listing = self.names.listing(json.loads(body))\n            except Exception as error:",
-        "listing = self.names.listing(json.loads(body))\n            except OSError as error:",
+        "            except Exception as error:\n                # Whatever",
+        "            except OSError as error:\n                # Whatever",
     ),
     Defect(
         "failure-ends-the-watch",
         DISCOVERY,
-        "                await asyncio.sleep(pause)\n                pause = min",
-        "                return\n                pause = min",
+        "                await self._reach()\n                continue",
+        "                return",
     ),
     # Routes and limits
     Defect("in-flight-for-ever", "routing/gate.py", "        state.in_flight -= 1\n", "        pass\n"),
