An attempt may have run once its last byte is handed over; no repeat past its window, no late write

Need: at the edges of an attempt's time nothing that may have run may be told as what has not, and nothing may be written that is not allowed any more.

Causes, elderscale/servers.py: - ServerConnection._written set `written` when the loop told that the kernel had the last byte. Where the kernel takes it in the loop's second try, that is told a turn later; a time-out, a reset or a withdrawal in between counted as `could not connect`, so an unsafe request could be repeated or refused. `written` is now set before the byte is handed over, and Attempt.end is the one place that tells a reset from a connection that never was. - begin() wrote to a server whose grace was over when the timer that withdraws (_withdraw) was called late. - A keyed repeat was held against its window when it was chosen, not when it was written: a connection that came up late sent it past the window. The module now tells until when (Send.until), and the last byte is not written later. The window is reckoned in one place (lynxrouter/repeats.py, closes).

--- a/elderscale/node.py
+++ b/elderscale/node.py
@@ -276,6 +276,7 @@
             streamed=cls.streamed,
             owner=request,
             number=number,
+            until=action.until,
         )
         request.attempts.append(attempt)
         request.out += 1
--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -88,7 +88,7 @@
 
     __slots__ = (
         "backend", "began", "conn", "connecting", "deadline", "lag", "listener", "message", "number", "owner",
-        "repeatable", "report", "result", "sent", "server", "streamed", "timer", "written",
+        "repeatable", "report", "result", "sent", "server", "streamed", "timer", "until", "written",
     )  # fmt: skip
 
     def __init__(
@@ -101,6 +101,7 @@
         streamed: bool = False,
         owner: Any = None,
         number: int = 0,
+        until: int = 0,
     ) -> None:
         self.message: Message | None = message
         self.server = server
@@ -110,10 +111,11 @@
         self.streamed = streamed
         self.owner = owner
         self.number = number
+        self.until = until  # ns; its last byte must not be written later, 0: it may
         self.sent = system.monotonic_ns()
         self.began = 0  # when the first bytes of an answer that is passed on came, 0: none has
         self.lag = 0  # for how long (ns) the answer's end was here before the node came to read it
-        self.written = False  # the kernel has taken the last byte: from here on it may have run
+        self.written = False  # its last byte was handed over: from here on it may have run
         self.result: api.Result | None = None
         self.report: tuple[float, ...] = ()
         self.conn: ServerConnection | None = None
@@ -127,7 +129,7 @@
 
     def broke(self) -> None:
         """The connection is gone, or what came on it is no answer."""
-        self.end(api.Result.RESET if self.written else api.Result.CONNECT_FAILED)
+        self.end(api.Result.CONNECT_FAILED)
 
     def read_on(self, reading: bool) -> None:
         """Back-pressure of the client that the answer is passed on to."""
@@ -140,6 +142,8 @@
             return
         if result == api.Result.TIMEOUT and not self.written:
             result = api.Result.CONNECT_FAILED  # a server begins a request when its last byte has come
+        elif result == api.Result.CONNECT_FAILED and self.written:
+            result = api.Result.RESET
         self.result = result
         self.message = None
         if self.timer is not None:
@@ -158,12 +162,13 @@
 class _Backend:
     """A server of the list."""
 
-    __slots__ = ("address", "draining", "id", "idle", "told", "unsent")
+    __slots__ = ("address", "closes", "draining", "id", "idle", "told", "unsent")
 
     def __init__(self, server: api.ServerId, address: tuple[str, int]) -> None:
         self.id = server
         self.address = address
         self.draining: asyncio.TimerHandle | None = None
+        self.closes = 0.0  # while it drains: from when on nothing is written to it (loop's clock, s)
         self.idle: list[ServerConnection] = []  # the last one rested shortest and is taken first
         self.unsent: dict[Attempt, None] = {}  # in the order in which they were begun
         self.told: tuple[bytes, tuple[float, ...]] = (b"", ())
@@ -242,6 +247,11 @@
 
     def begin(self, attempt: Attempt) -> None:
         """Write a request, all but its last piece; see _last."""
+        if self.backend.draining is not None and self.servers.loop.time() >= self.backend.closes:
+            # The timer that withdraws what is not yet written is due, and has not been called yet.
+            self.close()
+            attempt.end(api.Result.CONNECT_FAILED)
+            return
         if not attempt.listener.wanted(attempt):
             # Its client left while the connection came up, which is as good for the next one.
             self.rest(attempt)
@@ -355,23 +365,27 @@
         attempt = self.attempt
         if attempt is None:
             return
-        if not attempt.listener.wanted(attempt):
+        if not attempt.listener.wanted(attempt) or 0 < attempt.until <= system.monotonic_ns():
             attempt.end(api.Result.NOT_SENT)
             return
+        # The kernel may take the byte and the loop tell of it a turn later: whatever ends the attempt in
+        # between, it may have run.
+        attempt.written = True
         self.transport.write(self.pieces.pop())
         if self.transport.is_closing():
+            attempt.written = False  # refused at once
             self._broke()
         elif not self.unsent:
             self._written()
 
     def _written(self) -> None:
-        if self.attempt is not None and not self.attempt.written and not self.transport.is_closing():
-            self.attempt.written = True
-            if self.attempt.message is not None and self.attempt.message.upload is not None:
+        attempt = self.attempt
+        if attempt is not None and attempt in self.backend.unsent and not self.transport.is_closing():
+            if attempt.message is not None and attempt.message.upload is not None:
                 # A server begins with the last byte: how long the body was on its way says nothing of it.
-                self.attempt.sent = system.monotonic_ns()
+                attempt.sent = system.monotonic_ns()
             self.servers.written += 1
-            self.backend.unsent.pop(self.attempt, None)
+            self.backend.unsent.pop(attempt)
 
     # Reading
 
@@ -579,6 +593,7 @@
             conn.close()
         if backend.draining is None:
             grace = GRACE_PART * self.settings.drain_grace / SECOND
+            backend.closes = self.loop.time() + grace
             backend.draining = self.loop.call_later(grace, self._withdraw, backend)
 
     def _withdraw(self, backend: _Backend) -> None:
--- a/fleet/__init__.py
+++ b/fleet/__init__.py
@@ -1,5 +1,6 @@
 """A node's part of what all nodes of a tier use together: pure, and known to each from what all are told."""
 
+from .budgets import Budgets
 from .calls import Calls, first_call
 from .census import Census
 from .pressure import Pressure
@@ -10,6 +11,6 @@
 from .worth import by_worth, deal
 
 __all__ = [
-    "Calls", "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal", "first_call",
-    "heed", "place",
+    "Budgets", "Calls", "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal",
+    "first_call", "heed", "place",
 ]  # fmt: skip
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -172,7 +172,7 @@
                 self._wake(self.now + (limits.copy_delay or cls.aim // 2), WAKE_COPY, event.id)
 
     def _send(self, request: Owed, s: Server) -> None:
-        tried = Try(s, self.now)
+        tried, until = Try(s, self.now), self.repeats.until(request)
         request.tries.append(tried)
         request.out += 1
         self.learned.census.sent()
@@ -182,7 +182,8 @@
             s.cold_at = max(s.cold_at, self.now) + s.cold_gap
             s.free_at = max(s.free_at, s.cold_at)
         limits = request.limits
-        self.actions.append(Send(request.id, s.id, limits.attempt_timeout if limits is not None else 0))
+        timeout = limits.attempt_timeout if limits is not None else 0
+        self.actions.append(Send(request.id, s.id, timeout, until))
 
     def _wait(self, request: Owed) -> None:
         """No server may be used now: hold the request while there is time, then refuse it."""
--- a/lynxrouter/interface.py
+++ b/lynxrouter/interface.py
@@ -339,11 +339,16 @@
 
 @dataclass(slots=True)
 class Send:
-    """Start an attempt, numbered 0, 1, ... in the order sent. timeout 0: until the deadline."""
+    """Start an attempt, numbered 0, 1, ... in the order sent. timeout 0: until the deadline.
+
+    until: when its last byte has to be written (clock of the events), 0 for no such time: later the server
+    might not know the request for a repeat any more.
+    """
 
     id: int
     server: ServerId
     timeout: int = 0
+    until: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lynxrouter/repeats.py
+++ b/lynxrouter/repeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from fleet import Budgets
+
 from .interface import NEVER_RAN, Effect, Group, Limits, RequestClass, Settings
 from .records import Owed, Server, Try
 
@@ -11,9 +13,6 @@
 COPY_BUDGET, COPY_SAVED = 0.1, 10.0
 # Resends per request on average, and the most that may be saved up.
 RESEND_BUDGET, RESEND_SAVED = 0.5, 50.0
-# Repeats that the retry budget of a route saves up at most, and how many budgets are kept: those of routes
-# that reloads have taken away go first.
-ROUTE_SAVED, ROUTE_BUDGETS = 10.0, 4096
 
 
 class Scope:
@@ -32,6 +31,11 @@
 ANYWHERE = Scope()
 
 
+def closes(first: Try, cls: RequestClass, own: int, slack: int) -> int:
+    """When the window of a keyed class is over; own: its route's (ns), 0 for none."""
+    return first.sent + (min(own, cls.window) if own else cls.window) - slack
+
+
 def resend_scope(
     cls: RequestClass, tries: list[Try], now: int, copies_allowed: bool, most: int, slack: int = 0
 ) -> Scope | None:
@@ -46,7 +50,7 @@
             first = t
     if first is None or cls.effect == Effect.SAFE:
         return ANYWHERE
-    if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:
+    if cls.effect == Effect.UNSAFE or now >= closes(first, cls, 0, slack):
         return None
     if cls.group == Group.CELL:
         return Scope(cell=first.cell)
@@ -64,7 +68,7 @@
     first = next((t for t in tries if t.result not in NEVER_RAN), None)
     if first is None or cls.effect != Effect.KEYED:
         return scope
-    if limits.repeat_window and now - first.sent >= limits.repeat_window - slack:
+    if now >= closes(first, cls, limits.repeat_window, slack):
         return None
     if limits.repeat_group == Group.CELL:
         return Scope(scope.zone, first.cell)
@@ -89,7 +93,7 @@
         self.settings = settings
         self.copies = 0.0
         self.resends = RESEND_SAVED / 5
-        self.route_saved: dict[str, float] = {}  # repeats that routes with a retry budget have left
+        self.routes = Budgets()  # repeats that routes with a retry budget have left
 
     def arrived(self) -> None:
         """Each request adds to the node's budgets."""
@@ -105,21 +109,20 @@
             scope = limited_scope(cls, tries, now, scope, request.limits, slack)
         return scope
 
+    def until(self, request: Owed) -> int:
+        """When a keyed request's window is over, for the last byte of a further attempt; 0: never."""
+        cls, limits, tries = self.settings.classes[request.cls], request.limits, request.tries
+        first = next((t for t in tries if t.result not in NEVER_RAN), None)
+        if first is None or cls.effect != Effect.KEYED:
+            return 0
+        own = limits.repeat_window if limits is not None else 0
+        return closes(first, cls, own, self.settings.tick)
+
     def save(self, limits: Limits | None) -> None:
         """A request adds to its route's retry budget, where there is one."""
-        if limits is None or limits.retry_share < 0.0:
-            return
-        saved = self.route_saved.pop(limits.budget, 1.0) + limits.retry_share
-        self.route_saved[limits.budget] = min(saved, ROUTE_SAVED)
-        if len(self.route_saved) > ROUTE_BUDGETS:
-            del self.route_saved[next(iter(self.route_saved))]
+        if limits is not None and limits.retry_share >= 0.0:
+            self.routes.save(limits.budget, limits.retry_share)
 
     def spend(self, limits: Limits | None) -> bool:
         """Take a repeat from its route's retry budget, where there is one; False: none is left."""
-        if limits is None or limits.retry_share < 0.0:
-            return True
-        saved = self.route_saved.get(limits.budget, 0.0)
-        if saved < 1.0:
-            return False
-        self.route_saved[limits.budget] = saved - 1.0
-        return True
+        return limits is None or limits.retry_share < 0.0 or self.routes.spend(limits.budget)
--- a/mutation/planted.py
+++ b/mutation/planted.py
@@ -49,14 +49,14 @@
     Defect(
         "unsafe-repeat",
         REPEATS,
-        "if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:",
-        "if cls.effect == Effect.KEYED and now - first.sent >= cls.window - slack:",
+        "if cls.effect == Effect.UNSAFE or now >= closes(first, cls, 0, slack):",
+        "if cls.effect == Effect.KEYED and now >= closes(first, cls, 0, slack):",
     ),
     Defect(
         "window-ignored",
         REPEATS,
-        "if cls.effect == Effect.UNSAFE or now - first.sent >= cls.window - slack:",
-        "if cls.effect == Effect.UNSAFE:",
+        "return first.sent + (min(own, cls.window) if own else cls.window) - slack",
+        "return first.sent + (1 << 62)",
     ),
     Defect("cell-ignored", REPEATS, "return Scope(cell=first.cell)", "return ANYWHERE"),
     Defect(
@@ -137,8 +137,8 @@
     Defect(
         "reset-taken-for-unsent",
         SERVERS,
-        "self.end(api.Result.RESET if self.written else api.Result.CONNECT_FAILED)",
-        "self.end(api.Result.CONNECT_FAILED)",
+        "elif result == api.Result.CONNECT_FAILED and self.written:",
+        "elif result == api.Result.CONNECT_FAILED and not self.written:",
     ),
     Defect(
         "silence-taken-for-unsent",
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,311 @@
+"""Attempts at the edges of their time: what may have run is never told as what has not."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+import time
+from pathlib import Path
+
+import pytest
+
+from elderscale import servers as module
+from elderscale.servers import ServerConnection, Servers
+from standins.loopback import (
+    CLASSES,
+    LIMIT,
+    OK,
+    Backend,
+    Held,
+    Listener,
+    Registry,
+    Running,
+    call,
+    read_message,
+    request,
+    running,
+    settings,
+)
+
+MS = 1_000_000
+
+
+class Gate:
+    """Connections to servers come up when the test says so; from a number on, which may be 0."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch, first: int = 0) -> None:
+        self.open = asyncio.Event()
+        self.waiting = 0
+        self.seen = 0
+        connected = Servers._connected
+
+        async def late(servers: Servers, sock: socket.socket, address: tuple[str, int]) -> None:
+            await connected(servers, sock, address)
+            self.seen += 1
+            if self.seen > first:
+                self.waiting += 1
+                await self.open.wait()
+
+        monkeypatch.setattr(Servers, "_connected", late)
+
+
+async def waits(gate: Gate) -> None:
+    async with asyncio.timeout(LIMIT):
+        while not gate.waiting:
+            await asyncio.sleep(0.001)
+
+
+async def over(node: Running) -> None:
+    async with asyncio.timeout(LIMIT):
+        while node.node.requests:
+            await asyncio.sleep(0.001)
+
+
+def caps(**changes: object) -> dict[str, object]:
+    return {**settings()["caps"], "connect-timeout": 10**10, **changes}
+
+
+@pytest.mark.parametrize("cls", ["send", "book"])
+@pytest.mark.parametrize("end", ["time-out", "reset", "withdrawn", "client left"])
+def test_a_last_byte_that_the_kernel_took_and_the_loop_has_not_told(
+    cls: str, end: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The request is whole at its server, and its connection has not heard that it is written."""
+    monkeypatch.setattr(ServerConnection, "_written", lambda conn: None)
+    one_cell = [{**c, "group": "cell"} if c["name"] == "book" else c for c in CLASSES]
+
+    async def play() -> None:
+        registry = Registry()
+        backends = Held("s-1"), Held("s-2")
+        async with running(
+            tmp_path / "c.json", registry, *backends,
+            settings=settings(categories=one_cell, rules={"drain-grace": 40 * MS}),
+        ) as node:  # fmt: skip
+            left = b"X-Time-Left-Ms: %d\r\n" % (150 if end == "time-out" else 600)
+            sock = call(node, request(cls, rid="r-1", extra=left))
+            sock.setblocking(False)
+            async with asyncio.timeout(LIMIT):
+                while not any(backend.heads for backend in backends):
+                    await asyncio.sleep(0.001)
+            backend = next(backend for backend in backends if backend.heads)
+            if end == "reset":
+                backend.writers[0].transport.abort()
+            elif end == "withdrawn":
+                registry.lines = [line for line in registry.lines if line["id"] != backend.name]
+                registry.version += 1
+                registry.note()
+            elif end == "client left":
+                sock.close()
+            if end != "client left":
+                async with asyncio.timeout(LIMIT):
+                    answer = await asyncio.get_running_loop().sock_recv(sock, 4096)
+                # Not 503, which says that trying again is harmless.
+                assert answer.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 504 "))
+            await over(node)
+            if cls == "send":
+                assert sum(len(b.heads) for b in backends) == 1
+            for b in backends:
+                b.go.set()
+            sock.close()
+
+    asyncio.run(play())
+
+
+def test_a_keyed_repeat_that_would_reach_its_server_past_the_window_is_not_sent(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was chosen in time; its connection comes up too late."""
+    window = 200 * MS
+    short = [{**c, "window": window, "group": "all"} if c["name"] == "book" else c for c in CLASSES]
+
+    async def play() -> None:
+        gate = Gate(monkeypatch, first=1)
+        backends = Held("s-1"), Held("s-2")
+        async with running(
+            tmp_path / "c.json", Registry(), *backends,
+            settings=settings(categories=short, caps=caps()),
+        ) as node:  # fmt: skip
+            sock = call(node, request("book", rid="r-1"))
+            async with asyncio.timeout(LIMIT):
+                while not any(backend.heads for backend in backends):
+                    await asyncio.sleep(0.001)
+            (open_,) = node.node.requests.values()
+            first = open_.attempts[0]
+            assert first is not None
+            next(b for b in backends if b.heads).writers[0].transport.abort()
+            await waits(gate)
+            while time.monotonic_ns() - first.sent < window:
+                await asyncio.sleep(0.001)
+            gate.open.set()
+            sock.setblocking(False)
+            async with asyncio.timeout(LIMIT):
+                answer = await asyncio.get_running_loop().sock_recv(sock, 4096)
+            assert answer.startswith(b"HTTP/1.1 50")
+            assert sum(len(backend.heads) for backend in backends) == 1
+            sock.close()
+
+    asyncio.run(play())
+
+
+def test_a_keyed_repeat_within_its_window_is_sent(tmp_path: Path) -> None:
+    """The guard must not cost the repeats that are allowed."""
+
+    async def play() -> None:
+        backends = Held("s-1"), Held("s-2")
+        async with running(tmp_path / "c.json", Registry(), *backends) as node:
+            asking = asyncio.ensure_future(node.ask(request("book", rid="r-1")))
+            async with asyncio.timeout(LIMIT):
+                while not any(backend.heads for backend in backends):
+                    await asyncio.sleep(0.001)
+            first = next(b for b in backends if b.heads)
+            first.writers[0].transport.abort()
+            for backend in backends:
+                backend.go.set()
+            assert b" 200 " in await asking
+            assert sum(len(backend.heads) for backend in backends) == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("cls", ["view", "send", "book"])
+@pytest.mark.parametrize("change", ["draining", "gone", "moved"])
+def test_a_connection_that_comes_up_after_the_grace_writes_nothing(
+    cls: str, change: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The loop is late: the timer that withdraws what is not written is due, and not yet called."""
+
+    async def play() -> None:
+        registry = Registry()
+        gate, server, other = Gate(monkeypatch), Backend("s-1"), Backend("s-1")
+        await other.start()
+        rules = {"drain-grace": 40 * MS}
+        async with running(
+            tmp_path / "c.json", registry, server, settings=settings(caps=caps(), rules=rules)
+        ) as node:
+            asked = request(cls, rid="r-1", extra=b"X-Time-Left-Ms: 500\r\n")
+            asking = asyncio.ensure_future(node.ask(asked))
+            await waits(gate)
+            (backend,) = node.node.servers.backends.values()
+            if change == "draining":
+                registry.tell(server, state="DRAINING")
+            elif change == "gone":
+                registry.tell()
+            else:
+                registry.tell(other)
+            async with asyncio.timeout(LIMIT):
+                while backend.draining is None:
+                    await asyncio.sleep(0)
+            backend.draining.cancel()  # as where it is called late
+            while node.node.loop.time() < backend.closes:
+                await asyncio.sleep(0.001)
+            gate.open.set()
+            answer = await asking
+            assert not server.heads
+            assert (b" 200 " if change == "moved" else b" 503 ") in answer
+        await other.stop()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("end", ["its time", "its client"])
+def test_a_connection_that_comes_up_after_its_request_ended_writes_nothing(
+    end: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        gate, server = Gate(monkeypatch), Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=caps())) as node:
+            left = b"X-Time-Left-Ms: 60\r\n" if end == "its time" else b""
+            sock = call(node, request("send", rid="r-1", extra=left))
+            await waits(gate)
+            if end == "its client":
+                sock.close()
+            await over(node)
+            gate.open.set()
+            assert b" 200 " in await node.ask(request("send", rid="r-2"))
+            assert [b"r-2" in head for head in server.heads] == [True]
+            sock.close()
+
+    asyncio.run(play())
+
+
+class Noisy(Listener):
+    """It answers, and says more when told to; the requests that it got."""
+
+    def __init__(self, more: bytes) -> None:
+        super().__init__()
+        self.name, self.more = "s-1", more
+        self.heads: list[bytes] = []
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, _ = await read_message(reader)
+            self.heads.append(head)
+            writer.write(OK)
+
+
+@pytest.mark.parametrize("cls", ["view", "send"])
+@pytest.mark.parametrize(
+    "more", [b"HTTP/1.1 2", OK.replace(b"ok", b"NO"), b"\x00\xff\r\n"], ids=["half a line", "second", "noise"]
+)
+def test_what_comes_on_a_resting_connection_is_no_answer_to_the_next_request(
+    cls: str, more: bytes, tmp_path: Path
+) -> None:
+    """It is in the kernel, unread, in the turn in which the connection would be taken."""
+
+    async def play() -> None:
+        server = Noisy(more)
+        async with running(tmp_path / "c.json", Registry(), server) as node:  # type: ignore[arg-type]
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request(cls, rid="r-1"))
+                await read_message(reader)
+                (conn,) = node.node.servers.connections
+                send = node.node.servers.send
+
+                def late(attempt: module.Attempt) -> None:
+                    if not conn.lost and not conn.unread():
+                        end = server.writers[0].get_extra_info("socket")
+                        socket.socket(fileno=os.dup(end.fileno())).send(more)
+                        while not conn.unread():
+                            pass
+                    send(attempt)
+
+                node.node.servers.send = late  # type: ignore[method-assign]
+                writer.write(request(cls, rid="r-2"))
+                head, body = await read_message(reader)
+            assert b" 200 " in head and body == b"ok"
+            assert sum(b"r-2" in got for got in server.heads) == 1
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("cut", [0, 1, 17, 40, 60])
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_without_a_length_that_is_reset_is_no_answer(cut: int, reset: bool, tmp_path: Path) -> None:
+    """Its end is the end of the connection; a reset is none, and the client gets what it can tell apart."""
+    whole = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + b"x" * 40
+
+    async def script(head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(whole[:cut])
+        await writer.drain()
+        if reset:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        else:
+            writer.close()
+        await asyncio.Event().wait()
+
+    async def play() -> None:
+        async with running(tmp_path / "c.json", Registry(), Backend("s-1", script)) as node:
+            answer = await node.ask(request("send"))
+            ended = whole[:cut].partition(b"\r\n\r\n")
+            if ended[1] and not reset:
+                assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"x" * len(ended[2]))
+            else:
+                assert answer.startswith(b"HTTP/1.1 502 ")
+
+    asyncio.run(play())
--- a/tests/test_limits_module.py
+++ b/tests/test_limits_module.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from fleet import budgets
 from lynxrouter import interface as api
 from standins.world import MS, SECOND, Node, fleet, make_settings
 
@@ -124,13 +125,11 @@
 
 
 def test_budgets_of_routes_that_are_gone_are_forgotten() -> None:
-    from lynxrouter import repeats
-
     node = node_of()
-    for n in range(repeats.ROUTE_BUDGETS + 50):
+    for n in range(budgets.BUDGETS + 50):
         node.ask(n, READ, limits=api.Limits(retry_share=0.5, budget=f"r{n}"))
-    assert len(node.balancer.repeats.route_saved) == repeats.ROUTE_BUDGETS
-    assert "r0" not in node.balancer.repeats.route_saved
+    assert len(node.balancer.repeats.routes.saved) == budgets.BUDGETS
+    assert "r0" not in node.balancer.repeats.routes.saved
 
 
 def test_a_refusal_tells_a_time_within_the_routes_range() -> None:
