Tests: widely drawn settings are in force as they stand, and names decide nothing

Hypothesis draws classes, effects, windows, grace, limits, tenants, zones and numbers of nodes. Each figure is found again in what the node was built from, the random walk keeps the four rules with them, other names lead to the same actions, further attempts carry the end of their own window, and a node over sockets serves each class that is drawn and 404s the others.

--- /dev/null
+++ b/tests/test_other_customers.py
@@ -0,0 +1,174 @@
+"""Widely drawn settings: each is in force as it stands, and no name or figure of one deployment is."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from elderscale.config import SECOND, settings_of
+from elderscale.servers import GRACE_PART
+from lynxrouter import interface as api
+from standins.loopback import Backend, Registry, request, running
+from standins.world import MS
+from tests.test_rules import walk
+
+NAME = st.text("abcdefghijklmnopqrstuvwxyz0123456789-", min_size=1, max_size=12)
+EFFECTS = {"retryable": api.Effect.SAFE, "dedup": api.Effect.KEYED, "fragile": api.Effect.UNSAFE}
+GROUPS = {"all": api.Group.ALL, "zone": api.Group.ZONE, "cell": api.Group.CELL}
+
+
+def span(least: int, most: int) -> st.SearchStrategy[int]:
+    """Durations in ns, from and to so many ms."""
+    return st.integers(least, most).map(lambda ms: ms * MS)
+
+
+@st.composite
+def classes(draw: st.DrawFn) -> list[dict[str, Any]]:
+    names = draw(st.lists(NAME, min_size=1, max_size=6, unique=True))
+    drawn = []
+    for name in names:
+        aim = draw(span(20, 5_000))
+        drawn.append(
+            {
+                "name": name,
+                "effect": draw(st.sampled_from(sorted(EFFECTS))),
+                "slo": aim,
+                "give-up": aim + draw(span(0, 9_000)),
+                "worth": draw(st.integers(1, 50)) / 2,
+                "group": draw(st.sampled_from(sorted(GROUPS))),
+                "window": draw(span(50, 9_000)),
+            }
+        )
+    return drawn
+
+
+@st.composite
+def deployments(draw: st.DrawFn) -> dict[str, Any]:
+    nodes = draw(st.integers(1, 300))
+    return {
+        "balancers": nodes,
+        "me": draw(st.integers(0, nodes - 1)),
+        "quantum": draw(span(1, 10)),
+        "zones": draw(st.lists(NAME, min_size=1, max_size=4, unique=True)),
+        "kinds": draw(st.lists(NAME, min_size=1, max_size=4, unique=True)),
+        "categories": draw(classes()),
+        "tenants": [
+            {"name": name, "share": 0.1, "allowance-per-s": draw(st.integers(1, 90))}
+            for name in draw(st.lists(NAME, max_size=5, unique=True))
+        ],
+        "weights": "live",
+        "caps": {
+            "most-tries": draw(st.integers(1, 6)),
+            "cancel": draw(st.booleans()),
+            "may-duplicate": draw(st.booleans()),
+            "connect-timeout": draw(span(50, 900)),
+            "conn-idle": draw(span(1_000, 60_000)),
+            "retry-after": True,
+            "max-retry-after": draw(span(100, 9_000)),
+        },
+        "rules": {
+            "drain-grace": draw(span(150, 5_000)),
+            "fall-multiple": draw(st.integers(2, 8)) / 1.0,
+            "overload-for": draw(span(500, 5_000)),
+            "cold-share": draw(st.integers(1, 9)) / 10,
+            "warm-up": draw(span(500, 30_000)),
+            "must-ask-in": draw(span(1_000, 30_000)),
+        },
+        "report": {"via": "piggyback", "fields": draw(st.lists(NAME, max_size=4, unique=True))},
+    }
+
+
+@given(deployments())
+@settings(max_examples=60)
+def test_each_figure_of_the_settings_is_in_force(given_: dict[str, Any]) -> None:
+    taken = settings_of(given_)
+    caps, rules = given_["caps"], given_["rules"]
+    assert [c.name for c in taken.classes] == [c["name"] for c in given_["categories"]]
+    for cls, line in zip(taken.classes, given_["categories"], strict=True):
+        assert (cls.aim, cls.deadline, cls.worth) == (line["slo"], line["give-up"], line["worth"])
+        assert (cls.effect, cls.group, cls.window) == (
+            EFFECTS[line["effect"]], GROUPS[line["group"]], line["window"],
+        )  # fmt: skip
+    assert [t.name for t in taken.tenants] == [t["name"] for t in given_["tenants"]]
+    assert [t.allowance for t in taken.tenants] == [t["allowance-per-s"] for t in given_["tenants"]]
+    assert (taken.nodes, taken.node, taken.tick) == (given_["balancers"], given_["me"], given_["quantum"])
+    assert (taken.zones, taken.kinds) == (len(given_["zones"]), len(given_["kinds"]))
+    assert (taken.max_attempts, taken.cancel_allowed, taken.copies_allowed) == (
+        caps["most-tries"], caps["cancel"], caps["may-duplicate"],
+    )  # fmt: skip
+    assert (taken.connect_timeout, taken.idle_timeout) == (caps["connect-timeout"], caps["conn-idle"])
+    assert taken.max_retry_after == caps["max-retry-after"]
+    assert (taken.drain_grace, taken.fall_multiple) == (rules["drain-grace"], rules["fall-multiple"])
+    assert (taken.fall_span, taken.cold_share) == (rules["overload-for"], rules["cold-share"])
+    assert (taken.warm_up, taken.must_ask_within) == (rules["warm-up"], rules["must-ask-in"])
+
+
+@given(deployments(), st.integers(0, 2**32))
+@settings(max_examples=25)
+def test_the_rules_hold_and_names_decide_nothing(given_: dict[str, Any], seed: int) -> None:
+    """The walk asserts the four rules with the figures of these settings at every step; under other names the
+    same events lead to the same actions."""
+    taken = replace(settings_of(given_), zones=2, kinds=3, answer_grace=16 * MS)
+    renamed = replace(
+        taken,
+        classes=tuple(replace(c, name=f"class {n}") for n, c in enumerate(taken.classes)),
+        tenants=tuple(replace(t, name=f"tenant {n}") for n, t in enumerate(taken.tenants)),
+    )
+    assert walk(seed, taken, steps=60).actions == walk(seed, renamed, steps=60).actions
+
+
+@given(deployments(), st.integers(0, 2**32))
+@settings(max_examples=25)
+def test_further_attempts_of_keyed_requests_carry_the_end_of_their_own_window(
+    given_: dict[str, Any], seed: int
+) -> None:
+    taken = replace(settings_of(given_), zones=2, kinds=3, answer_grace=16 * MS, max_attempts=4)
+    node = walk(seed, taken, steps=60)
+    sends = [action for action in node.actions if isinstance(action, api.Send)]
+    for send in sends:
+        cls = taken.classes[node.books[send.id].cls]
+        first = node.books[send.id].attempts[0].sent
+        if cls.effect != api.Effect.KEYED:
+            assert send.until == 0
+        elif send.until:
+            last = node.books[send.id].attempts[-1].sent
+            assert first + cls.window - taken.tick <= send.until <= last + cls.window - taken.tick
+
+
+@given(deployments())
+@settings(max_examples=5)
+def test_a_node_serves_each_class_of_its_settings_and_no_other(
+    tmp_path_factory: Any, given_: dict[str, Any]
+) -> None:
+    """Over sockets; the parts have their times from the settings."""
+    path: Path = tmp_path_factory.mktemp("node") / "c.json"
+
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(path, Registry(), server, settings={**given_, "report": {}}) as node:
+            for n, line in enumerate(given_["categories"]):
+                method = b"GET" if line["effect"] == "retryable" else b"POST"
+                key = b"Idempotency-Key: k\r\n" if line["effect"] == "dedup" else b""
+                data = (
+                    b"%s /%s HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: r-%d\r\n%sX-Time-Left-Ms: 9000\r\n"
+                    % (method, line["name"].encode(), n, key)
+                    + (b"" if method == b"GET" else b"Content-Length: 0\r\n")
+                    + b"\r\n"
+                )
+                answer = await node.ask(data)
+                assert answer.startswith(b"HTTP/1.1 200 "), answer
+            names = {line["name"] for line in given_["categories"]}
+            for cls in {"view", "send", "book"} - names:
+                assert (await node.ask(request(cls))).startswith(b"HTTP/1.1 404 ")
+            (backend,) = node.node.servers.backends.values()
+            node.node.servers._drain(backend)
+            assert backend.draining is not None
+            left = backend.draining.when() - node.node.loop.time()
+            assert left <= GRACE_PART * given_["rules"]["drain-grace"] / SECOND + 0.01
+
+    asyncio.run(play())
