A second answer that comes some milliseconds late is never taken for the next request's

Cause: ServerConnection.begin held a request's last byte only where the connection's last answer was under 3 ms old, and pools give out the connection that rested shortest (Servers.send). A second copy of an answer that came 3 to 12 ms late met a request that was whole, and went to its client.

The test plays a server that says its answer again at the first byte of the next request: without the mend the client gets it. Two tests beside it: a request that comes between the look for unread bytes and the end of sending, or right after, is not sent on, and its client sees a close in order (holds without a mend).

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -282,6 +282,62 @@
     asyncio.run(play())
 
 
+class Twice(Noisy):
+    """It answers, and says the same again as soon as the first bytes of the next request are there."""
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head, _ = await read_message(reader)
+        self.heads.append(head)
+        writer.write(OK)
+        await reader.readexactly(1)
+        writer.write(self.more)
+        self.heads.append(b"G" + (await read_message(reader))[0])
+        writer.write(OK)
+
+
+@pytest.mark.parametrize("cls", ["view", "send"])
+def test_a_second_answer_that_is_late_is_no_answer_to_the_next_request(
+    cls: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It comes when the connection has been taken again, so soon that its last byte is still held."""
+    monkeypatch.setattr(module, "SETTLE", 0.5)
+
+    async def play() -> None:
+        server = Twice(OK.replace(b"ok", b"NO"))
+        async with running(tmp_path / "c.json", Registry(), server) as node:  # type: ignore[arg-type]
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                for n in range(2):
+                    writer.write(request(cls, rid=f"r-{n}"))
+                    head, body = await read_message(reader)
+                    assert b" 200 " in head and body == b"ok"
+                    await asyncio.sleep(0.01)
+            assert server.accepted == 2
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_connection_that_rested_for_long_enough_is_taken_first(tmp_path: Path) -> None:
+    async def play() -> None:
+        server = Held("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            asking = [asyncio.ensure_future(node.ask(request(rid=f"r-{n}"))) for n in range(3)]
+            await server.until(lambda: len(server.heads) == 3)
+            server.go.set()
+            await asyncio.gather(*asking)
+            servers = node.node.servers
+            idle = next(iter(servers.backends.values())).idle
+            now = servers.loop.time()
+            for conn, rest in zip(idle, (3.0, 2.0, 0.0), strict=True):
+                conn.answered = now - rest * module.SETTLE
+            assert servers._settled(idle) is idle[1]
+            idle[0].answered = idle[1].answered = now
+            assert servers._settled(idle) is idle[2]
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("cut", [0, 1, 17, 40, 60])
 @pytest.mark.parametrize("reset", [False, True])
 def test_an_answer_without_a_length_that_is_reset_is_no_answer(cut: int, reset: bool, tmp_path: Path) -> None:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -107,6 +107,45 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("after_shutdown", [False, True])
+def test_a_request_in_the_moment_of_the_close_is_not_sent_on_and_its_client_can_tell(
+    after_shutdown: bool, tmp_path: Path
+) -> None:
+    """Between the look for unread bytes and the end of sending, or right after it. Its client sees a close in
+    order and nothing of an answer: a node may close between requests, and the request goes to another one."""
+
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            sock = call(node, request(rid="r-1"))
+            assert b" 200 " in await answer_of(sock)
+            async with asyncio.timeout(LIMIT):
+                while not node.clients.idle:
+                    await asyncio.sleep(0)
+            (conn,) = node.clients.connections
+            if after_shutdown:
+                conn.rest_over()
+                sock.send(request(rid="r-2"))
+            else:
+                unread = conn.unread
+
+                def look() -> int:
+                    seen = unread()
+                    sock.send(request(rid="r-2"))
+                    return seen
+
+                conn.unread = look  # type: ignore[method-assign]
+                conn.rest_over()
+            assert await answer_of(sock) == b""
+            sock.close()
+            async with asyncio.timeout(LIMIT):
+                while node.clients.connections:
+                    await asyncio.sleep(0.001)
+            assert len(server.heads) == 1 and not node.node.requests
+
+    asyncio.run(play())
+
+
 def test_a_request_that_is_whole_after_the_last_answers_is_refused_and_not_sent_on(tmp_path: Path) -> None:
     short = [{**cls, "slo": 10**8, "give-up": 2 * 10**8} for cls in CLASSES]
 
