A new process hears from its agent before it takes clients; the cause of perth's broken drain

What the agent has counts as told from the first moment of a process; its start takes 0.35 s, and its first requests went by the list from before (`known`), as its first list comes up to 50 ms after it listens.

Change: serve() waits for the agent's first answer, 1 s at most, before it listens, and a process' first call does not wait for news. While the agent is away the list from before serves, as ever.

--- a/elderscale/__main__.py
+++ b/elderscale/__main__.py
@@ -49,6 +49,10 @@
 # How long (s) a new process beside an old one waits to hear from discovery itself before it takes clients;
 # it must be ready within 6 s of its start, whether discovery answers or not.
 FRESH_LIMIT = 2.0
+# The same for one without an old one beside it, where lists are pushed: what its agent has counts as told
+# from the first moment of the process, and the list from before may be old by more than the drain grace. The
+# agent answers at once unless it is away; then clients are served by the list from before.
+FIRST_LIST_LIMIT = 1.0
 
 
 def assemble(config: Config, reserved: int = 0) -> tuple[Clients, Node, Discovery]:
@@ -116,7 +120,9 @@
     if beside:
         # The old process serves meanwhile; this one begins once it knows what it would be asked for.
         log.info("%d other processes of this node listen; taking over", beside)
-        await fresh(discovery, stop)
+        await fresh(discovery, stop, FRESH_LIMIT)
+    elif not config.settings.must_ask:
+        await fresh(discovery, stop, FIRST_LIST_LIMIT)
     port = await clients.listen(port)
     if place is not None:
         place.join()
@@ -203,10 +209,10 @@
     return desk, Place(desk.folder, desk.name)
 
 
-async def fresh(discovery: Discovery, stop: asyncio.Event) -> None:
-    """Wait until discovery itself has answered, up to FRESH_LIMIT, or until the process is told to end."""
+async def fresh(discovery: Discovery, stop: asyncio.Event, limit: float) -> None:
+    """Wait until discovery itself has answered, up to a limit (s), or until the process is told to end."""
     waiting = [asyncio.ensure_future(event.wait()) for event in (discovery.fresh, stop)]
-    await asyncio.wait(waiting, timeout=FRESH_LIMIT, return_when=asyncio.FIRST_COMPLETED)
+    await asyncio.wait(waiting, timeout=limit, return_when=asyncio.FIRST_COMPLETED)
     for task in waiting:
         task.cancel()
 
--- a/elderscale/discovery.py
+++ b/elderscale/discovery.py
@@ -123,7 +123,8 @@
         loop = asyncio.get_running_loop()
         while True:
             version, began = self.version, loop.time()
-            wait = WATCH_MS if version >= 0 else 0
+            # A new process holds a list from before: whether it is old is to be known before clients come.
+            wait = WATCH_MS if version >= 0 and self.fresh.is_set() else 0
             try:
                 await self._call(self._path(wait), wait / 1000 + OVERDUE)
             except CallFailed as error:
