--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -41,11 +41,13 @@
 # How long the last byte of a request that must not be repeated freely is held back: about a round trip and
 # the peer's waking up. A connection that is already dead, or reset by its first byte, breaks within it, while
 # it is still certain that nothing ran.
+#
+# The same hold guards a request on a connection whose last answer ended less than this long ago, of whatever
+# class: a server that sends more than belongs to an answer (a second copy, noise) sends it right behind, and
+# the next request must not be written before that shows. What comes before the last byte is no answer to it.
 HOLD_LAST_BYTE = 0.003
-# A server that sends more than belongs to an answer (a second copy, noise) sends it some milliseconds behind,
-# and the next request on the connection, of whatever class, must not be whole before that shows. So its last
-# byte is held until the last answer is so old (s): what comes before that byte is no answer to it. One that
-# has rested for as long is taken first. It costs a server that is asked again at once a part of that time.
+# What is more than an answer may come some milliseconds late: a connection that has rested for so long (s) is
+# taken before one that has not.
 SETTLE = 0.012
 SWEEP = 0.25  # how often that is looked for
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
@@ -268,7 +270,7 @@
         self.client: Client | None = None
         self.taken = 0
         self.moved = self.servers.loop.time()
-        self.hold = max(0.0 if attempt.repeatable else HOLD_LAST_BYTE, SETTLE - (self.moved - self.answered))
+        self.hold = not attempt.repeatable or self.moved - self.answered < HOLD_LAST_BYTE
         until = attempt.deadline if message.upload is None else min(attempt.deadline, message.upload.until)
         left = max(1, (until - system.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
@@ -281,7 +283,7 @@
         pieces = [head(b"%s %s HTTP/1.1" % (message.method, message.target), headers), *message.body]
         if message.size <= SMALL_BODY:
             pieces = [b"".join(pieces)]
-        if self.hold > 0.0:
+        if self.hold:
             tail = pieces.pop()
             pieces += [tail[:-1], tail[-1:]]
         pieces.reverse()
@@ -350,8 +352,8 @@
         if self.unsent or self.timer is not None:
             return
         if len(self.pieces) == 1:
-            if self.hold > 0.0:
-                self.after(self.hold, self._last)
+            if self.hold:
+                self.after(HOLD_LAST_BYTE, self._last)
             else:
                 self._last()
         elif not self.pieces:
