One gate, one wait for tests that force an order; no second copy of an answer's text

Gate stood in tests/test_departures.py and tests/test_attempts.py, and 22 places waited in a loop of their own. Both are in standins/loopback.py now (Gate, Running.until).

--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -23,6 +23,7 @@
     "LIMIT",
     "OK",
     "Backend",
+    "Gate",
     "Held",
     "Listener",
     "Registry",
@@ -147,6 +148,12 @@
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         return await asyncio.open_connection("127.0.0.1", self.port)
 
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait for what the node has no event for, a few turns of the loop at a time."""
+        async with asyncio.timeout(LIMIT):
+            while not holds():
+                await asyncio.sleep(0.001)
+
     async def ask(self, data: bytes) -> bytes:
         """What comes for these bytes until the node closes, or the first whole message."""
         reader, writer = await self.connect()
@@ -162,6 +169,27 @@
             writer.transport.abort()
 
 
+class Gate:
+    """Holds up a node's connections to servers, from the first one after `free` on, until `open` is set."""
+
+    def __init__(self, node: Running, free: int = 0) -> None:
+        self.open = asyncio.Event()
+        self.waiting = 0
+        servers = node.node.servers
+        connected = servers._connected
+        seen = 0
+
+        async def late(sock: socket.socket, address: tuple[str, int]) -> None:
+            nonlocal seen
+            await connected(sock, address)
+            seen += 1
+            if seen > free:
+                self.waiting += 1
+                await self.open.wait()
+
+        servers._connected = late  # type: ignore[method-assign]
+
+
 def call(node: Running, data: bytes) -> socket.socket:
     """Connect and send while the loop stands still: all of it waits in the kernel."""
     sock = socket.create_connection(("127.0.0.1", node.port))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,16 +12,16 @@
 import pytest
 
 from elderscale import servers as module
-from elderscale.servers import ServerConnection, Servers
+from elderscale.servers import ServerConnection
 from standins.loopback import (
     CLASSES,
     LIMIT,
     OK,
     Backend,
+    Gate,
     Held,
     Listener,
     Registry,
-    Running,
     call,
     read_message,
     request,
@@ -32,37 +32,6 @@
 MS = 1_000_000
 
 
-class Gate:
-    """Connections to servers come up when the test says so; from a number on, which may be 0."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch, first: int = 0) -> None:
-        self.open = asyncio.Event()
-        self.waiting = 0
-        self.seen = 0
-        connected = Servers._connected
-
-        async def late(servers: Servers, sock: socket.socket, address: tuple[str, int]) -> None:
-            await connected(servers, sock, address)
-            self.seen += 1
-            if self.seen > first:
-                self.waiting += 1
-                await self.open.wait()
-
-        monkeypatch.setattr(Servers, "_connected", late)
-
-
-async def waits(gate: Gate) -> None:
-    async with asyncio.timeout(LIMIT):
-        while not gate.waiting:
-            await asyncio.sleep(0.001)
-
-
-async def over(node: Running) -> None:
-    async with asyncio.timeout(LIMIT):
-        while node.node.requests:
-            await asyncio.sleep(0.001)
-
-
 def caps(**changes: object) -> dict[str, object]:
     return {**settings()["caps"], "connect-timeout": 10**10, **changes}
 
@@ -86,9 +55,7 @@
             left = b"X-Time-Left-Ms: %d\r\n" % (150 if end == "time-out" else 600)
             sock = call(node, request(cls, rid="r-1", extra=left))
             sock.setblocking(False)
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             backend = next(backend for backend in backends if backend.heads)
             if end == "reset":
                 backend.writers[0].transport.abort()
@@ -103,7 +70,7 @@
                     answer = await asyncio.get_running_loop().sock_recv(sock, 4096)
                 # Not 503, which says that trying again is harmless.
                 assert answer.startswith((b"HTTP/1.1 502 ", b"HTTP/1.1 504 "))
-            await over(node)
+            await node.until(lambda: not node.node.requests)
             if cls == "send":
                 assert sum(len(b.heads) for b in backends) == 1
             for b in backends:
@@ -113,29 +80,25 @@
     asyncio.run(play())
 
 
-def test_a_keyed_repeat_that_would_reach_its_server_past_the_window_is_not_sent(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_keyed_repeat_that_would_reach_its_server_past_the_window_is_not_sent(tmp_path: Path) -> None:
     """It was chosen in time; its connection comes up too late."""
     window = 200 * MS
     short = [{**c, "window": window, "group": "all"} if c["name"] == "book" else c for c in CLASSES]
 
     async def play() -> None:
-        gate = Gate(monkeypatch, first=1)
         backends = Held("s-1"), Held("s-2")
         async with running(
             tmp_path / "c.json", Registry(), *backends,
             settings=settings(categories=short, caps=caps()),
         ) as node:  # fmt: skip
+            gate = Gate(node, free=1)
             sock = call(node, request("book", rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             (open_,) = node.node.requests.values()
             first = open_.attempts[0]
             assert first is not None
             next(b for b in backends if b.heads).writers[0].transport.abort()
-            await waits(gate)
+            await node.until(lambda: gate.waiting > 0)
             while time.monotonic_ns() - first.sent < window:
                 await asyncio.sleep(0.001)
             gate.open.set()
@@ -156,9 +119,7 @@
         backends = Held("s-1"), Held("s-2")
         async with running(tmp_path / "c.json", Registry(), *backends) as node:
             asking = asyncio.ensure_future(node.ask(request("book", rid="r-1")))
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             first = next(b for b in backends if b.heads)
             first.writers[0].transport.abort()
             for backend in backends:
@@ -172,21 +133,22 @@
 @pytest.mark.parametrize("cls", ["view", "send", "book"])
 @pytest.mark.parametrize("change", ["draining", "gone", "moved"])
 def test_a_connection_that_comes_up_after_the_grace_writes_nothing(
-    cls: str, change: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    cls: str, change: str, tmp_path: Path
 ) -> None:
     """The loop is late: the timer that withdraws what is not written is due, and not yet called."""
 
     async def play() -> None:
         registry = Registry()
-        gate, server, other = Gate(monkeypatch), Backend("s-1"), Backend("s-1")
+        server, other = Backend("s-1"), Backend("s-1")
         await other.start()
         rules = {"drain-grace": 40 * MS}
         async with running(
             tmp_path / "c.json", registry, server, settings=settings(caps=caps(), rules=rules)
         ) as node:
+            gate = Gate(node)
             asked = request(cls, rid="r-1", extra=b"X-Time-Left-Ms: 500\r\n")
             asking = asyncio.ensure_future(node.ask(asked))
-            await waits(gate)
+            await node.until(lambda: gate.waiting > 0)
             (backend,) = node.node.servers.backends.values()
             if change == "draining":
                 registry.tell(server, state="DRAINING")
@@ -194,9 +156,7 @@
                 registry.tell()
             else:
                 registry.tell(other)
-            async with asyncio.timeout(LIMIT):
-                while backend.draining is None:
-                    await asyncio.sleep(0)
+            await node.until(lambda: backend.draining is not None)
             backend.draining.cancel()  # as where it is called late
             while node.node.loop.time() < backend.closes:
                 await asyncio.sleep(0.001)
@@ -210,18 +170,17 @@
 
 
 @pytest.mark.parametrize("end", ["its time", "its client"])
-def test_a_connection_that_comes_up_after_its_request_ended_writes_nothing(
-    end: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_connection_that_comes_up_after_its_request_ended_writes_nothing(end: str, tmp_path: Path) -> None:
     async def play() -> None:
-        gate, server = Gate(monkeypatch), Backend("s-1")
+        server = Backend("s-1")
         async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=caps())) as node:
+            gate = Gate(node)
             left = b"X-Time-Left-Ms: 60\r\n" if end == "its time" else b""
             sock = call(node, request("send", rid="r-1", extra=left))
-            await waits(gate)
+            await node.until(lambda: gate.waiting > 0)
             if end == "its client":
                 sock.close()
-            await over(node)
+            await node.until(lambda: not node.node.requests)
             gate.open.set()
             assert b" 200 " in await node.ask(request("send", rid="r-2"))
             assert [b"r-2" in head for head in server.heads] == [True]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -15,10 +15,11 @@
 from elderscale.clients import HIDING, ClientConnection
 from elderscale.messages import SMALL_BODY
 from elderscale.node import LOOK
-from elderscale.servers import Servers
 from standins.loopback import (
     LIMIT,
+    OK,
     Backend,
+    Gate,
     Held,
     Registry,
     Running,
@@ -75,20 +76,16 @@
     """Bytes of the next request have come, and reading is paused."""
     (conn,) = node.clients.connections
     sock.sendall(AHEAD)
-    async with asyncio.timeout(LIMIT):
-        while conn.reading:
-            await asyncio.sleep(0.001)
+    await node.until(lambda: not conn.reading)
     return conn
 
 
 async def no_more_than(node: Running, backends: tuple[Backend, ...], rid: bytes, heads: int) -> None:
     """The request is over, and servers have had no more of it."""
-    async with asyncio.timeout(LIMIT):
-        while node.node.requests:
-            await asyncio.sleep(0)
+    await node.until(lambda: not node.node.requests)
     # What was written before goes first on its connection: by now it would have come.
     for backend in backends:
-        backend.script = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        backend.script = OK
     for n in range(6):
         assert b" 200 " in await node.ask(request(rid=f"x{n}"))
     assert sum(rid in head for backend in backends for head in backend.heads) == heads
@@ -102,9 +99,7 @@
         backends = Breaking("s-1"), Breaking("s-2")
         async with running(tmp_path / "c.json", Registry(), *backends) as node:
             sock = call(node, request(rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             conn = await paused(node, sock)
             leave(sock)
             left(node, conn)
@@ -146,8 +141,7 @@
             sock.setblocking(False)
             sock.send(request(rid="r-1"))
             async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+                await node.until(lambda: any(backend.heads for backend in backends))
                 conn = await paused(node, sock)
                 sock.send(b"p" * 2 * HIDING)
             busy_until(lambda: conn.unread() >= HIDING)
@@ -175,14 +169,10 @@
         await server.start()
         async with running(tmp_path / "c.json", registry) as node:
             sock = call(node, request(rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not node.node.requests:
-                    await asyncio.sleep(0)
+            await node.until(lambda: bool(node.node.requests))
             (conn,) = node.clients.connections
             registry.tell(server)
-            async with asyncio.timeout(LIMIT):
-                while not node.node.balancer.servers:
-                    await asyncio.sleep(0)
+            await node.until(lambda: bool(node.node.balancer.servers))
             begun: list[int] = []
             send = node.node.servers.send
 
@@ -213,38 +203,21 @@
     asyncio.run(play())
 
 
-class Gate:
-    """Connections to servers come up when the test says so."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.open = asyncio.Event()
-        self.waiting = 0
-        connected = Servers._connected
-
-        async def late(servers: Servers, sock: socket.socket, address: tuple[str, int]) -> None:
-            await connected(servers, sock, address)
-            self.waiting += 1
-            await self.open.wait()
-
-        monkeypatch.setattr(Servers, "_connected", late)
-
-
 @pytest.mark.parametrize("cls", ["view", "send", "book"])
 @pytest.mark.parametrize("cancel", [True, False])
 @pytest.mark.parametrize("ahead", [False, True])
 def test_one_that_leaves_while_its_connection_comes_up_is_not_sent_on(
-    cls: str, cancel: bool, ahead: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    cls: str, cancel: bool, ahead: bool, tmp_path: Path
 ) -> None:
     """Also where the settings allow no cancel: what has not begun is none."""
 
     async def play() -> None:
-        gate, server = Gate(monkeypatch), Backend("s-1")
+        server = Backend("s-1")
         caps = {**settings()["caps"], "cancel": cancel, "connect-timeout": 10**10}
         async with running(tmp_path / "c.json", Registry(), server, settings=settings(caps=caps)) as node:
+            gate = Gate(node)
             sock = call(node, request(cls, rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not gate.waiting:
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: gate.waiting > 0)
             (conn,) = node.clients.connections
             if ahead:
                 await paused(node, sock)
@@ -271,9 +244,7 @@
         monkeypatch.setattr(servers_module, "HOLD_LAST_BYTE", 0.05)
         async with running(tmp_path / "c.json", Registry(), server) as node:
             sock = call(node, request(cls, rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not any(conn.timer for conn in node.node.servers.connections):
-                    await asyncio.sleep(0)
+            await node.until(lambda: any(conn.timer for conn in node.node.servers.connections))
             conn = await paused(node, sock)
             sock.close()
             left(node, conn)
@@ -289,9 +260,7 @@
         backends = Held("s-1"), Held("s-2")
         async with running(tmp_path / "c.json", Registry(), *backends) as node:
             sock = call(node, request(rid="r-1"))
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             conn = await paused(node, sock)
             (open_,) = node.node.requests.values()
             other = next(backend.name for backend in backends if not backend.heads)
@@ -316,9 +285,7 @@
             await server.until(lambda: len(server.heads) == 1)
             (open_,) = node.node.requests.values()
             sock.close()
-            async with asyncio.timeout(LIMIT):
-                while node.node.owed or node.node.servers.connections:
-                    await asyncio.sleep(0)
+            await node.until(lambda: not (node.node.owed or node.node.servers.connections))
             assert time.monotonic_ns() < open_.deadline - 5 * 10**9
             server.go.set()
 
--- a/tests/test_discovery_orders.py
+++ b/tests/test_discovery_orders.py
@@ -69,9 +69,7 @@
 
 
 async def known(node: Running, holds: Callable[[dict[Any, Any]], bool]) -> None:
-    async with asyncio.timeout(LIMIT):
-        while not holds(node.node.balancer.servers):
-            await asyncio.sleep(0.001)
+    await node.until(lambda: holds(node.node.balancer.servers))
 
 
 BEGUN = [b"", b"HTTP/1.1 200 OK\r\nConte", b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"version":9']
@@ -367,8 +365,7 @@
         node = NodeProcess(config, tmp_path)
         starting = asyncio.ensure_future(node.start())
         async with asyncio.timeout(LIMIT):
-            while not agent.accepted:
-                await asyncio.sleep(0.001)
+            await agent.until(lambda: agent.accepted > 0)
             if away:
                 await starting
             else:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -119,9 +119,7 @@
         async with running(tmp_path / "c.json", Registry(), server) as node:
             sock = call(node, request(rid="r-1"))
             assert b" 200 " in await answer_of(sock)
-            async with asyncio.timeout(LIMIT):
-                while not node.clients.idle:
-                    await asyncio.sleep(0)
+            await node.until(lambda: bool(node.clients.idle))
             (conn,) = node.clients.connections
             if after_shutdown:
                 conn.rest_over()
@@ -138,9 +136,7 @@
                 conn.rest_over()
             assert await answer_of(sock) == b""
             sock.close()
-            async with asyncio.timeout(LIMIT):
-                while node.clients.connections:
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: not node.clients.connections)
             assert len(server.heads) == 1 and not node.node.requests
 
     asyncio.run(play())
@@ -158,8 +154,7 @@
             data = request("send", body=b"ab")
             writer.write(data[:-1])
             async with asyncio.timeout(LIMIT):
-                while not node.clients.unfinished:
-                    await asyncio.sleep(0.001)
+                await node.until(lambda: bool(node.clients.unfinished))
                 end_all = node.node.end_all
 
                 def ends() -> None:
@@ -192,9 +187,7 @@
 
             node.node.servers.send = note  # type: ignore[method-assign]
             asking = asyncio.ensure_future(node.ask(request(cls)))
-            async with asyncio.timeout(LIMIT):
-                while not any(backend.heads for backend in backends):
-                    await asyncio.sleep(0.001)
+            await node.until(lambda: any(backend.heads for backend in backends))
             node.node.end_all()
             answer = await asking
             assert status in answer and (cls == "view" or b" 503 " not in answer)
@@ -235,7 +228,6 @@
         short = [{**cls, "slo": 10**8, "give-up": 15 * 10**7} for cls in CLASSES]
         write_config(tmp_path / "c.json", registry, settings=settings(categories=short))
         config = json.loads((tmp_path / "c.json").read_text())
-        config["listen"] = "127.0.0.1:9000"
         node = NodeProcess(config, tmp_path)
         await node.start()
         async with asyncio.timeout(LIMIT):
