--- /dev/null
+++ b/resources/model.py
@@ -0,0 +1,159 @@
+"""Resources, operations on them, changes, and the reasons for which a change is refused."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+__all__ = [
+    "CHANGE_ID_BYTES",
+    "MAX_BODY_BYTES",
+    "MAX_NAME_LENGTH",
+    "MAX_OPERATIONS",
+    "MAX_TEXT_LENGTH",
+    "Change",
+    "ChangeRefused",
+    "Delete",
+    "Key",
+    "Kind",
+    "Operation",
+    "Problem",
+    "Resource",
+    "Upsert",
+    "check_change",
+]
+
+CHANGE_ID_BYTES = 16
+MAX_NAME_LENGTH = 253
+MAX_BODY_BYTES = 16 << 10
+MAX_TEXT_LENGTH = 400
+# Operations that one change may hold: a whole operator file of the present largest size is one change.
+MAX_OPERATIONS = 500_000
+
+
+class Kind(str, Enum):
+    """What a resource describes."""
+
+    DEFAULTS = "defaults"  # limits for everything; a single resource with an empty name
+    PATHS = "paths"  # how paths are read; a single resource with an empty name
+    CLASS = "class"  # what is said of a request class, and its limits
+    TENANT = "tenant"  # a tenant's limits over all its requests at a node
+    ROUTE = "route"
+    SERVER_OUT = "server-out"  # a server that operators have taken out of service; its body is empty
+
+
+SINGLETONS = frozenset((Kind.DEFAULTS, Kind.PATHS))
+
+
+class Key(NamedTuple):
+    """The identity of a resource."""
+
+    kind: Kind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value} {self.name!r}" if self.name else self.kind.value
+
+
+class Resource(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """One resource. version: the revision of the state that last changed it; body: opaque bytes."""
+
+    kind: Kind
+    name: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    version: Annotated[int, msgspec.Meta(ge=1)]
+    body: Annotated[bytes, msgspec.Meta(max_length=MAX_BODY_BYTES)]
+
+    @property
+    def key(self) -> Key:
+        """Its identity."""
+        return Key(self.kind, self.name)
+
+
+class Upsert(msgspec.Struct, frozen=True, array_like=True, tag="upsert"):
+    """Create a resource (base 0) or replace the version `base` of it."""
+
+    kind: Kind
+    name: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    base: Annotated[int, msgspec.Meta(ge=0)]
+    body: Annotated[bytes, msgspec.Meta(max_length=MAX_BODY_BYTES)]
+
+    @property
+    def key(self) -> Key:
+        """The identity of the resource."""
+        return Key(self.kind, self.name)
+
+
+class Delete(msgspec.Struct, frozen=True, array_like=True, tag="delete"):
+    """Remove the version `base` of a resource."""
+
+    kind: Kind
+    name: Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
+    base: Annotated[int, msgspec.Meta(ge=1)]
+
+    @property
+    def key(self) -> Key:
+        """The identity of the resource."""
+        return Key(self.kind, self.name)
+
+
+Operation = Upsert | Delete
+Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
+
+
+class Change(msgspec.Struct, frozen=True, array_like=True):
+    """An atomic set of operations.
+
+    id: chosen at random by whoever proposes it; a proposal that is repeated carries the same one and has one
+    effect. made_on: the revision of the state that its author saw.
+    """
+
+    id: Annotated[bytes, msgspec.Meta(min_length=CHANGE_ID_BYTES, max_length=CHANGE_ID_BYTES)]
+    made_on: Annotated[int, msgspec.Meta(ge=0)]
+    reason: Text
+    author: Text
+    operations: Annotated[tuple[Operation, ...], msgspec.Meta(min_length=1, max_length=MAX_OPERATIONS)]
+
+
+class Problem(msgspec.Struct, frozen=True, array_like=True):
+    """Why a change is refused: the resource, its field ("": the whole of it) and the reason."""
+
+    resource: str
+    field: str
+    reason: str
+
+    def __str__(self) -> str:
+        return ": ".join(part for part in (self.resource, self.field, self.reason) if part)
+
+
+class ChangeRefused(ValueError):
+    """A change may not be applied; nothing of it was. problems: all reasons that were found."""
+
+    def __init__(self, problems: tuple[Problem, ...]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = problems
+
+
+def check_change(change: Change) -> None:
+    """What can be said of a change without a state. ChangeRefused: it does not hold."""
+    problems: list[Problem] = []
+    seen: set[Key] = set()
+    for operation in change.operations:
+        key = operation.key
+        if key in seen:
+            problems.append(Problem(str(key), "", "stands twice in one change"))
+        seen.add(key)
+        if bool(key.name) == (key.kind in SINGLETONS):
+            problems.append(Problem(str(key), "name", "is missing" if not key.name else "must be empty"))
+        if not key.name.isprintable():
+            problems.append(Problem(str(key.kind.value), "name", "is no plain text"))
+        if isinstance(operation, Upsert) and key.kind is Kind.SERVER_OUT and operation.body:
+            problems.append(Problem(str(key), "body", "must be empty"))
+    for field in ("reason", "author"):
+        if not str(getattr(change, field)).isprintable():
+            problems.append(Problem("change", field, "is no plain text"))
+    if not change.reason.strip():
+        problems.append(Problem("change", "reason", "is missing"))
+    if problems:
+        raise ChangeRefused(tuple(problems))
--- /dev/null
+++ b/resources/wire.py
@@ -0,0 +1,110 @@
+"""The MessagePack form of changes, batches and snapshots, bounded in size; strict in both directions."""
+
+from __future__ import annotations
+
+from typing import Annotated, TypeVar
+
+import msgspec
+
+from .batch import Batch, Digest
+from .digest import DIGEST_BYTES
+from .model import CHANGE_ID_BYTES, Change, Resource
+from .state import ResourceState, restored
+
+__all__ = [
+    "FORM",
+    "MAX_BATCH_BYTES",
+    "MAX_SNAPSHOT_BYTES",
+    "WireError",
+    "decode_batch",
+    "decode_change",
+    "decode_snapshot",
+    "encode_batch",
+    "encode_change",
+    "encode_snapshot",
+]
+
+FORM = 1  # the form of a snapshot; another one is refused
+MAX_BATCH_BYTES = 64 << 20
+MAX_SNAPSHOT_BYTES = 512 << 20
+
+ChangeId = Annotated[bytes, msgspec.Meta(min_length=CHANGE_ID_BYTES, max_length=CHANGE_ID_BYTES)]
+
+
+class WireError(ValueError):
+    """The bytes are none of these messages; the text says what does not hold."""
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """A whole state. digest: of the state, so that a damaged or invented snapshot is told apart."""
+
+    form: int
+    revision: Annotated[int, msgspec.Meta(ge=0)]
+    resources: list[Resource]
+    ids_at: list[tuple[int, tuple[ChangeId, ...]]]
+    digest: Digest
+
+
+T = TypeVar("T")
+
+
+def _decoded(data: bytes, kind: type[T], limit: int) -> T:
+    if len(data) > limit:
+        raise WireError(f"{len(data)} bytes, {limit} at most")
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise WireError(str(error)) from None
+
+
+def encode_change(change: Change) -> bytes:
+    """A change as bytes."""
+    return msgspec.msgpack.encode(change)
+
+
+def decode_change(data: bytes) -> Change:
+    """A change from its bytes. WireError: they hold none."""
+    return _decoded(data, Change, MAX_BATCH_BYTES)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """A batch as bytes."""
+    return msgspec.msgpack.encode(batch)
+
+
+def decode_batch(data: bytes) -> Batch:
+    """A batch from its bytes. WireError: they hold none."""
+    return _decoded(data, Batch, MAX_BATCH_BYTES)
+
+
+def encode_snapshot(state: ResourceState) -> bytes:
+    """A whole state as bytes; equal states give equal bytes."""
+    ordered = sorted(state.resources.items())
+    return msgspec.msgpack.encode(
+        _Snapshot(
+            FORM,
+            state.revision,
+            [resource for _, resource in ordered],
+            sorted(state.ids_at.items()),
+            state.digest,
+        )
+    )
+
+
+def decode_snapshot(data: bytes, expected: bytes | None = None) -> ResourceState:
+    """A state from its bytes. expected: the digest that it must have.
+
+    WireError: it is no snapshot, is of another form, or its digest is not that of its resources, or not the
+    expected one.
+    """
+    snapshot = _decoded(data, _Snapshot, MAX_SNAPSHOT_BYTES)
+    if snapshot.form != FORM:
+        raise WireError(f"form: {snapshot.form}, and this build reads {FORM}")
+    state = restored(snapshot.revision, snapshot.resources, snapshot.ids_at)
+    if len(state.resources) != len(snapshot.resources):
+        raise WireError("resources: one stands twice")
+    if state.digest != snapshot.digest or (expected is not None and state.digest != expected):
+        raise WireError(
+            f"digest: {state.digest.hex()[:12]} is not the one of {DIGEST_BYTES} bytes that was said"
+        )
+    return state
