--- a/resources/state.py
+++ b/resources/state.py
@@ -123,7 +123,7 @@
         )
 
     def sealed(self, ids: tuple[bytes, ...], revision: int) -> ResourceState:
-        """This state, which holds the changes of these ids, at its new revision; the oldest ids are forgotten."""
+        """This state, which holds the changes of these ids, at its new revision; old ids are forgotten."""
         decided, total = self.decided, self.digest_sum
         ids_at = self.ids_at.set(revision, ids)
         forgotten = revision - REMEMBERED_REVISIONS
