The rehearsal of an accord moves to simulation: accord imports nothing of ours

accord, simulation and standins imported one another in a circle: accord/rehearsal.py took the event loop of simulation and a scratch folder of standins, and the tier's stand-ins take elderscale, which takes accord.

accord/rehearsal.py is now simulation/accord_rehearsal.py, unchanged but for its imports; it is run as `python -m simulation.accord_rehearsal`. Nothing else in accord imported it (the defects in accord/planted.py belong to the model check alone). accord imports the standard library, msgspec and itself.

--- a/accord/service.py
+++ b/accord/service.py
@@ -1,7 +1,8 @@
 """One process's part in an accord: a node holds a lease, a keeper grants them, and any keeper drives.
 
 It speaks to others through a `Way` that it is given, and puts policies in force through `Hands`; so the same
-code runs a node over sockets (elderscale.accord) and a whole tier on a virtual clock (accord.rehearsal).
+code runs a node over sockets (elderscale.accord) and a whole tier on a virtual clock
+(simulation.accord_rehearsal).
 Times are ns of a clock that goes on while a process is stopped.
 """
 
--- a/accord/rehearsal.py
+++ b/simulation/accord_rehearsal.py
@@ -1,6 +1,6 @@
 """A whole tier's accord on a virtual clock: the service itself, under loss, partitions, crashes and pauses.
 
-    python -m accord.rehearsal --seeds 1..1000
+    python -m simulation.accord_rehearsal --seeds 1..1000
 
 Every process is a `Service` with a disk of its own; what it calls and what it does to its node is the
 stage's. Operators propose and drop changes from a seed while faults come and go; requests begin everywhere
@@ -24,14 +24,14 @@
 from pathlib import Path
 from typing import Any
 
-from simulation.loop import Process, SimLoop
+from accord import words as w
+from accord.follow import Follow, Verdict
+from accord.oracle import Begun, Fault, Outcome, Said, check
+from accord.policy import Policy
+from accord.service import Service, Terms, Unreachable
 from standins.scratch import in_memory
 
-from . import words as w
-from .follow import Follow, Verdict
-from .oracle import Begun, Fault, Outcome, Said, check
-from .policy import Policy
-from .service import Service, Terms, Unreachable
+from .loop import Process, SimLoop
 
 __all__ = ["Played", "Shape", "play", "shape_of"]
 
--- a/tests/test_accord_rehearsal.py
+++ b/tests/test_accord_rehearsal.py
@@ -9,7 +9,7 @@
 
 from accord.follow import Known, judge
 from accord.oracle import Begun, Outcome, Said, check
-from accord.rehearsal import Played, Shape, play, shape_of
+from simulation.accord_rehearsal import Played, Shape, play, shape_of
 
 SEEDS = range(50)
 
