elderscale: what the desk asks of an accord is a protocol that both import

accord.py and desk.py imported each other, desk.py under TYPE_CHECKING. PolicyCalls in agreement.py is the one method that the desk calls. It has a module of its own and isn't in ports.py, which every node imports: its types come from operations, which a node without an address for operators does not import.

Measured: mypy clean; test_accord_node and test_desk 22 passed, among them that without [accord] nothing of it is imported.

--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -31,6 +31,7 @@
 from routing.problems import OperatorError
 from routing.schema import AccordTable, read_all
 
+from .agreement import PolicyCalls
 from .clients import Clients
 from .config import Config, ConfigError
 from .desk import Desk
@@ -75,7 +76,7 @@
     return Terms(config.name, door, tuple(sorted(table.keepers)), table.lease, late, Path(table.folder))
 
 
-class Accord:
+class Accord(PolicyCalls):
     """See above. began: told of each request that begins, with the clock's time and the policies."""
 
     def __init__(
--- a/elderscale/desk.py
+++ b/elderscale/desk.py
@@ -13,7 +13,6 @@
 from collections.abc import Awaitable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from lynxrouter.interface import ListKind, ServerId, ServerList, State
 from operations.bans import Bans, BansError, pack, unpack
@@ -21,14 +20,12 @@
 from operations.figures import CONTENT_TYPE, Exposition, Figures
 
 from . import system
+from .agreement import PolicyCalls
 from .clients import Clients
 from .config import Config, Listing
 from .door import Door, Reply
 from .node import Node
 
-if TYPE_CHECKING:
-    from .accord import Accord
-
 __all__ = ["Desk"]
 
 log = logging.getLogger("elderscale")
@@ -54,7 +51,7 @@
         self.addresses: dict[str, tuple[str, int]] = {}
         self.door = Door(self.answer)
         self.exposition = Exposition(self.figures)
-        self.accord: Accord | None = None  # where the policy is agreed on with the other nodes
+        self.accord: PolicyCalls | None = None  # where the policy is agreed on with the other nodes
         self.emptying: asyncio.TimerHandle | None = None
         self._looking: asyncio.TimerHandle | None = None
         self._seen = (0, 0)  # the file as it was read last: its time (ns) and inode
