The end of a keyed window looks at the class before the attempts

Need: Repeats.until looked through the attempts of every request, also of classes that are not keyed.

--- a/lynxrouter/repeats.py
+++ b/lynxrouter/repeats.py
@@ -111,12 +111,12 @@
 
     def until(self, request: Owed) -> int:
         """When a keyed request's window is over, for the last byte of a further attempt; 0: never."""
-        cls, limits, tries = self.settings.classes[request.cls], request.limits, request.tries
-        first = next((t for t in tries if t.result not in NEVER_RAN), None)
-        if first is None or cls.effect != Effect.KEYED:
+        cls, limits = self.settings.classes[request.cls], request.limits
+        ran = (t for t in request.tries if t.result not in NEVER_RAN)
+        first = next(ran, None) if cls.effect == Effect.KEYED else None
+        if first is None:
             return 0
-        own = limits.repeat_window if limits is not None else 0
-        return closes(first, cls, own, self.settings.tick)
+        return closes(first, cls, limits.repeat_window if limits is not None else 0, self.settings.tick)
 
     def save(self, limits: Limits | None) -> None:
         """A request adds to its route's retry budget, where there is one."""
