--- a/routing/forms.py
+++ b/routing/forms.py
@@ -19,12 +19,13 @@
 
 from .problems import OperatorError, Problem
 
-__all__ = ["Duration", "Size", "Table", "duration", "read_tables", "size"]
+__all__ = ["Duration", "Size", "Table", "duration", "read_plain", "read_tables", "size"]
 
 MS = 1_000_000
 SECOND = 1_000_000_000
 # A longer file is no file of settings.
 MAX_FILE = 16 << 20
+_SHOWN_KEY = 64  # characters of an unknown key that are shown
 
 _DURATION = re.compile(r"(\d{1,9}(?:\.\d{1,6})?)(us|ms|s|min)")
 _DURATION_UNITS = {"us": 1_000, "ms": MS, "s": SECOND, "min": 60 * SECOND}
@@ -83,44 +84,56 @@
     return table if table is not None else kind(), problems
 
 
+def read_plain(kind: type[T], data: object) -> tuple[T | None, list[Problem]]:
+    """A table out of plain values (durations in ns, sizes in bytes), and all that does not hold.
+
+    None: it does not hold at all. Where there are problems the table is not to be used.
+    """
+    problems: list[Problem] = []
+    return _struct(kind, data, "", problems, texts=False), problems
+
+
 class _Field:
-    """How one field is read; worked out once for each."""
+    """How one field is read; worked out once for each. texts: durations and sizes are texts with a unit."""
 
-    __slots__ = ("item", "kind", "name", "of", "parser", "required", "struct")
+    __slots__ = ("item", "kind", "name", "of", "parser", "required", "struct", "texts")
 
-    def __init__(self, name: str, kind: Any, required: bool) -> None:
+    def __init__(self, name: str, kind: Any, required: bool, texts: bool) -> None:
         self.name = name
         self.required = required
+        self.texts = texts
         self.parser, self.kind = _plain(kind)
+        if not texts:
+            self.parser = None
         self.struct = isinstance(self.kind, type) and issubclass(self.kind, Table)
         self.of = typing.get_args(self.kind)[1] if typing.get_origin(self.kind) is dict else None
         self.item = _item(self.kind)
 
 
-_fields: dict[type, dict[str, _Field]] = {}
+_fields: dict[tuple[type, bool], dict[str, _Field]] = {}
 
 
-def _fields_of(kind: type[msgspec.Struct]) -> dict[str, _Field]:
+def _fields_of(kind: type[msgspec.Struct], texts: bool) -> dict[str, _Field]:
     """The fields of a table by the key that each has in the file."""
-    if kind not in _fields:
+    found = _fields.get((kind, texts))
+    if found is None:
         hints = typing.get_type_hints(kind, include_extras=True)
-        _fields[kind] = {
-            field.encode_name: _Field(field.name, hints[field.name], field.required)
+        found = _fields[kind, texts] = {
+            field.encode_name: _Field(field.name, hints[field.name], field.required, texts)
             for field in msgspec.structs.fields(kind)
         }
-    return _fields[kind]
+    return found
 
 
-def _struct(kind: type[T], data: object, table: str, problems: list[Problem]) -> T | None:
+def _struct(kind: type[T], data: object, table: str, problems: list[Problem], texts: bool = True) -> T | None:
     """One table; what does not hold goes to problems, and None comes back."""
     if not isinstance(data, dict):
         problems.append(Problem(table, "", data, "is no table"))
         return None
-    fields = _fields_of(kind)
+    fields = _fields_of(kind, texts)
     for key, value in data.items():
         if key not in fields:
-            near = difflib.get_close_matches(key, fields, n=1, cutoff=0.0)
-            problems.append(Problem(table, key, value, f"unknown key; the nearest known one is {near[0]!r}"))
+            problems.append(_unknown(table, key, value, fields, texts))
     values: dict[str, Any] = {}
     bad: set[str] = set()
     for key, field in fields.items():
@@ -140,10 +153,20 @@
     return kind(**values)
 
 
+def _unknown(table: str, key: object, value: object, fields: Mapping[str, _Field], texts: bool) -> Problem:
+    """A key that no field has. People who write files are told the nearest one; that takes its time."""
+    if not texts or not isinstance(key, str):
+        shown = key if isinstance(key, str) and key.isprintable() else repr(key)
+        return Problem(table, shown[:_SHOWN_KEY], value, "unknown field")
+    near = difflib.get_close_matches(key, fields, n=1, cutoff=0.0)
+    return Problem(table, key, value, f"unknown key; the nearest known one is {near[0]!r}")
+
+
 def _value(field: _Field, value: object, table: str, key: str, problems: list[Problem]) -> Any:
     inner = f"{table}.{key}" if table else key
+    texts = field.texts
     if field.struct:
-        return _struct(field.kind, value, inner, problems)
+        return _struct(field.kind, value, inner, problems, texts)
     if field.of is not None:
         if not isinstance(value, dict):
             problems.append(Problem(table, key, value, "is no table of tables"))
@@ -151,14 +174,17 @@
         if not (isinstance(field.of, type) and issubclass(field.of, Table)):
             plain = (_plain_value(field.of, item, inner, name, problems) for name, item in value.items())
             return {name: item for name, item in zip(value, plain, strict=True) if item is not None}
-        read = {name: _struct(field.of, item, f"{inner}.{name}", problems) for name, item in value.items()}
+        read = {
+            name: _struct(field.of, item, f"{inner}.{name}", problems, texts) for name, item in value.items()
+        }
         return {name: item for name, item in read.items() if item is not None}
     if field.item is not None:
         if not isinstance(value, list):
             problems.append(Problem(table, key, value, "is no list of tables"))
             return None
         items = (
-            _struct(field.item, item, _numbered(inner, n, item), problems) for n, item in enumerate(value, 1)
+            _struct(field.item, item, _numbered(inner, n, item), problems, texts)
+            for n, item in enumerate(value, 1)
         )
         return [item for item in items if item is not None]
     return _plain_value(field.kind, value, table, key, problems, field.parser)
--- a/routing/matcher.py
+++ b/routing/matcher.py
@@ -15,9 +15,10 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Generic, Protocol, TypeVar
+from typing import Generic, TypeVar
 
 from .paths import Kind, Pattern
+from .tree import HeaderRule, Node, Rows, Rule, Table, rows_at, with_entry, with_rows, without_entry
 
 __all__ = ["HeaderRule", "Matcher", "Overlap", "Rule", "best", "overlaps", "takes"]
 
@@ -25,260 +26,121 @@
 # Overlaps that are looked for in one file: they can be as many as there are pairs.
 MAX_OVERLAPS = 1000
 
-
-@dataclass(frozen=True, slots=True)
-class HeaderRule:
-    """A header that must be there (lower case), with this value; None: any."""
-
-    name: bytes
-    value: bytes | None = None
-
-
-class Rule(Protocol):
-    """What a route says of the requests that it takes; () of hosts or methods: any."""
-
-    @property
-    def name(self) -> str: ...
-    @property
-    def hosts(self) -> Sequence[str]: ...
-    @property
-    def methods(self) -> Sequence[bytes]: ...
-    @property
-    def pattern(self) -> Pattern: ...
-    @property
-    def headers(self) -> Sequence[HeaderRule]: ...
-
-
 R = TypeVar("R", bound=Rule)
 
 
-class _Group(Generic[R]):
-    """Routes of one place that ask for a method or none, and for the same headers: one look-up for all."""
+@dataclass(frozen=True, slots=True)
+class Overlap(Generic[R]):
+    """Two routes that take one request, and no rule of precedence decides between them."""
 
-    __slots__ = ("exact", "method", "plain", "present", "rank", "table")
+    first: R
+    second: R
 
-    def __init__(self, method: bool, exact: tuple[bytes, ...], present: tuple[bytes, ...]) -> None:
-        self.method = method
-        self.exact = exact
-        self.present = present
-        self.plain = not exact and not present  # no header decides
-        self.rank = (method, len(exact) + len(present), len(exact))
-        self.table: dict[object, R] = {}
 
-    def key(self, method: bytes, values: Mapping[bytes, bytes]) -> object:
-        if not self.exact:
-            return method if self.method else None
-        return (method if self.method else None, *[values.get(name) for name in self.exact])
+def _hosts(route: Rule) -> tuple[str | None, ...]:
+    return tuple(dict.fromkeys(route.hosts)) or (None,)
 
-    def find(self, method: bytes, given: Mapping[bytes, bytes]) -> R | None:
-        for name in self.present:
-            if name not in given:
-                return None
-        return self.table.get(self.key(method, given))
 
+def _with_root(
+    roots: Table[str, Node[R]], host: str, pattern: Pattern, rows: Rows[R] | None
+) -> Table[str, Node[R]]:
+    root = with_rows(roots.get(host), pattern, rows)
+    if root is not None:
+        return with_entry(roots, host, root)
+    return without_entry(roots, host) if host in roots else roots
 
-class _Rows(Generic[R]):
-    """The routes of one host and path, the most specific groups first."""
 
-    __slots__ = ("groups",)
+class _Clashes(Generic[R]):
+    """Overlaps, each pair once."""
 
-    def __init__(self) -> None:
-        self.groups: list[_Group[R]] = []
+    def __init__(self, found: list[Overlap[R]]) -> None:
+        self.found = found
+        self.seen: set[frozenset[int]] = set()
 
-    def add(self, method: bytes | None, headers: Sequence[HeaderRule], route: R) -> R | None:
-        """Put a route in; the one that already stands in its very place, if any."""
-        exact = {rule.name: rule.value for rule in headers if rule.value is not None}
-        names = tuple(sorted(exact))
-        present = tuple(sorted(rule.name for rule in headers if rule.value is None))
-        for group in self.groups:
-            if (group.method, group.exact, group.present) == (method is not None, names, present):
-                break
-        else:
-            group = _Group(method is not None, names, present)
-            self.groups.append(group)
-            self.groups.sort(key=lambda g: g.rank, reverse=True)
-        key = group.key(method or b"", {name: value for name, value in exact.items() if value is not None})
-        there = group.table.setdefault(key, route)
-        return None if there is route else there
-
-    def find(self, method: bytes, given: Mapping[bytes, bytes]) -> R | None:
-        for group in self.groups:
-            if group.plain:
-                route = group.table.get(method if group.method else None)
-            else:
-                route = group.find(method, given)
-            if route is not None:
-                return route
-        return None
-
-    def undecided(self) -> Iterator[tuple[R, R]]:
-        """Pairs of equal rank that one request could take both."""
-        for n, first in enumerate(self.groups):
-            for second in self.groups[n + 1 :]:
-                if first.rank == second.rank:
-                    yield from _joined(first, second)
-
-
-def _joined(first: _Group[R], second: _Group[R]) -> Iterator[tuple[R, R]]:
-    """Routes of two groups that ask for different headers, and agree in those that both ask for."""
-    shared = [name for name in first.exact if name in second.exact]
-
-    def of(group: _Group[R], route: R) -> tuple[bytes | None, ...]:
-        values = {rule.name: rule.value for rule in route.headers}
-        return tuple(values[name] for name in shared)
-
-    def methods(group: _Group[R], route: R) -> Sequence[bytes]:
-        return route.methods if group.method else (b"",)
-
-    index: dict[tuple[object, ...], list[R]] = {}
-    for route in second.table.values():
-        for method in methods(second, route):
-            index.setdefault((method, *of(second, route)), []).append(route)
-    for route in first.table.values():
-        for method in methods(first, route):
-            for other in index.get((method, *of(first, route)), ()):
-                if other is not route:
-                    yield route, other
-
-
-class _Node(Generic[R]):
-    """A place in the tree of segments."""
-
-    __slots__ = ("literal", "prefix", "variable", "whole")
-
-    def __init__(self) -> None:
-        self.literal: dict[str, _Node[R]] = {}
-        self.variable: _Node[R] | None = None
-        self.whole: _Rows[R] | None = None
-        self.prefix: _Rows[R] | None = None
-
-    def rows(self, pattern: Pattern) -> _Rows[R]:
-        """Where the routes of a pattern stand below this root."""
-        node = self
-        for segment in pattern.segments:
-            if segment is None:
-                if node.variable is None:
-                    node.variable = _Node()
-                node = node.variable
-            else:
-                node = node.literal.setdefault(segment, _Node())
-        if pattern.kind is Kind.WHOLE:
-            if node.whole is None:
-                node.whole = _Rows()
-            return node.whole
-        if node.prefix is None:
-            node.prefix = _Rows()
-        return node.prefix
-
-    def find(self, method: bytes, segments: Sequence[str], given: Mapping[bytes, bytes]) -> R | None:
-        """The most specific route below this root."""
-        # Along literals alone: that is where the most specific whole pattern and all prefixes stand.
-        prefixes = [self.prefix] if self.prefix is not None else []
-        branches = self.variable is not None
-        node = self
-        for segment in segments:
-            child = node.literal.get(segment)
-            if child is None:
-                break
-            node = child
-            if node.prefix is not None:
-                prefixes.append(node.prefix)
-            if node.variable is not None:
-                branches = True
-        else:
-            if node.whole is not None:
-                route = node.whole.find(method, given)
-                if route is not None:
-                    return route
-        if branches:
-            route = self._branched(method, segments, given)
-            if route is not None:
-                return route
-        while prefixes:
-            route = prefixes.pop().find(method, given)
-            if route is not None:
-                return route
-        return None
-
-    def _branched(self, method: bytes, segments: Sequence[str], given: Mapping[bytes, bytes]) -> R | None:
-        """Whole patterns with variables: depth first, literals before variables, as precedence has it."""
-        last = len(segments)
-        stack: list[tuple[_Node[R], int]] = [(self, 0)]
-        while stack:
-            node, at = stack.pop()
-            if at == last:
-                if node.whole is not None:
-                    route = node.whole.find(method, given)
-                    if route is not None:
-                        return route
-                continue
-            segment = segments[at]
-            if node.variable is not None and segment:
-                stack.append((node.variable, at + 1))
-            child = node.literal.get(segment)
-            if child is not None:
-                stack.append((child, at + 1))
-        return None
-
-    def all_rows(self) -> Iterator[_Rows[R]]:
-        stack = [self]
-        while stack:
-            node = stack.pop()
-            for rows in (node.whole, node.prefix):
-                if rows is not None:
-                    yield rows
-            stack += node.literal.values()
-            if node.variable is not None:
-                stack.append(node.variable)
-
-
-@dataclass(frozen=True, slots=True)
-class Overlap(Generic[R]):
-    """Two routes that take one request, and no rule of precedence decides between them."""
-
-    first: R
-    second: R
+    def add(self, first: R, second: R) -> None:
+        pair = frozenset((id(first), id(second)))
+        if pair not in self.seen:
+            self.seen.add(pair)
+            self.found.append(Overlap(first, second))
 
 
 class Matcher(Generic[R]):
-    """All routes, compiled. find() has no side effects; routes are never changed after this."""
-
-    def __init__(self, routes: Iterable[R]) -> None:
-        self.exact: dict[str, _Node[R]] = {}
-        self.wild: dict[str, _Node[R]] = {}
-        self.any: _Node[R] | None = None
-        self.undecided: list[Overlap[R]] = []
-        seen: set[frozenset[int]] = set()
+    """All routes, compiled: a persistent value. No method changes it or has a side effect."""
 
-        def clash(first: R, second: R) -> None:
-            pair = frozenset((id(first), id(second)))
-            if pair not in seen:
-                seen.add(pair)
-                self.undecided.append(Overlap(first, second))
+    __slots__ = ("any", "exact", "undecided", "wild")
 
+    def __init__(self, routes: Iterable[R] = ()) -> None:
+        """Compile routes; pairs that no rule decides are in `undecided`, by looking at all of them."""
+        self.exact: Table[str, Node[R]] = {}
+        self.wild: Table[str, Node[R]] = {}
+        self.any: Node[R] | None = None
+        self.undecided: list[Overlap[R]] = []
+        clashes = _Clashes(self.undecided)
         for route in routes:
-            for host in route.hosts or (None,):
-                rows = self._root(host).rows(route.pattern)
-                for method in route.methods or (None,):
-                    there = rows.add(method, route.headers, route)
-                    if there is not None:
-                        clash(there, route)
+            for host in _hosts(route):
+                rows = self._rows(host, route) or Rows()
+                for there in rows.in_place_of(route):
+                    clashes.add(there, route)
+                self._put(host, route, rows.with_route(route))
         for root in self._roots():
             for rows in root.all_rows():
                 for first, second in rows.undecided():
-                    clash(first, second)
+                    clashes.add(first, second)
                     if len(self.undecided) >= MAX_OVERLAPS:
                         return
 
-    def _root(self, host: str | None) -> _Node[R]:
+    def with_route(self, route: R) -> Matcher[R]:
+        """This matcher with one more route, which must not be undecided with any that is there."""
+        after = self._copy()
+        for host in _hosts(route):
+            after._put(host, route, (after._rows(host, route) or Rows()).with_route(route))
+        return after
+
+    def without_route(self, route: R) -> Matcher[R]:
+        """This matcher without one of its routes."""
+        after = self._copy()
+        for host in _hosts(route):
+            rows = after._rows(host, route)
+            if rows is not None:
+                after._put(host, route, rows.without_route(route))
+        return after
+
+    def undecided_with(self, route: R) -> Iterator[R]:
+        """Routes that take a request of this one, and no rule of precedence decides between them.
+
+        Looks at the routes of the places at which this one would stand alone; each is told once.
+        """
+        seen: set[int] = set()
+        for host in _hosts(route):
+            rows = self._rows(host, route)
+            for other in rows.undecided_with(route) if rows is not None else ():
+                if id(other) not in seen:
+                    seen.add(id(other))
+                    yield other
+
+    def _copy(self) -> Matcher[R]:
+        copy: Matcher[R] = Matcher()
+        copy.exact, copy.wild, copy.any = self.exact, self.wild, self.any
+        return copy
+
+    def _rows(self, host: str | None, route: R) -> Rows[R] | None:
+        """What stands at a route's place under a host."""
         if host is None:
-            self.any = self.any or _Node()
-            return self.any
+            return rows_at(self.any, route.pattern)
         if host.startswith("*."):
-            return self.wild.setdefault(host[2:], _Node())
-        return self.exact.setdefault(host, _Node())
+            return rows_at(self.wild.get(host[2:]), route.pattern)
+        return rows_at(self.exact.get(host), route.pattern)
+
+    def _put(self, host: str | None, route: R, rows: Rows[R] | None) -> None:
+        """Put other routes at a route's place under a host; while the matcher is made."""
+        if host is None:
+            self.any = with_rows(self.any, route.pattern, rows)
+        elif host.startswith("*."):
+            self.wild = _with_root(self.wild, host[2:], route.pattern, rows)
+        else:
+            self.exact = _with_root(self.exact, host, route.pattern, rows)
 
-    def _roots(self) -> Iterator[_Node[R]]:
+    def _roots(self) -> Iterator[Node[R]]:
         yield from self.exact.values()
         yield from self.wild.values()
         if self.any is not None:
--- a/routing/plan.py
+++ b/routing/plan.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import msgspec
 
@@ -14,12 +15,41 @@
 from .matcher import HeaderRule, Matcher
 from .paths import BadPath, Pattern, Reading, parse_pattern, segments_of
 from .problems import OperatorError, Problem
-from .schema import MS, AccordTable, ClassTable, HeaderTable, OperatorFile, PeersTable, RouteTable, read_all
-
-__all__ = ["Denied", "Plan", "Route", "compile_file", "compile_plan", "declared_settings"]
+from .schema import (
+    MS,
+    AccordTable,
+    ClassTable,
+    HeaderTable,
+    LimitsTable,
+    OperatorFile,
+    PeersTable,
+    RouteTable,
+    read_all,
+)
+from .tenants import NO_TENANTS, TENANT_SCOPE, Tenants, tenant_limits
+
+__all__ = [
+    "Context",
+    "Denied",
+    "Plan",
+    "Route",
+    "class_limits",
+    "compile_file",
+    "compile_plan",
+    "compile_route",
+    "declared_settings",
+    "header_names",
+    "once",
+    "overlap_problem",
+    "rate_headers",
+    "route_limits",
+    "undeclared",
+]
 
 EFFECTS = {"safe": api.Effect.SAFE, "keyed": api.Effect.KEYED, "unsafe": api.Effect.UNSAFE}
 METHOD_OF = {api.Effect.SAFE: b"GET", api.Effect.KEYED: b"POST", api.Effect.UNSAFE: b"POST"}
+_NO_LIMITS = LimitsTable()
+MAX_TENANT_NAME = 253
 # Headers that the node reads itself, and on which no request is told apart by two readers: never a route's.
 _FRAMING = frozenset((b"content-length", b"transfer-encoding", b"connection", b"host"))
 
@@ -47,11 +77,21 @@
     limits: Mapping[int, Effective] = field(default_factory=dict)
 
 
+CLASS_SCOPE = "class:"
+
+
+class Routes(Protocol):
+    """All routes of a plan."""
+
+    def __iter__(self) -> Iterator[Route]: ...
+    def __len__(self) -> int: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Plan:
     """What is in force. apply() has no side effects."""
 
-    routes: tuple[Route, ...]
+    routes: Routes
     matcher: Matcher[Route]
     classes: Mapping[str, int]
     by_class: tuple[Effective, ...]
@@ -60,6 +100,10 @@
     peers: PeersTable | None = None  # whether, and how, nodes tell one another of their load
     accord: AccordTable | None = None  # whether, and how, nodes agree on the policy
     bare: bool = False  # it says nothing of routes and limits
+    by_name: Mapping[str, Route] = field(default_factory=dict)
+    tenants: Tenants = field(
+        default_factory=lambda: NO_TENANTS
+    )  # limits over all requests of a tenant, by its name
 
     def route_of(
         self, method: bytes, target: bytes, given: Mapping[bytes, bytes]
@@ -98,8 +142,33 @@
         return self.by_class[cls] if route is None else route.limits.get(cls, self.by_class[cls])
 
     def scopes(self) -> frozenset[str]:
-        """The names under which limits are counted."""
-        return frozenset([route.name for route in self.routes] + [one.scope for one in self.by_class])
+        """The names under which limits are counted; looks at all of them."""
+        names = [route.name for route in self.routes] + [one.scope for one in self.by_class]
+        return frozenset(names + [TENANT_SCOPE + name for name in self.tenants])
+
+    def has_scope(self, scope: str) -> bool:
+        """Whether limits are counted under a name."""
+        if scope in self.by_name:
+            return True
+        if scope.startswith(CLASS_SCOPE):
+            return scope[len(CLASS_SCOPE) :] in self.classes
+        return scope.startswith(TENANT_SCOPE) and scope[len(TENANT_SCOPE) :] in self.tenants
+
+    def tenant(self, name: str) -> tuple[Effective, ...]:
+        """The limits over all requests of a tenant; () where nothing is said of it."""
+        found = self.tenants.get(name)
+        return () if found is None else (found,)
+
+    def plans(self) -> tuple[Plan, ...]:
+        """The plans that are in force where this is."""
+        return (self,)
+
+    def gone_since(self, before: Plan) -> Iterable[str] | None:
+        """Scopes of a plan from which this one came, some of which may be none here.
+
+        None: it is not known which; all must be looked at.
+        """
+        return () if before is self else None
 
 
 def _accord(table: AccordTable | None, problems: list[Problem]) -> None:
@@ -154,22 +223,18 @@
             raise OperatorError(file, [*problems, none])
         settings = declared_settings(tables)
     else:
-        problems += _declared(tables, settings)
-    numbers = {cls.name: n for n, cls in enumerate(settings.classes)}
-    routes = _routes(tables, settings, numbers, problems)
-    by_class = _by_class(tables, settings, problems)
+        problems += undeclared(tables.classes, settings)
+    context = Context.of(settings, tables.classes, tables.defaults)
+    routes = _routes(tables, context, problems)
+    by_class = tuple(class_limits(number, context, problems) for number in range(len(settings.classes)))
     matcher = Matcher(routes)
-    for overlap in matcher.undecided:
-        first, second = overlap.first, overlap.second
-        problems.append(
-            Problem(
-                second.table,
-                "path",
-                second.pattern.text,
-                f"overlaps route {first.name!r} (path {first.pattern.text}), and no rule of precedence "
-                "decides between them: tell them apart by host, path, method or headers",
-            )
-        )
+    problems += [overlap_problem(overlap.first, overlap.second) for overlap in matcher.undecided]
+    tenants = {name: tenant_limits(name, table) for name, table in tables.tenants.items()}
+    problems += [
+        Problem(f"tenant.{name[:64]}", "", None, "is no name of a tenant: 1 to 253 printable characters")
+        for name in tenants
+        if not 0 < len(name) <= MAX_TENANT_NAME or not name.isprintable()
+    ]
     _accord(tables.accord, problems)
     if tables.peers is not None and tables.peers.forget < 2 * tables.peers.every:
         reason = (
@@ -177,25 +242,50 @@
         )
         problems.append(Problem("peers", "forget", tables.peers.forget, reason))
     if problems:
-        raise OperatorError(file, _once(problems))
-    headers = {rule.name for route in routes for rule in route.headers}
-    for limits in (*by_class, *(one for route in routes for one in route.limits.values())):
-        if limits.rate is not None and limits.rate.header:
-            headers.add(limits.rate.header)
+        raise OperatorError(file, once(problems))
+    headers = {name for route in routes for name in header_names(route)}
+    headers.update(name for limits in by_class for name in rate_headers(limits))
     return Plan(
         tuple(routes),
         matcher,
-        numbers,
+        context.numbers,
         by_class,
         Reading(tables.paths.encoded_slash == "keep", tables.paths.empty_segments == "keep"),
         frozenset(headers),
         tables.peers,
         tables.accord,
         msgspec.structs.replace(tables, peers=None, accord=None) == OperatorFile(),
+        {route.name: route for route in routes},
+        tenants,
+    )
+
+
+def rate_headers(limits: Effective) -> Iterator[bytes]:
+    """The header, if any, by whose value a rate's buckets go."""
+    if limits.rate is not None and limits.rate.header:
+        yield limits.rate.header
+
+
+def header_names(route: Route) -> set[bytes]:
+    """The headers on which a route or its buckets decide."""
+    names = {rule.name for rule in route.headers}
+    for limits in route.limits.values():
+        names.update(rate_headers(limits))
+    return names
+
+
+def overlap_problem(first: Route, second: Route) -> Problem:
+    """Two routes between which no rule decides."""
+    return Problem(
+        second.table,
+        "path",
+        second.pattern.text,
+        f"overlaps route {first.name!r} (path {first.pattern.text}), and no rule of precedence "
+        "decides between them: tell them apart by host, path, method or headers",
     )
 
 
-def _once(problems: Sequence[Problem]) -> list[Problem]:
+def once(problems: Sequence[Problem]) -> list[Problem]:
     """Each problem once: a value of [defaults] meets many routes."""
     seen: dict[tuple[str, str, str], Problem] = {}
     for problem in problems:
@@ -225,11 +315,11 @@
     )
 
 
-def _declared(tables: OperatorFile, settings: api.Settings) -> list[Problem]:
-    """Where the file's word on a class differs from the settings."""
+def undeclared(tables: Mapping[str, ClassTable], settings: api.Settings) -> list[Problem]:
+    """Where the word on a class differs from the settings."""
     problems = []
     classes = {cls.name: cls for cls in settings.classes}
-    for name, table in tables.classes.items():
+    for name, table in tables.items():
         at = f"class.{name}"
         cls = classes.get(name)
         if cls is None:
@@ -254,72 +344,93 @@
     return ", ".join(repr(name) for name in names)
 
 
-def _by_class(tables: OperatorFile, settings: api.Settings, problems: list[Problem]) -> tuple[Effective, ...]:
-    found = []
-    for number, cls in enumerate(settings.classes):
-        table = f"class.{cls.name}"
-        own = tables.classes.get(cls.name, ClassTable())
-        words = inherit([(f"{table}.limits", own.limits), ("defaults", tables.defaults)])
-        problems += faults(Checked(f"{table}.limits", cls, words), settings)
-        found.append(effective(f"class:{cls.name}", number, words))
-    return tuple(found)
+@dataclass(frozen=True, slots=True)
+class Context:
+    """What the limits of a route depend on beside its own table. numbers: of classes, by name."""
+
+    settings: api.Settings
+    numbers: Mapping[str, int]
+    classes: Mapping[str, ClassTable]
+    defaults: LimitsTable
+
+    @classmethod
+    def of(cls, settings: api.Settings, classes: Mapping[str, ClassTable], defaults: LimitsTable) -> Context:
+        """The context of these tables."""
+        numbers = {one.name: n for n, one in enumerate(settings.classes)}
+        return cls(settings, numbers, classes, defaults)
 
+    def levels(self, name: str) -> list[tuple[str, LimitsTable]]:
+        """The tables from which limits of a class are inherited, with their names."""
+        own = self.classes.get(name)
+        limits = own.limits if own is not None else _NO_LIMITS
+        return [(f"class.{name}.limits", limits), ("defaults", self.defaults)]
 
-def _routes(
-    tables: OperatorFile, settings: api.Settings, numbers: Mapping[str, int], problems: list[Problem]
-) -> list[Route]:
+
+def class_limits(number: int, context: Context, problems: list[Problem]) -> Effective:
+    """The limits of a class where no route takes a request; what does not hold goes to problems."""
+    cls = context.settings.classes[number]
+    words = inherit(context.levels(cls.name))
+    problems += faults(Checked(f"class.{cls.name}.limits", cls, words), context.settings)
+    return effective(f"{CLASS_SCOPE}{cls.name}", number, words)
+
+
+def _routes(tables: OperatorFile, context: Context, problems: list[Problem]) -> list[Route]:
     routes: list[Route] = []
     names: set[str] = set()
     for table in tables.routes:
-        at = f"route {table.name!r}"
-        known = len(problems)
-        if table.name in names:
-            problems.append(Problem(at, "name", table.name, "another route has it"))
+        double = table.name in names
+        if double:
+            problems.append(Problem(f"route {table.name!r}", "name", table.name, "another route has it"))
         names.add(table.name)
-        pattern = _pattern(table, at, problems)
-        headers = _headers(table.headers, at, problems)
-        if pattern is None or len(problems) > known:
-            continue
-        cls, classes = _classes(table, pattern, numbers, at, problems)
-        limits = {}
-        for of in classes:
-            one = settings.classes[of]
-            allowed = METHOD_OF[one.effect].decode()
-            if table.methods and allowed not in table.methods:
-                if cls is not None:
-                    problems.append(
-                        Problem(
-                            at, "methods", table.methods, f"requests of class {one.name!r} come by {allowed}"
-                        )
-                    )
-                continue
-            own = tables.classes.get(one.name, ClassTable()).limits
-            words = inherit(
-                [
-                    (f"{at}.limits", table.limits),
-                    (f"class.{one.name}.limits", own),
-                    ("defaults", tables.defaults),
-                ]
-            )
-            problems += faults(Checked(f"{at}.limits", one, words), settings)
-            limits[of] = effective(table.name, of, words)
-        if not limits and len(problems) == known:
-            problems.append(Problem(at, "methods", table.methods, "no class has requests of these methods"))
-        routes.append(
-            Route(
-                table.name,
-                at,
-                tuple(table.hosts or ()),
-                tuple(method.encode() for method in table.methods or ()),
-                pattern,
-                headers,
-                cls,
-                limits,
-            )
-        )
+        route = compile_route(table, context, problems)
+        if route is not None and not double:
+            routes.append(route)
     return routes
 
 
+def compile_route(table: RouteTable, context: Context, problems: list[Problem]) -> Route | None:
+    """One route; None: what it matches does not hold. What does not hold goes to problems."""
+    at = f"route {table.name!r}"
+    settings = context.settings
+    known = len(problems)
+    pattern = _pattern(table, at, problems)
+    headers = _headers(table.headers, at, problems)
+    if pattern is None or len(problems) > known:
+        return None
+    cls, classes = _classes(table, pattern, context.numbers, at, problems)
+    limits = {}
+    for of in classes:
+        one = settings.classes[of]
+        allowed = METHOD_OF[one.effect].decode()
+        if table.methods and allowed not in table.methods:
+            if cls is not None:
+                reason = f"requests of class {one.name!r} come by {allowed}"
+                problems.append(Problem(at, "methods", table.methods, reason))
+            continue
+        limits[of] = route_limits(table, of, context, problems)
+    if not limits and len(problems) == known:
+        problems.append(Problem(at, "methods", table.methods, "no class has requests of these methods"))
+    return Route(
+        table.name,
+        at,
+        tuple(table.hosts or ()),
+        tuple(method.encode() for method in table.methods or ()),
+        pattern,
+        headers,
+        cls,
+        limits,
+    )
+
+
+def route_limits(table: RouteTable, number: int, context: Context, problems: list[Problem]) -> Effective:
+    """The limits of a route for requests of a class; what does not hold goes to problems."""
+    cls = context.settings.classes[number]
+    at = f"route {table.name!r}.limits"
+    words = inherit([(at, table.limits), *context.levels(cls.name)])
+    problems += faults(Checked(at, cls, words), context.settings)
+    return effective(table.name, number, words)
+
+
 def _pattern(table: RouteTable, at: str, problems: list[Problem]) -> Pattern | None:
     stated = [
         (kind, text)
--- a/routing/schema.py
+++ b/routing/schema.py
@@ -26,6 +26,9 @@
     "RateTable",
     "RetryAfterTable",
     "RouteTable",
+    "TenantLimitsTable",
+    "TenantRateTable",
+    "TenantTable",
     "duration",
     "read",
     "read_all",
@@ -96,6 +99,28 @@
     limits: LimitsTable = LimitsTable()
 
 
+class TenantRateTable(Table, frozen=True):
+    """A token bucket for all requests of one tenant."""
+
+    all_or_nothing = True
+
+    per_second: Annotated[float, msgspec.Meta(gt=0, le=1e7)]
+    burst: Annotated[int, msgspec.Meta(ge=1, le=10_000_000)] | None = None
+
+
+class TenantLimitsTable(Table, frozen=True):
+    """Limits over all of a tenant's requests at a node."""
+
+    in_flight: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] | None = None
+    rate: TenantRateTable | None = None
+
+
+class TenantTable(Table, frozen=True):
+    """A tenant, by the name that it has in the node's configuration."""
+
+    limits: TenantLimitsTable = TenantLimitsTable()
+
+
 class PathTable(Table, frozen=True):
     """How a route's path is matched: one of the three."""
 
@@ -171,6 +196,7 @@
     paths: PathsTable = PathsTable()
     defaults: LimitsTable = LimitsTable()
     classes: dict[str, ClassTable] = msgspec.field(default_factory=dict, name="class")
+    tenants: dict[str, TenantTable] = msgspec.field(default_factory=dict, name="tenant")
     routes: list[RouteTable] = msgspec.field(default_factory=list, name="route")
 
 
