Limits over all requests of a tenant; a plan that came by changes is put in force by what went away

Change: Gate.with_tenant sets a tenant's rate and in_flight (scope tenant:NAME) beside those of a request's route, only where the plan has tenants and the configuration knows this one; the tenant's are looked at first. Under Narrow both policies' hold, once each. A request that one of several limits turns away gives the tokens of the others back (before, it kept them). Gate.take_over looks at the scopes that a plan's changes took away, and at all counts only where it does not know where the plan came from; scopes are no longer copied at each take-over. Narrow passes on limits that are the same object in both. resources.assemble takes accept(state, change), by which a change that the tables refuse is refused alone.

--- a/elderscale/clients.py
+++ b/elderscale/clients.py
@@ -502,19 +502,22 @@
             return
         hint = given.get(b"x-weight-hint", b"").strip()
         names = self.clients.config.names
-        tenant = names.tenants.get(given.get(b"x-account", b"").decode("latin-1"))
+        account = given.get(b"x-account", b"").decode("latin-1")
+        tenant = names.tenants.get(account)
         limits = self.limits
-        if limits is not None and self.clients.gate is not None:
-            away = self.clients.gate.admit(
-                limits, -1 if tenant is None else tenant, given, system.monotonic_ns()
-            )
+        gate = self.clients.gate
+        if limits is not None and gate is not None:
+            counted = limits
+            if gate.tenanted and tenant is not None:
+                counted = gate.with_tenant(limits, account)
+            away = gate.admit(counted, -1 if tenant is None else tenant, given, system.monotonic_ns())
             if away is not None:
                 # Nothing was sent on for it, and the module does not hear of it: it costs next to nothing.
                 self.clients.node.tally.refused[self.cls] += 1
                 self._respond(429, _after(away), (b"refused\n",))
                 return
-            if limits.in_flight:
-                self.let_in = limits
+            if counted.in_flight:
+                self.let_in = counted
         headers = end_to_end(self.headers, _FOR_NODE)
         if b"host" not in given:
             headers.append((b"host", self.clients.host))
--- a/resources/batch.py
+++ b/resources/batch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -12,9 +12,10 @@
 from .model import Change, ChangeRefused
 from .state import ResourceState
 
-__all__ = ["MAX_BATCH_CHANGES", "Assembled", "Batch", "BatchMismatch", "assemble", "follow"]
+__all__ = ["MAX_BATCH_CHANGES", "Accept", "Assembled", "Batch", "BatchMismatch", "assemble", "follow"]
 
 MAX_BATCH_CHANGES = 4096
+Accept = Callable[[ResourceState, Change], None]
 Digest = Annotated[bytes, msgspec.Meta(min_length=DIGEST_BYTES, max_length=DIGEST_BYTES)]
 
 
@@ -40,18 +41,24 @@
     refused: tuple[tuple[Change, ChangeRefused], ...]
 
 
-def assemble(state: ResourceState, changes: Iterable[Change]) -> Assembled:
-    """Take all changes that fit, one after another; one that does not is refused alone."""
+def assemble(state: ResourceState, changes: Iterable[Change], accept: Accept | None = None) -> Assembled:
+    """Take all changes that fit, one after another; one that does not is refused alone.
+
+    accept: called with the state that a change would lead to, and the change; it refuses by ChangeRefused.
+    """
     revision = state.revision + 1
     after = state
     taken: list[Change] = []
     refused: list[tuple[Change, ChangeRefused]] = []
     for change in changes:
         try:
-            after = after.with_change(change, revision)
+            candidate = after.with_change(change, revision)
+            if accept is not None:
+                accept(candidate, change)
         except ChangeRefused as error:
             refused.append((change, error))
         else:
+            after = candidate
             taken.append(change)
     after = after.sealed(tuple(change.id for change in taken), revision)
     return Assembled(Batch(revision, state.digest, tuple(taken), after.digest), after, tuple(refused))
--- a/routing/gate.py
+++ b/routing/gate.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 
 from .limits import Effective, Rate
 from .narrow import Narrow
@@ -59,12 +60,26 @@
         self.by: tuple[bytes, bool] = (b"", False)
 
 
+def _gone(before: Plan | Narrow, after: Plan | Narrow) -> set[str] | None:
+    """Scopes of one that the other may not have; None: that is not known, and all must be looked at."""
+    gone: set[str] = set()
+    for old in before.plans():
+        known = [new.gone_since(old) for new in after.plans()]
+        found = next((scopes for scopes in known if scopes is not None), None)
+        if found is None:
+            return None
+        gone.update(found)
+    return gone
+
+
 class Gate:
     """The plan in force and what counts under it."""
 
     def __init__(self, plan: Plan | Narrow, seed: int, max_retry_after: int) -> None:
         self.plan: Plan | Narrow = plan
-        self.scopes = plan.scopes()
+        self.tenanted = plan.tenanted  # whether any tenant has limits
+        # Scopes that are counted and that the plan has not: those of requests that began under an older one.
+        self.strays: set[str] = set()
         self.random = random.Random(seed)
         self.max_retry_after = max_retry_after
         self.states: dict[str, _State] = {}
@@ -83,7 +98,7 @@
             return None
         state = self.states.get(limits.scope)
         if state is None:
-            state = self.states[limits.scope] = _State()
+            state = self._begun(limits.scope)
         if limits.in_flight and state.in_flight >= limits.in_flight:
             return self._away(limits, 0)
         if rate is not None:
@@ -94,6 +109,24 @@
             state.in_flight += 1
         return None
 
+    def with_tenant(self, limits: Effective, name: str) -> Effective:
+        """Limits of a request, and those of its tenant beside them; to be asked for only where `tenanted`.
+
+        The tenant's come first: who is over them takes nothing from what others share with it.
+        """
+        tenant = self.plan.tenant(name)
+        if not tenant:
+            return limits
+        in_flight = limits.in_flight or max(one.in_flight for one in tenant)
+        return replace(limits, in_flight=in_flight, parts=(*tenant, *(limits.parts or (limits,))))
+
+    def _begun(self, scope: str) -> _State:
+        """Count from now on under a scope."""
+        state = self.states[scope] = _State()
+        if not self.plan.has_scope(scope):
+            self.strays.add(scope)
+        return state
+
     def _admit_all(
         self, parts: tuple[Effective, ...], tenant: int, given: Mapping[bytes, bytes], now: int
     ) -> int | None:
@@ -101,10 +134,18 @@
             wait = self.admit(one, tenant, given, now)
             if wait is not None:
                 for before in parts[:n]:
-                    self.done(before)
+                    self._take_back(before, tenant, given, now)
                 return wait
         return None
 
+    def _take_back(self, limits: Effective, tenant: int, given: Mapping[bytes, bytes], now: int) -> None:
+        """A request that was let in under these limits is turned away by others: it never was."""
+        rate = limits.rate
+        if rate is not None:
+            bucket = self._bucket(self.states[limits.scope], rate, tenant, given, now)
+            bucket.tokens = min(float(rate.burst), bucket.tokens + 1.0)
+        self.done(limits)
+
     def done(self, limits: Effective) -> None:
         """A request that was let in under these limits is over."""
         if limits.parts:
@@ -115,17 +156,32 @@
             return
         state = self.states[limits.scope]
         state.in_flight -= 1
-        if not state.in_flight and limits.scope not in self.scopes:
+        if not state.in_flight and not self.plan.has_scope(limits.scope):
             del self.states[limits.scope]
 
     def take_over(self, plan: Plan | Narrow) -> None:
-        """Put another plan in force; buckets and counts of what it still names go on."""
+        """Put another plan in force; buckets and counts of what it still names go on.
+
+        Where the plan came from the one in force, by changes, only what these took away is looked at.
+        """
+        gone = _gone(self.plan, plan)
+        if gone is None:
+            gone = {*self.states, *self.turned_away}
         self.plan = plan
-        scopes = self.scopes = plan.scopes()
-        for scope in [s for s, state in self.states.items() if s not in scopes and not state.in_flight]:
+        self.tenanted = plan.tenanted
+        for scope in gone | self.strays:
+            if plan.has_scope(scope):
+                self.strays.discard(scope)
+            else:
+                self._forget(scope)
+
+    def _forget(self, scope: str) -> None:
+        """Count no longer under a scope, but for requests that are still in flight under it."""
+        self.strays.discard(scope)
+        self.turned_away.pop(scope, None)
+        state = self.states.get(scope)
+        if state is not None and not state.in_flight:
             del self.states[scope]
-        for scope in [s for s in self.turned_away if s not in scopes]:
-            del self.turned_away[scope]
 
     def _bucket(
         self, state: _State, rate: Rate, tenant: int, given: Mapping[bytes, bytes], now: int
@@ -161,7 +217,10 @@
 
     def _away(self, limits: Effective, wait: int) -> int:
         """Count one that is turned away; when it may come back, spread out so that not all come together."""
-        self.turned_away[limits.scope] = self.turned_away.get(limits.scope, 0) + 1
+        count = self.turned_away.get(limits.scope, 0)
+        if not count and not self.plan.has_scope(limits.scope):
+            self.strays.add(limits.scope)
+        self.turned_away[limits.scope] = count + 1
         if not self.max_retry_after:
             return 0
         if limits.retry_after is not None:
--- a/routing/narrow.py
+++ b/routing/narrow.py
@@ -147,8 +147,10 @@
     def __init__(self, one: Plan, other: Plan, settings: api.Settings) -> None:
         self.one, self.other = one, other
         self.settings = settings
-        self.headers = one.headers | other.headers
+        # Few names: the cost goes with those on which anything decides, not with the routes.
+        self.headers = one.headers if one.headers is other.headers else one.headers | other.headers
         self.peers = one.peers  # which takes a restart in any case
+        self.tenanted = one.tenanted or other.tenanted
         self._known: dict[tuple[int, int], Effective] = {}
 
     def apply(self, method: bytes, target: bytes, given: Mapping[bytes, bytes]) -> Effective | Denied | None:
@@ -159,6 +161,8 @@
             return one if isinstance(one, Denied) else other
         if one is None or other is None:
             return None
+        if one is other:
+            return one  # what lies between the two plans does not touch it
         if one.cls != other.cls:
             return Denied(BETWEEN, "two policies take it for two classes, and one gives way now")
         # Limits are as many as routes and classes, and live as long as their plans.
@@ -169,5 +173,18 @@
         return found
 
     def scopes(self) -> frozenset[str]:
-        """The names under which limits are counted, of both."""
+        """The names under which limits are counted, of both; looks at all of them."""
         return self.one.scopes() | self.other.scopes()
+
+    def has_scope(self, scope: str) -> bool:
+        """Whether limits are counted under a name, by either."""
+        return self.one.has_scope(scope) or self.other.has_scope(scope)
+
+    def tenant(self, name: str) -> tuple[Effective, ...]:
+        """The limits over all requests of a tenant, of both, so that a request counts once under each."""
+        found = (*self.one.tenant(name), *self.other.tenant(name))
+        return apart((found[0], found[1])) if len(found) > 1 else found
+
+    def plans(self) -> tuple[Plan, ...]:
+        """Both."""
+        return (self.one, self.other)
--- a/routing/plan.py
+++ b/routing/plan.py
@@ -159,6 +159,11 @@
         found = self.tenants.get(name)
         return () if found is None else (found,)
 
+    @property
+    def tenanted(self) -> bool:
+        """Whether any tenant has limits of its own."""
+        return len(self.tenants) > 0
+
     def plans(self) -> tuple[Plan, ...]:
         """The plans that are in force where this is."""
         return (self,)
