Tests: a plan that takes changes in against a whole compile, and gates that count alike under both

Properties over random changes (bad ones between): same answers, headers, scopes and refusals as the whole compile, the old plan unchanged, untouched limits the same objects; two gates, one under each kind of plan, hold the same buckets and counts. The matcher's own, also with containers of three entries as tries.

--- /dev/null
+++ b/tests/test_resource_plan.py
@@ -0,0 +1,563 @@
+"""A plan that takes changes in is the plan that a whole compile of the result makes, for every request."""
+
+from __future__ import annotations
+
+import copy
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lynxrouter import interface as api
+from resources.batch import assemble
+from resources.model import Change, ChangeRefused, Delete, Key, Kind, Operation, Problem, Upsert
+from resources.state import EMPTY, ResourceState
+from routing import tree
+from routing.gate import Gate
+from routing.limits import Effective
+from routing.narrow import Narrow
+from routing.plan import Denied, Plan, compile_plan
+from routing.problems import OperatorError
+from routing.resource_plan import ResourcePlan, Validator, plan_after, plan_of_state
+from routing.resource_tables import DEFAULTS, PATHS, encode_table, tables_of
+from routing.schema import (
+    ClassTable,
+    HeaderTable,
+    LimitsTable,
+    PathsTable,
+    PathTable,
+    RateTable,
+    RouteTable,
+    TenantLimitsTable,
+    TenantRateTable,
+    TenantTable,
+)
+
+MS = 1_000_000
+SECOND = 1_000_000_000
+SETTINGS = api.Settings(
+    (
+        api.RequestClass("view", api.Effect.SAFE, 3.0, 200 * MS, 500 * MS),
+        api.RequestClass("send", api.Effect.UNSAFE, 2.0, 1200 * MS, 5 * SECOND),
+        api.RequestClass(
+            "book", api.Effect.KEYED, 2.0, 1200 * MS, 5 * SECOND, group=api.Group.ZONE, window=2 * SECOND
+        ),
+    ),
+    max_attempts=3,
+    copies_allowed=True,
+    max_retry_after=5 * SECOND,
+)
+CLASSES = ("view", "send", "book")
+ROUTES = tuple(f"r{n}" for n in range(7))
+TENANTS = ("t0", "t1", "t2")
+T = TypeVar("T")
+
+# Small alphabets, so that routes meet: overlaps, shared places and unsound limits must come up often.
+rates = st.builds(
+    RateTable,
+    per_second=st.sampled_from([1.0, 5.0]),
+    burst=st.sampled_from([None, 1, 3]),
+    by=st.sampled_from(["route", "tenant", "header:X-A", "header:X-R"]),
+)
+limits = st.builds(
+    LimitsTable,
+    attempt_timeout=st.sampled_from([None, None, 100 * MS, 300 * MS]),
+    request_timeout=st.sampled_from([None, None, 150 * MS, 400 * MS]),
+    attempts=st.sampled_from([None, None, 1, 2]),
+    retry_budget=st.sampled_from([None, None, None, 0.5]),
+    in_flight=st.sampled_from([None, 1, 2]),
+    rate=st.none() | rates,
+)
+mild_limits = st.builds(
+    LimitsTable,
+    request_timeout=st.sampled_from([None, None, 400 * MS]),
+    in_flight=st.sampled_from([None, 1, 2]),
+    rate=st.none() | rates,
+)
+
+
+def seldom(usual: st.SearchStrategy[T], odd: st.SearchStrategy[T], of: int = 8) -> st.SearchStrategy[T]:
+    """The odd one once in so many times."""
+    return st.integers(0, of - 1).flatmap(lambda n: odd if n == of - 1 else usual)
+
+
+headers = st.lists(
+    st.builds(
+        HeaderTable,
+        name=st.sampled_from(["X-A", "X-B", "X-C"]),
+        exact=st.sampled_from(["1", "2"]),
+    )
+    | st.builds(HeaderTable, name=st.sampled_from(["X-A", "X-D"]), present=st.just(True)),
+    max_size=2,
+    unique_by=lambda header: header.name,
+)
+paths = seldom(
+    st.sampled_from(
+        [
+            PathTable(prefix="/view"),
+            PathTable(prefix="/view/a"),
+            PathTable(exact="/view/a"),
+            PathTable(template="/view/{id}"),
+        ]
+    ),
+    st.sampled_from(
+        [
+            PathTable(prefix="/"),
+            PathTable(exact="/book/a"),
+            PathTable(template="/view/{other}"),
+            PathTable(template="/view/{id}/x"),
+            PathTable(prefix="/send"),
+            PathTable(prefix="/else"),
+        ]
+    ),
+    4,
+)
+
+
+@st.composite
+def route_tables(draw: st.DrawFn, name: str) -> RouteTable:
+    return RouteTable(
+        name=name,
+        cls=draw(seldom(st.none(), st.sampled_from(["view", "ghost"]), 12)),
+        hosts=draw(st.sampled_from([None, None, ["h.e"], ["*.e"], ["h.e", "i.e"]])),
+        methods=draw(seldom(st.sampled_from([None, ["GET"], ["GET", "POST"]]), st.just(["POST"]), 20)),
+        path=draw(paths),
+        headers=draw(headers),
+        limits=draw(seldom(mild_limits, limits)),
+    )
+
+
+tenant_tables = st.builds(
+    TenantTable,
+    limits=st.builds(
+        TenantLimitsTable,
+        in_flight=st.sampled_from([None, 1, 2]),
+        rate=st.none() | st.builds(TenantRateTable, per_second=st.just(1.0), burst=st.sampled_from([1, 3])),
+    ),
+)
+class_tables = st.builds(
+    ClassTable, effect=seldom(st.none(), st.just("safe")), limits=seldom(mild_limits, limits, 3)
+)
+
+
+@st.composite
+def edits(draw: st.DrawFn) -> dict[Key, bytes | None]:
+    """What one change makes of some resources; None: deleted. Now and then a body that holds no table."""
+    wanted: dict[Key, bytes | None] = {}
+    for _ in range(draw(st.integers(1, 4))):
+        kind = draw(
+            st.sampled_from(
+                [Kind.ROUTE] * 6 + [Kind.CLASS, Kind.TENANT, Kind.DEFAULTS, Kind.PATHS, Kind.SERVER_OUT]
+            )
+        )
+        body: bytes | None
+        if kind is Kind.ROUTE:
+            key = Key(kind, draw(st.sampled_from(ROUTES)))
+            body = encode_table(draw(route_tables(key.name)))
+        elif kind is Kind.CLASS:
+            key = Key(kind, draw(st.sampled_from([*CLASSES * 4, "ghost"])))
+            body = encode_table(draw(class_tables))
+        elif kind is Kind.TENANT:
+            key, body = Key(kind, draw(st.sampled_from(TENANTS))), encode_table(draw(tenant_tables))
+        elif kind is Kind.DEFAULTS:
+            key, body = DEFAULTS, encode_table(draw(seldom(mild_limits, limits, 3)))
+        elif kind is Kind.PATHS:
+            key = PATHS
+            body = encode_table(PathsTable(empty_segments=draw(st.sampled_from(["keep", "reject"]))))
+        else:
+            key, body = Key(kind, "server-1"), b""
+        fate = draw(st.integers(0, 39))
+        if fate < 9:
+            body = None
+        elif fate == 9 and kind is not Kind.SERVER_OUT:
+            body = draw(st.sampled_from([b"", b"\x81\xa3foo\x01", b"\x90", b"\xc1"]))
+        wanted[key] = body
+    return wanted
+
+
+@dataclass
+class Ask:
+    path: bytes
+    method: bytes
+    given: dict[bytes, bytes] = field(default_factory=dict)
+
+
+asks = st.lists(
+    st.builds(
+        Ask,
+        st.sampled_from(
+            [
+                *[b"/view", b"/view/a", b"/view/b", b"/view/b/x"] * 2,
+                b"/view/a/x/y",
+                b"/book/a",
+                b"/send/z",
+                b"/else",
+                b"/view//b",
+            ]
+        ),
+        st.sampled_from([b"GET", b"POST"]),
+        st.fixed_dictionaries(
+            {b"host": st.sampled_from([b"h.e", b"i.e", b"k.i.e", b"z"])},
+            optional={
+                b"x-a": st.sampled_from([b"1", b"2"]),
+                b"x-b": st.sampled_from([b"1", b"2"]),
+                b"x-c": st.sampled_from([b"1", b"2"]),
+                b"x-d": st.just(b""),
+            },
+        ),
+    ),
+    min_size=8,
+    max_size=20,
+)
+
+
+def operations(state: ResourceState, wanted: dict[Key, bytes | None]) -> tuple[Operation, ...]:
+    """What makes this of a state."""
+    found: list[Operation] = []
+    for key, body in wanted.items():
+        there = state.resources.get(key)
+        base = there.version if there is not None else 0
+        if body is not None:
+            found.append(Upsert(key.kind, key.name, base, body))
+        elif base:
+            found.append(Delete(key.kind, key.name, base))
+    return tuple(found)
+
+
+def change(state: ResourceState, number: int, wanted: dict[Key, bytes | None]) -> Change | None:
+    ops = operations(state, wanted)
+    return Change(b"%016d" % number, state.revision, "test", "somebody", ops) if ops else None
+
+
+def answers(plan: Plan, questions: list[Ask]) -> list[Effective | Denied | None]:
+    return [plan.apply(ask.method, ask.path, ask.given) for ask in questions]
+
+
+def fresh(state: ResourceState) -> Plan | list[tuple[str, str]] | None:
+    """The whole compile of a state; where it is refused, what it tells; None: a body holds no table."""
+    try:
+        return compile_plan(tables_of(state), SETTINGS)
+    except OperatorError as error:
+        return [(problem.table, problem.reason) for problem in error.problems]
+    except ChangeRefused:
+        return None
+
+
+def plain(reason: str) -> str:
+    return reason.split(" (in force for")[0]
+
+
+def resource(table: str) -> str:
+    """The resource of a table of the file, worked out here by itself."""
+    if table.startswith("route "):
+        return table.split(".")[0].split("'")[0] + "'" + table.split("'")[1] + "'"
+    if table.startswith("class."):
+        return f"class {table.split('.')[1]!r}"
+    return table
+
+
+def same(plan: ResourcePlan, whole: Plan, questions: list[Ask]) -> None:
+    assert answers(plan, questions) == answers(whole, questions)
+    assert {r.name: r for r in plan.routes} == {r.name: r for r in whole.routes} == dict(plan.by_name.items())
+    assert plan.headers == whole.headers and plan.reading == whole.reading
+    assert plan.by_class == whole.by_class and plan.bare == whole.bare
+    assert plan.scopes() == whole.scopes() and plan.tenanted == whole.tenanted
+    assert all(plan.has_scope(scope) and whole.has_scope(scope) for scope in whole.scopes())
+    assert [plan.tenant(name) for name in TENANTS] == [whole.tenant(name) for name in TENANTS]
+    for number in range(len(CLASSES)):
+        assert set(plan.dependents[number]) == {r.name for r in whole.routes if number in r.limits}
+
+
+def refused_alike(problems: tuple[Problem, ...], told: list[tuple[str, str]], changed: set[str]) -> None:
+    """The same problems; of overlaps at least one, of a pair that the whole compile finds too."""
+    word = "overlaps route"
+    found = {(problem.resource, plain(problem.reason)) for problem in problems if word not in problem.reason}
+    assert found == {(resource(table), plain(reason)) for table, reason in told if word not in reason}
+
+    def pair(one: str, reason: str) -> frozenset[str]:
+        return frozenset((one.split("'")[1], reason.split("'")[1]))
+
+    pairs = {pair(p.resource, p.reason) for p in problems if word in p.reason}
+    known = {pair(table, reason) for table, reason in told if word in reason}
+    assert pairs <= known and bool(pairs) == bool(known)
+    assert all(changed & {f"route {name!r}" for name in names} for names in pairs)
+    # What a problem names is what changed, or what meets it by inheritance.
+    for problem in problems:
+        assert (
+            problem.resource in changed
+            or "(in force for" in problem.reason
+            or problem.resource
+            in (
+                "defaults",
+                *(f"class {name!r}" for name in CLASSES),
+                *(f"route {name!r}" for name in ROUTES),
+            )
+        )
+
+
+@pytest.mark.parametrize("copied", [256, 2])
+def test_a_plan_after_changes_is_that_of_a_whole_compile(copied: int) -> None:
+    """copied: entries of the largest container that is a dict."""
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(tree, "MAX_COPIED", copied)
+        _play_changes()
+
+
+@settings(max_examples=250)
+@given(st.lists(edits(), min_size=1, max_size=12), asks)
+def _play_changes(steps: list[dict[Key, bytes | None]], questions: list[Ask]) -> None:
+    state, plan = EMPTY, plan_of_state(EMPTY, SETTINGS)
+    for number, wanted in enumerate(steps):
+        made = change(state, number, wanted)
+        if made is None:
+            continue
+        after = state.applied([made], state.revision + 1)
+        changed = [operation.key for operation in made.operations]
+        whole = fresh(after)
+        before = answers(plan, questions)
+        kept = {route.name: dict(route.limits) for route in plan.routes}
+        try:
+            new = plan_after(plan, after, changed, SETTINGS)
+        except ChangeRefused as error:
+            assert not isinstance(whole, Plan)
+            names = {str(key) for key in changed}
+            if whole is None:
+                assert {problem.resource for problem in error.problems} & names
+            else:
+                refused_alike(error.problems, whole, names)
+            with pytest.raises(ChangeRefused):
+                plan_of_state(after, SETTINGS)
+        else:
+            assert isinstance(whole, Plan), whole
+            same(new, whole, questions)
+            same(plan_of_state(after, SETTINGS), whole, questions)
+            for route in new.routes:
+                for cls, one in route.limits.items():
+                    old = kept.get(route.name, {}).get(cls)
+                    assert one is old or one != old  # what did not change is the same object
+            # The old plan goes on as it was.
+            assert all(one is two for one, two in zip(before, answers(plan, questions), strict=True)) or any(
+                isinstance(one, Denied) for one in before
+            )
+            same(plan, fresh(state), questions)  # type: ignore[arg-type]
+            state, plan = after, new
+
+
+moves = st.lists(
+    st.one_of(
+        edits(),
+        st.tuples(st.just("narrow"), edits()),
+        st.tuples(st.just("begin"), asks.map(lambda found: found[0]), st.sampled_from([-1, 0, 1])),
+        st.tuples(st.just("begin"), asks.map(lambda found: found[0]), st.sampled_from([-1, 0, 1])),
+        st.tuples(st.just("begin"), asks.map(lambda found: found[0]), st.sampled_from([-1, 0, 1])),
+        st.tuples(st.just("done"), st.integers(0, 5)),
+    ),
+    min_size=5,
+    max_size=40,
+)
+
+
+def counted(gate: Gate) -> dict[str, object]:
+    return {
+        scope: (
+            state.in_flight,
+            state.by,
+            {key: (bucket.tokens, bucket.at) for key, bucket in state.buckets.items()},
+        )
+        for scope, state in gate.states.items()
+    }
+
+
+@dataclass
+class Held:
+    """A request in flight: its limits at each gate, and what they were when it began."""
+
+    one: Effective
+    other: Effective
+    at_first: Effective
+
+
+@settings(max_examples=200)
+@given(moves)
+def test_the_gate_counts_as_under_whole_compiles(steps: list[object]) -> None:
+    """Two gates, one under plans that take changes in and one under whole compiles, count the same."""
+    state, plan = EMPTY, plan_of_state(EMPTY, SETTINGS)
+    whole = compile_plan(tables_of(state), SETTINGS)
+    one, other = Gate(plan, 1, SECOND), Gate(whole, 1, SECOND)
+    held: list[Held] = []
+    now = SECOND
+    for number, step in enumerate(steps):
+        now += 100 * MS
+        if isinstance(step, dict) or step[0] == "narrow":  # type: ignore[index]
+            made = change(state, number, step if isinstance(step, dict) else step[1])  # type: ignore[index]
+            if made is None:
+                continue
+            after = state.applied([made], state.revision + 1)
+            try:
+                new = plan_after(plan, after, [o.key for o in made.operations], SETTINGS)
+            except ChangeRefused:
+                continue
+            new_whole = compile_plan(tables_of(after), SETTINGS)
+            if isinstance(step, dict):
+                one.take_over(new)
+                other.take_over(new_whole)
+            else:
+                one.take_over(Narrow(plan, new, SETTINGS))
+                other.take_over(Narrow(whole, new_whole, SETTINGS))
+            state, plan, whole = after, new, new_whole
+        elif step[0] == "begin":  # type: ignore[index]
+            _, ask, tenant = step  # type: ignore[misc]
+            _begin(one, other, ask, tenant, now, held)
+        elif held:
+            request = held.pop(step[1] % len(held))  # type: ignore[index]
+            assert request.one == request.at_first
+            one.done(request.one)
+            other.done(request.other)
+        assert counted(one) == counted(other) and one.turned_away == other.turned_away
+    for request in held:
+        one.done(request.one)
+        other.done(request.other)
+    one.take_over(plan)
+    other.take_over(whole)
+    assert counted(one) == counted(other) and one.turned_away == other.turned_away
+    assert all(plan.has_scope(scope) for scope in {*one.states, *one.turned_away}) and not one.strays
+
+
+def _begin(one: Gate, other: Gate, ask: Ask, tenant: int, now: int, held: list[Held]) -> None:
+    found = [gate.plan.apply(ask.method, ask.path, ask.given) for gate in (one, other)]
+    assert type(found[0]) is type(found[1])
+    if not isinstance(found[0], Effective) or not isinstance(found[1], Effective):
+        assert found[0] == found[1]
+        return
+    under = []
+    for gate, answer in zip((one, other), found, strict=True):
+        assert isinstance(answer, Effective)
+        if gate.tenanted and tenant >= 0:
+            answer = gate.with_tenant(answer, TENANTS[tenant])
+        under.append(answer)
+    waits = [
+        gate.admit(answer, tenant, ask.given, now) for gate, answer in zip((one, other), under, strict=True)
+    ]
+    assert waits[0] == waits[1]
+    if waits[0] is None:
+        held.append(Held(under[0], under[1], copy.deepcopy(under[0])))
+
+
+def state_of(*tables: tuple[Key, object]) -> ResourceState:
+    ops = tuple(Upsert(key.kind, key.name, 0, encode_table(table)) for key, table in tables)  # type: ignore[arg-type]
+    return EMPTY.applied([Change(b"0" * 16, 0, "test", "somebody", ops)], 1)
+
+
+def route(name: str, **fields: object) -> tuple[Key, RouteTable]:
+    return Key(Kind.ROUTE, name), RouteTable(name=name, **fields)  # type: ignore[arg-type]
+
+
+def test_a_bad_change_is_refused_alone_in_a_batch_by_what_its_tables_say() -> None:
+    key, table = route("a", path=PathTable(prefix="/view/a"))
+    state = state_of((key, table))
+    validator = Validator(plan_of_state(state, SETTINGS), SETTINGS)
+    good = change(
+        state, 1, {Key(Kind.ROUTE, "b"): encode_table(route("b", path=PathTable(prefix="/view/b"))[1])}
+    )
+    bad = change(
+        state, 2, {Key(Kind.ROUTE, "c"): encode_table(route("c", path=PathTable(prefix="/view/a"))[1])}
+    )
+    # Of a pair of changes that would overlap, the first in the batch is taken.
+    first = change(
+        state, 3, {Key(Kind.ROUTE, "d"): encode_table(route("d", path=PathTable(exact="/view/d"))[1])}
+    )
+    late = change(
+        state, 4, {Key(Kind.ROUTE, "e"): encode_table(route("e", path=PathTable(exact="/view/d"))[1])}
+    )
+    assert good and bad and first and late
+    found = assemble(state, [good, bad, first, late], validator)
+    assert [one.id for one in found.batch.changes] == [good.id, first.id]
+    assert [
+        (one.id, error.problems[0].resource, error.problems[0].field) for one, error in found.refused
+    ] == [
+        (bad.id, "route 'c'", "path"),
+        (late.id, "route 'e'", "path"),
+    ]
+    assert "overlaps route 'a'" in found.refused[0][1].problems[0].reason
+    assert set(validator.plan.by_name) == {"a", "b", "d"}
+    assert validator.plan.scopes() == plan_of_state(found.state, SETTINGS).scopes()
+
+
+def test_routes_that_change_places_in_one_change_do_not_overlap() -> None:
+    state = state_of(
+        route("a", path=PathTable(prefix="/view/a")), route("b", path=PathTable(prefix="/view/b"))
+    )
+    plan = plan_of_state(state, SETTINGS)
+    swap = change(
+        state,
+        1,
+        {
+            Key(Kind.ROUTE, "a"): encode_table(route("a", path=PathTable(prefix="/view/b"))[1]),
+            Key(Kind.ROUTE, "b"): encode_table(route("b", path=PathTable(prefix="/view/a"))[1]),
+        },
+    )
+    assert swap is not None
+    after = plan_after(plan, state.applied([swap], 2), [o.key for o in swap.operations], SETTINGS)
+    assert [p.apply(b"GET", b"/view/a", {}).scope for p in (plan, after)] == ["a", "b"]  # type: ignore[union-attr]
+
+
+def test_a_change_of_a_class_or_of_the_defaults_meets_the_routes_that_inherit_it() -> None:
+    own = LimitsTable(request_timeout=100 * MS)
+    state = state_of(
+        route("own", path=PathTable(prefix="/view/own"), limits=own),
+        route("none", path=PathTable(prefix="/view/none")),
+        route("other", path=PathTable(prefix="/send/x")),
+    )
+    plan = plan_of_state(state, SETTINGS)
+    table = ClassTable(limits=LimitsTable(attempt_timeout=150 * MS))
+    wanted = change(state, 1, {Key(Kind.CLASS, "view"): encode_table(table)})
+    assert wanted is not None
+    with pytest.raises(ChangeRefused) as caught:
+        plan_after(plan, state.applied([wanted], 2), [Key(Kind.CLASS, "view")], SETTINGS)
+    (problem,) = caught.value.problems
+    assert (problem.resource, problem.field) == ("class 'view'", "limits.attempt_timeout")
+    assert "in force for [route 'own'.limits]" in problem.reason
+    good = change(state, 1, {DEFAULTS: encode_table(LimitsTable(in_flight=3))})
+    assert good is not None
+    after = plan_after(plan, state.applied([good], 2), [DEFAULTS], SETTINGS)
+    assert [after.by_name[name].limits[0].in_flight for name in ("own", "none")] == [3, 3]
+    assert after.by_class[1].in_flight == 3 and plan.by_class[1].in_flight == 0
+
+
+@pytest.mark.parametrize("count", [200, 2000])
+def test_one_changed_route_makes_few_new_nodes(count: int) -> None:
+    """The cost is told by what is shared, not by time: all routes but one are the same objects."""
+    state = state_of(*(route(f"r{n}", path=PathTable(exact=f"/view/x/{n}")) for n in range(count)))
+    plan = plan_of_state(state, SETTINGS)
+    key, table = route("r7", path=PathTable(exact="/view/x/7"), limits=LimitsTable(in_flight=2))
+    made = change(state, 1, {key: encode_table(table)})
+    assert made is not None
+    after = plan_after(plan, state.applied([made], 2), [key], SETTINGS)
+    assert plan.matcher.any is not None and after.matcher.any is not None
+    old, new = (p.matcher.any.literal["view"].literal["x"].literal for p in (plan, after))  # type: ignore[union-attr]
+    assert isinstance(new, dict) is (count <= 256)
+    assert [name for name in new if new[name] is not old[name]] == ["7"]
+    assert list(after.gone_since(plan) or ()) == [] and plan.gone_since(after) is None
+
+
+def test_a_plan_knows_what_went_away_since_the_last_ones() -> None:
+    state = state_of(*(route(f"r{n}", path=PathTable(exact=f"/view/{n}")) for n in range(70)))
+    plans = [plan_of_state(state, SETTINGS)]
+    for n in range(70):
+        key = Key(Kind.ROUTE, f"r{n}")
+        made = change(state, n + 1, {key: None})
+        assert made is not None
+        state = state.applied([made], state.revision + 1)
+        plans.append(plan_after(plans[-1], state, [key], SETTINGS))
+    assert sorted(plans[-1].gone_since(plans[-4]) or ()) == ["r67", "r68", "r69"]
+    assert plans[-1].gone_since(plans[0]) is None  # so long ago that nobody knows
+    assert plans[-1].gone_since(compile_plan(tables_of(state), SETTINGS)) is None
+
+
+def test_tables_are_msgspec_structs_all_the_way() -> None:
+    """Equal tables have equal bodies, whatever objects stand in for their defaults."""
+    one = RouteTable(name="a", limits=LimitsTable(), path=PathTable(prefix="/"))
+    assert encode_table(one) == encode_table(RouteTable(name="a")) == msgspec.msgpack.encode({"name": "a"})
--- a/tests/test_routing_matcher.py
+++ b/tests/test_routing_matcher.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 from itertools import combinations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from routing import tree
 from routing.matcher import HeaderRule, Matcher, best, overlaps, takes
 from routing.paths import Pattern, parse_pattern
 
@@ -179,3 +181,57 @@
     for first, second in combinations(takers, 2):
         if _rank_of(first, ask) == _rank_of(second, ask):
             assert {first.name, second.name} <= named
+
+
+@pytest.mark.parametrize("copied", [256, 2])
+def test_routes_that_come_and_go_are_as_if_compiled_at_once(copied: int) -> None:
+    """Also where every container is large; no older matcher is changed by it."""
+
+    @settings(max_examples=300)
+    @given(st.lists(rules_of(), min_size=1, max_size=4), st.data())
+    def play(batches: list[list[Rule]], data: st.DataObject) -> None:
+        matcher: Matcher[Rule] = Matcher()
+        rules: list[Rule] = []
+        for rule in (rule for batch in batches for rule in batch):
+            old, before = matcher, [*rules]
+            if rules and data.draw(st.integers(0, 3)) == 0:
+                gone = rules.pop(data.draw(st.integers(0, len(rules) - 1)))
+                matcher = matcher.without_route(gone)
+            new = Rule(f"n{len(before)}-{rule.name}", rule.pattern, rule.hosts, rule.methods, rule.headers)
+            whole = [pair for pair in overlaps([*rules, new]) if new in (pair.first, pair.second)]
+            clashing = {pair.first.name if pair.second is new else pair.second.name for pair in whole}
+            found = [other.name for other in matcher.undecided_with(new)]
+            assert sorted(found) == sorted(clashing)
+            if not found:
+                matcher = matcher.with_route(new)
+                rules.append(new)
+            for which, taken in ((old, before), (matcher, rules)):
+                ask = data.draw(ASKS)
+                segments = tuple(ask.path[1:].split("/"))
+                hit = which.find(ask.method, ask.host, segments, ask.given)
+                assert hit is best(taken, ask.method, ask.host, segments, ask.given)
+        for rule in rules:
+            matcher = matcher.without_route(rule)
+        assert not matcher.exact and not matcher.wild and matcher.any is None
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(tree, "MAX_COPIED", copied)
+        play()
+
+
+def test_an_index_of_shared_headers_is_kept_up() -> None:
+    """Many routes of one place and two sets of headers, in one of which each differs."""
+
+    def rule(name: str, other: bytes, value: int) -> Rule:
+        return route(name, headers=(HeaderRule(b"key", b"%d" % value), HeaderRule(other, b"1")))
+
+    matcher: Matcher[Rule] = Matcher()
+    added = [rule(f"a{n}", b"x", n) for n in range(300)] + [rule(f"b{n}", b"y", 300 + n) for n in range(300)]
+    for one in added:
+        assert not list(matcher.undecided_with(one))
+        matcher = matcher.with_route(one)
+    assert [other.name for other in matcher.undecided_with(rule("c", b"y", 7))] == ["a7"]
+    assert [other.name for other in matcher.undecided_with(rule("c", b"x", 307))] == ["b7"]
+    fewer = matcher.without_route(added[7])
+    assert not list(fewer.undecided_with(rule("c", b"y", 7)))
+    assert [other.name for other in matcher.undecided_with(rule("c", b"y", 7))] == ["a7"]
