--- a/tests/test_group_commit.py
+++ b/tests/test_group_commit.py
@@ -180,12 +180,12 @@
         while len(queue):
             assembled = taken(queue, state)
             rounds += 1
+            assert rounds <= most, bad
             if changes[bad] in assembled.batch.changes:
                 queue.dropped(assembled.batch, {}, 0, CANNOT)
             else:
                 queue.decided(assembled.batch, 0)
                 state = assembled.state
-        assert rounds <= most, (bad, rounds)
         assert queue.outcome(changes[bad].id, 0) == Refused(CANNOT)
         good = [one for n, one in enumerate(changes) if n != bad]
         assert all(isinstance(queue.outcome(one.id, 0), InForce) for one in good)
@@ -243,6 +243,23 @@
     assert answers[3] == Busy(SECOND)
 
 
+def test_the_bytes_that_wait_are_part_of_the_estimate() -> None:
+    size = len(encode_change(change_of(10)))
+    queue = ProposalQueue(
+        QueueSettings(linger_ns=0, max_batch_bytes=size, max_wait_ns=2 * SECOND, initial_batch_ns=SECOND)
+    )
+    state = EMPTY
+    for n in range(10):  # one batch after another leaves nothing behind
+        assert queue.offer(change_of(n), state, 0) == Queued(0, SECOND)
+        assembled = taken(queue, state)
+        queue.decided(assembled.batch, 0)
+        queue.batch_ns = SECOND  # as if it had taken so long
+        state = assembled.state
+    assert isinstance(queue.offer(change_of(10), state, 0), Queued)
+    assert queue.offer(change_of(11), state, 0) == Queued(1, 2 * SECOND)
+    assert queue.offer(change_of(12), state, 0) == Busy(SECOND)
+
+
 def test_the_time_that_batches_take_is_measured_and_one_that_hangs_counts_at_once() -> None:
     settings = QueueSettings(linger_ns=0, max_wait_ns=3 * SECOND, initial_batch_ns=100 * MILLISECOND)
     queue = ProposalQueue(settings)
@@ -409,10 +426,11 @@
         self.number += 1
         theirs = assemble(self.state, (*some, change_of(self.number, made_on=self.state.revision)))
         self.decide(theirs)
-        if told or self.assembled is None:
+        if told:
             self.queue.decided(theirs.batch, self.now)
-        else:
+        elif self.assembled is not None:
             self.queue.lost(self.assembled.batch, self.state, self.now)
+        # Else this keeper heard of it by a snapshot: only the state tells.
         self.assembled = None
 
     @invariant()
