Capacity rig: slopes of servers, routes, tenants, starts and requests by size

Need: figures at the expected size must come from slopes that were run. One command measures each size in a process of its own (processor time, growth of PSS), fits lines and powers with residuals, flags bends, and gives no figure where the process was kept from its core or a timer was late.

--- /dev/null
+++ b/benchmarks/capacity/__main__.py
@@ -0,0 +1,68 @@
+"""The command: sizes in, a table out; JSON and a plot where they are asked for."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from . import report, runner
+from .measurement import Measurement, NotCarried
+from .registry import MEASUREMENTS
+
+__all__ = ["main"]
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """0 if each run was carried, 1 if one was not, 2 for bad arguments."""
+    parser = _parser()
+    words = parser.parse_args(arguments)
+    if words.one:
+        name, size = words.one
+        runner.limit_memory()
+        print(runner.encode(runner.run_here(name, int(size))))
+        return 0
+    unknown = [name for name in words.names if name not in MEASUREMENTS]
+    if unknown:
+        parser.error(f"no such measurement: {', '.join(unknown)}; there are {', '.join(MEASUREMENTS)}")
+    chosen = [MEASUREMENTS[name] for name in words.names or MEASUREMENTS]
+    plan = [(one, _sizes(one, words)) for one in chosen]
+    found = runner.run_all(plan, lambda outcome: print(report.outcome_line(outcome), flush=True))
+    print("\n" + report.as_table(found))
+    if words.json:
+        words.json.write_bytes(report.as_json(found) + b"\n")
+    if words.plot:
+        report.plot(found, words.plot)
+    return int(any(isinstance(one, NotCarried) for one in found))
+
+
+def _sizes(measurement: Measurement, words: argparse.Namespace) -> tuple[int, ...]:
+    if words.sizes:
+        return tuple(words.sizes)
+    return measurement.quick if words.quick else measurement.sizes
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="python -m benchmarks.capacity",
+        description="What the control plane costs by the size of its state.",
+        epilog="Measurements: "
+        + "; ".join(f"{one.name} ({one.title}; {one.counted})" for one in MEASUREMENTS.values()),
+    )
+    parser.add_argument("names", nargs="*", help="measurements; all where none is named")
+    parser.add_argument(
+        "--sizes", type=_numbers, help="sizes with commas between them, in place of the usual"
+    )
+    parser.add_argument("--quick", action="store_true", help="the small sizes of the tests")
+    parser.add_argument("--json", type=Path, help="also write outcomes and fits here")
+    parser.add_argument("--plot", type=Path, help="also draw them here")
+    parser.add_argument("--one", nargs=2, metavar=("NAME", "SIZE"), help="one size, in this very process")
+    return parser
+
+
+def _numbers(text: str) -> list[int]:
+    return [int(part.replace("_", "")) for part in text.split(",")]
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/capacity/fits.py
@@ -0,0 +1,187 @@
+"""Straight-line and power fits of a figure by size, with residuals. Pure.
+
+Both fits weigh relative errors: a straight line over sizes from 1,000 to 100,000 would otherwise be decided
+by the largest size alone.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import pairwise
+
+__all__ = ["Extrapolation", "Fit", "Line", "Point", "Power", "extrapolate", "fit", "fit_line", "fit_power"]
+
+# A straight line that misses a point by more than this part, or two neighbouring slopes further apart than
+# this factor, is not taken for straight.
+MOST_RESIDUAL = 0.25
+MOST_SLOPE_CHANGE = 1.6
+# An exponent this far from 1 is a bend also where the few points fit a line.
+MOST_EXPONENT_DISTANCE = 0.25
+LEAST_POINTS_FOR_A_BEND = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """A figure at a size."""
+
+    size: float
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """value = base + slope * size. residuals: (value - line) / value, point by point."""
+
+    base: float
+    slope: float
+    residuals: tuple[float, ...]
+
+    def at(self, size: float) -> float:
+        """The line's value at a size."""
+        return self.base + self.slope * size
+
+    @property
+    def worst(self) -> float:
+        """The largest residual, without its sign."""
+        return max((abs(one) for one in self.residuals), default=0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Power:
+    """value = factor * size ** exponent. residuals: (value - power) / value, point by point."""
+
+    factor: float
+    exponent: float
+    residuals: tuple[float, ...]
+
+    def at(self, size: float) -> float:
+        """The power's value at a size."""
+        return float(self.factor * size**self.exponent)
+
+    @property
+    def worst(self) -> float:
+        """The largest residual, without its sign."""
+        return max((abs(one) for one in self.residuals), default=0.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """Both fits of the same points. power: None where a value is not above 0.
+
+    bends: with three sizes or more, a straight line through them does not hold.
+    """
+
+    points: tuple[Point, ...]
+    line: Line
+    power: Power | None
+    bends: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Extrapolation:
+    """A figure at a size: least and most are what the fits say; beyond: times the largest size of a run."""
+
+    size: float
+    least: float
+    most: float
+    beyond: float
+
+
+def fit_line(points: Sequence[Point]) -> Line:
+    """The line with the least squares of relative residuals. ValueError: fewer than two sizes."""
+    if len({point.size for point in points}) < 2:
+        raise ValueError("points: a line needs at least two sizes")
+    weights = [1.0 / max(abs(point.value), 1e-12) ** 2 for point in points]
+    whole = sum(weights)
+    mean_size = sum(w * p.size for w, p in zip(weights, points, strict=True)) / whole
+    mean_value = sum(w * p.value for w, p in zip(weights, points, strict=True)) / whole
+    spread = sum(w * (p.size - mean_size) ** 2 for w, p in zip(weights, points, strict=True))
+    together = sum(
+        w * (p.size - mean_size) * (p.value - mean_value) for w, p in zip(weights, points, strict=True)
+    )
+    slope = together / spread
+    base = mean_value - slope * mean_size
+    residuals = tuple(_relative(p.value, base + slope * p.size) for p in points)
+    return Line(base, slope, residuals)
+
+
+def fit_power(points: Sequence[Point]) -> Power | None:
+    """The power with the least squares of logarithms; None where a size or a value is not above 0."""
+    if any(point.size <= 0 or point.value <= 0 for point in points):
+        return None
+    logs = [(math.log(point.size), math.log(point.value)) for point in points]
+    mean_size = sum(x for x, _ in logs) / len(logs)
+    mean_value = sum(y for _, y in logs) / len(logs)
+    spread = sum((x - mean_size) ** 2 for x, _ in logs)
+    if spread == 0:
+        return None
+    exponent = sum((x - mean_size) * (y - mean_value) for x, y in logs) / spread
+    factor = math.exp(mean_value - exponent * mean_size)
+    residuals = tuple(_relative(p.value, factor * p.size**exponent) for p in points)
+    return Power(factor, exponent, residuals)
+
+
+def fit(points: Sequence[Point]) -> Fit:
+    """Both fits, and whether the points bend. ValueError: fewer than two sizes."""
+    ordered = tuple(sorted(points, key=lambda point: point.size))
+    line = fit_line(ordered)
+    power = fit_power(ordered)
+    return Fit(ordered, line, power, _bends(ordered, line, power))
+
+
+def extrapolate(found: Fit, size: float) -> Extrapolation:
+    """What the fits say of a size, or what was run there; they differ where the points bend or are few."""
+    last = found.points[-1]
+    known = [point.value for point in found.points if point.size == size]
+    if known:
+        values = known
+    elif _flat(found.points):
+        values = [point.value for point in found.points]
+    else:
+        values = _beyond(found, size)
+    return Extrapolation(size, min(values), max(values), size / last.size)
+
+
+def _beyond(found: Fit, size: float) -> list[float]:
+    values = [max(0.0, found.line.at(size)), _last_slope(found.points, size)]
+    if found.power is not None and (found.bends or len(found.points) < LEAST_POINTS_FOR_A_BEND):
+        values.append(found.power.at(size))
+    return values
+
+
+def _last_slope(points: Sequence[Point], size: float) -> float:
+    """The line through the two largest sizes: what counts where an earlier part was flat or steep."""
+    before, last = points[-2], points[-1]
+    if last.size == before.size:
+        return last.value
+    slope = (last.value - before.value) / (last.size - before.size)
+    return max(0.0, last.value + slope * (size - last.size))
+
+
+def _bends(points: Sequence[Point], line: Line, power: Power | None) -> bool:
+    if len(points) < LEAST_POINTS_FOR_A_BEND:
+        return False
+    if _flat(points):
+        return False
+    if line.worst > MOST_RESIDUAL:
+        return True
+    slopes = [
+        (after.value - before.value) / (after.size - before.size)
+        for before, after in pairwise(points)
+        if after.size > before.size
+    ]
+    if min(slopes) <= 0 or max(slopes) / min(slopes) > MOST_SLOPE_CHANGE:
+        return True
+    return line.base < 0 and power is not None and power.exponent > 1 + MOST_EXPONENT_DISTANCE
+
+
+def _flat(points: Sequence[Point]) -> bool:
+    """Whether the figure does not depend on the size, as far as its noise tells."""
+    values = [point.value for point in points]
+    return min(values) > 0 and max(values) / min(values) <= 1 + MOST_RESIDUAL
+
+
+def _relative(value: float, fitted: float) -> float:
+    return (value - fitted) / max(abs(value), 1e-12)
--- /dev/null
+++ b/benchmarks/capacity/registry.py
@@ -0,0 +1,69 @@
+"""The one table of all measurements. A new one is a function of a size in a module, and a line here."""
+
+from __future__ import annotations
+
+from . import requests, routes, servers, starts, target, tenants
+from .measurement import Measurement
+
+__all__ = ["MEASUREMENTS"]
+
+CPU_MEMORY = {"cpu_s": "s", "memory_kb": "KB"}
+
+_ALL = (
+    Measurement(
+        "servers-list", "whole list of servers into the module, 2,900 nodes told", "servers",
+        CPU_MEMORY, (1_000, 3_000, 10_000), (50, 100), servers.whole_list, target.SERVERS,
+    ),
+    Measurement(
+        "server-changed", "one changed server", "servers",
+        {"cpu_ms": "ms"}, (1_000, 3_000, 10_000), (50, 100), servers.changed_server, target.SERVERS,
+    ),
+    Measurement(
+        "connections", "servers that a node is connected to, at 690 requests/s", "servers",
+        {"connections": "connections", "request_cpu_us": "us"}, (300, 1_000, 3_000), (10, 20),
+        servers.connections, target.SERVERS,
+    ),
+    Measurement(
+        "routes-compiled", "an operator file of routes with limits, compiled", "routes",
+        CPU_MEMORY, (1_000, 3_000, 10_000, 30_000, 110_000), (50, 100), routes.compiled, target.ROUTES,
+    ),
+    Measurement(
+        "routes-compiled-short", "an operator file of routes without limits, compiled", "routes",
+        CPU_MEMORY, (1_000, 10_000, 30_000, 110_000), (50, 100), routes.compiled_short, target.ROUTES,
+    ),
+    Measurement(
+        "route-changed-by-file", "one changed route, the file read and compiled anew", "routes",
+        {"cpu_s": "s"}, (1_000, 3_000, 10_000), (50, 100), routes.changed_route, target.ROUTES,
+    ),
+    Measurement(
+        "tenants-named", "tenants in a node's configuration", "tenants",
+        CPU_MEMORY, (3_000, 30_000, 300_000), (50, 100), tenants.named, target.TENANTS,
+    ),
+    Measurement(
+        "tenant-buckets", "buckets of tenants at one route", "tenants",
+        CPU_MEMORY, (3_000, 30_000, 300_000), (50, 100),
+        tenants.buckets, target.TENANTS,
+    ),
+    Measurement(
+        "start-from-file", "a process started, routes from a file", "routes",
+        {"cpu_s": "s"}, (100, 1_000, 10_000), (10, 20), starts.from_file, target.ROUTES,
+    ),
+    Measurement(
+        "start-from-accord", "a process started, routes from its accord's folder", "routes",
+        {"cpu_s": "s"}, (100, 1_000, 3_000, 10_000), (10, 20), starts.from_accord_folder, target.ROUTES,
+    ),
+    Measurement(
+        "request-route", "the route of a request", "routes",
+        {"cpu_us": "us"}, (1_000, 10_000, 110_000), (50, 100), requests.routed, target.ROUTES,
+    ),
+    Measurement(
+        "request-server", "a request and its answer in the decision module", "servers",
+        {"cpu_us": "us"}, (300, 1_000, 3_000, 10_000), (50, 100), requests.looked_up, target.SERVERS,
+    ),
+    Measurement(
+        "request-rejected", "a rejection, compared with all tenants", "tenants",
+        {"cpu_us": "us"}, (3_000, 30_000, 300_000), (50, 100), requests.turned_away, target.TENANTS,
+    ),
+)  # fmt: skip
+
+MEASUREMENTS = {one.name: one for one in _ALL}
--- /dev/null
+++ b/benchmarks/capacity/routes.py
@@ -0,0 +1,55 @@
+"""Routes of an operator file: compiled, changed, kept in memory."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from lynxrouter.interface import Settings
+from routing.gate import Gate
+from routing.plan import Plan, compile_file
+from routing.problems import OperatorError
+
+from . import samples
+from .measurement import Figures, RefusedSize
+from .meter import metered
+
+__all__ = ["changed_route", "compiled", "compiled_short"]
+
+MIB = 1 << 20
+
+
+def compiled(size: int) -> Figures:
+    """An operator file of routes with limits, read, checked and compiled."""
+    return _compiled(samples.routes_file, size)
+
+
+def compiled_short(size: int) -> Figures:
+    """The same with routes that have no limits of their own, so that more of them fit into a file."""
+    return _compiled(samples.short_routes_file, size)
+
+
+def changed_route(size: int) -> Figures:
+    """One route more or less, as it works with a file: all of it is read and compiled anew."""
+    settings = samples.settings()
+    gate = Gate(_plan(samples.routes_file(size), settings), 1, 0)
+    text = samples.routes_file(size).replace("/halls/h0'", "/halls/other'", 1)
+    with metered() as spent:
+        gate.take_over(_plan(text, settings))
+    return Figures({"cpu_s": spent.cpu_s}, spent)
+
+
+def _compiled(file: Callable[[int], str], size: int) -> Figures:
+    text = file(size)
+    settings = samples.settings()
+    with metered(memory=True) as spent:
+        plan = _plan(text, settings)
+    assert len(plan.routes) == size
+    values = {"cpu_s": spent.cpu_s, "memory_kb": spent.memory / 1024}
+    return Figures(values, spent, {"file_mib": len(text) / MIB, "peak_mb": spent.peak / MIB})
+
+
+def _plan(text: str, settings: Settings) -> Plan:
+    try:
+        return compile_file(text, settings)
+    except OperatorError as error:
+        raise RefusedSize(str(error).splitlines()[0][:200]) from None
--- /dev/null
+++ b/benchmarks/capacity/tenants.py
@@ -0,0 +1,55 @@
+"""Tenants: named in a node's configuration, and their buckets once they have sent requests."""
+
+from __future__ import annotations
+
+from elderscale.config import settings_of
+from lynxrouter import Balancer
+from routing.gate import Gate
+from routing.limits import Effective
+from routing.plan import compile_file
+
+from . import samples
+from .measurement import Figures
+from .meter import metered
+
+__all__ = ["buckets", "named"]
+
+SECOND = 1_000_000_000
+# As many keys as a bucket may keep apart, at the most.
+LIMITS = "limits = { rate = { per_second = 10, burst = 10, by = 'tenant', most_keys = 1000000 } }\n"
+
+
+def named(size: int) -> Figures:
+    """So many tenants in the settings of a node, read from its configuration and told to the module."""
+    configuration = _configuration(size)
+    with metered(memory=True) as spent:
+        settings = settings_of(configuration)
+        balancer = Balancer(settings, 1, SECOND)
+    assert len(balancer.settings.tenants) == size
+    return Figures({"cpu_s": spent.cpu_s, "memory_kb": spent.memory / 1024}, spent)
+
+
+def buckets(size: int) -> Figures:
+    """The bucket of each of so many tenants at one route, once each has sent a request."""
+    file = f"[[route]]\nname = 'r'\npath.prefix = '/{samples.CLASS}/x'\n{LIMITS}"
+    plan = compile_file(file, samples.settings())
+    gate = Gate(plan, 1, 0)
+    limits = plan.apply(b"GET", f"/{samples.CLASS}/x".encode(), {})
+    assert isinstance(limits, Effective)
+    with metered(memory=True) as spent:
+        for tenant in range(size):
+            gate.admit(limits, tenant, {}, SECOND + tenant)
+    return Figures({"cpu_s": spent.cpu_s, "memory_kb": spent.memory / 1024}, spent)
+
+
+def _configuration(size: int) -> dict[str, object]:
+    return {
+        "balancers": 2,
+        "zones": ["a"],
+        "kinds": ["m"],
+        "categories": [{"name": samples.CLASS, "effect": "retryable", "slo": SECOND, "give-up": 2 * SECOND}],
+        "tenants": [
+            {"name": tenant.name, "share": tenant.share, "allowance-per-s": tenant.allowance}
+            for tenant in samples.tenants(size)
+        ],
+    }
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,146 @@
+"""The capacity rig: fits recover known slopes and see a bend, a late run has no figure, each part runs."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from pathlib import Path
+
+import pytest
+
+from benchmarks.capacity import report, runner
+from benchmarks.capacity.__main__ import main
+from benchmarks.capacity.fits import Point, extrapolate, fit, fit_line, fit_power
+from benchmarks.capacity.measurement import Figures, Measured, Measurement, NotCarried, Rejected, judge
+from benchmarks.capacity.meter import LatenessProbe, Limits, Spent, late_reason, metered
+from benchmarks.capacity.registry import MEASUREMENTS
+
+SIZES = (1_000, 3_000, 10_000, 30_000)
+
+
+def noisy(value: float, chance: random.Random) -> float:
+    return value * chance.uniform(0.97, 1.03)
+
+
+def test_a_straight_line_is_recovered_and_goes_on_to_a_size_that_was_not_run() -> None:
+    chance = random.Random(1)
+    found = fit([Point(size, noisy(5.0 + 0.002 * size, chance)) for size in SIZES])
+    assert found.line.slope == pytest.approx(0.002, rel=0.1)
+    assert found.line.worst < 0.1 and not found.bends
+    at = extrapolate(found, 120_000)
+    assert at.least == pytest.approx(245.0, rel=0.15) and at.most == pytest.approx(245.0, rel=0.15)
+    assert at.beyond == 4.0
+
+
+@pytest.mark.parametrize("exponent", [0.5, 1.5, 2.0])
+def test_a_power_is_recovered_and_said_to_bend(exponent: float) -> None:
+    chance = random.Random(2)
+    found = fit([Point(size, noisy(0.01 * size**exponent, chance)) for size in SIZES])
+    assert found.power is not None
+    assert found.power.exponent == pytest.approx(exponent, abs=0.05)
+    assert found.bends and found.power.worst < 0.1
+
+
+def test_a_line_that_turns_steep_is_said_to_bend() -> None:
+    points = [Point(1_000, 1.0), Point(3_000, 3.0), Point(10_000, 30.0)]
+    found = fit(points)
+    assert found.bends
+    at = extrapolate(found, 20_000)
+    assert at.least < at.most
+
+
+def test_a_figure_that_does_not_depend_on_the_size_is_no_bend() -> None:
+    found = fit([Point(1_000, 2.0), Point(3_000, 1.9), Point(10_000, 2.1)])
+    assert not found.bends
+    at = extrapolate(found, 110_000)
+    assert (at.least, at.most) == (1.9, 2.1)
+
+
+def test_what_was_run_at_a_size_stands_for_it() -> None:
+    found = fit([Point(1_000, 1.0), Point(3_000, 2.9), Point(10_000, 11.0)])
+    assert extrapolate(found, 10_000).least == extrapolate(found, 10_000).most == 11.0
+
+
+def test_too_few_sizes_and_values_that_are_none_have_no_fit() -> None:
+    with pytest.raises(ValueError, match="two sizes"):
+        fit_line([Point(1_000, 1.0), Point(1_000, 2.0)])
+    assert fit_power([Point(1_000, 0.0), Point(3_000, 1.0)]) is None
+
+
+def test_a_run_that_is_late_has_no_figure() -> None:
+    limits = Limits(waited_part=0.5, waited_s=0.1, worst_late_s=0.2)
+    figures = {"cpu_s": 1.0}
+    measurement = Measurement(
+        "x", "x", "x", {"cpu_s": "s"}, (1,), (1,), lambda size: Figures({}, Spent()), 1, limits
+    )
+    fine = judge(measurement, 1, Figures(figures, Spent(cpu_s=1.0, wall_s=2.0, waited_s=0.9)))
+    assert isinstance(fine, Measured) and fine.values == figures
+    for spent, reason in (
+        (Spent(cpu_s=1.0, wall_s=2.0, waited_s=1.1), "kept from its core for 55 %"),
+        (Spent(cpu_s=1.0, wall_s=2.0, late_s=0.3), "300 ms late"),
+    ):
+        late = judge(measurement, 1, Figures(figures, spent))
+        assert isinstance(late, NotCarried) and reason in late.reason
+    # So short a stretch tells nothing of how busy the machine is.
+    assert not late_reason(Spent(wall_s=0.01, waited_s=0.009), limits)
+
+
+def test_the_probe_sees_a_loop_that_stood_still() -> None:
+    async def play() -> tuple[float, float]:
+        probe = LatenessProbe(every=0.005)
+        probe.start()
+        await asyncio.sleep(0.02)
+        time.sleep(0.15)
+        overdue = probe.worst
+        await asyncio.sleep(0.02)
+        probe.stop()
+        return overdue, probe.worst
+
+    overdue, worst = asyncio.run(play())
+    assert overdue > 0.1 and worst > 0.1
+
+
+def test_the_meter_counts_processor_time_and_memory_of_the_process() -> None:
+    with metered(memory=True) as spent:
+        kept = [str(n) for n in range(200_000)]
+    assert len(kept) == 200_000
+    assert spent.cpu_s > 0.0
+    assert 8 << 20 < spent.memory < 64 << 20
+    with metered() as idle:
+        time.sleep(0.05)
+    assert idle.cpu_s < 0.04 < idle.wall_s
+
+
+@pytest.mark.parametrize("name", [name for name, one in MEASUREMENTS.items() if not one.processes])
+def test_small_sizes_of_each_measurement_run(name: str) -> None:
+    measurement = MEASUREMENTS[name]
+    size = measurement.quick[-1]
+    figures = measurement.run(size)
+    assert set(figures.values) == set(measurement.quantities)
+    assert all(value == value for value in figures.values.values())
+
+
+def test_the_command_runs_each_size_in_a_process_and_writes_table_and_json(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "out.json"
+    assert main(["tenants-named", "--sizes", "100,200,400", "--json", str(path)]) == 0
+    told = capsys.readouterr().out
+    assert told.count("tenants-named") >= 6 and "at 300,000" in told
+    found = json.loads(path.read_text())
+    assert [one["size"] for one in found["outcomes"]] == [100, 200, 400]
+    assert {one["quantity"] for one in found["series"]} == {"cpu_s", "memory_kb"}
+
+
+def test_a_size_that_the_code_refuses_is_told_with_its_reason() -> None:
+    outcome = runner.run_here("start-from-accord", 5_000)
+    assert isinstance(outcome, Rejected) and "file:" in outcome.reason
+    assert runner.decode(runner.encode(outcome)) == outcome
+    assert "refused" in report.outcome_line(outcome)
+
+
+def test_a_run_that_ends_badly_has_no_figure() -> None:
+    outcome = runner.run_one(MEASUREMENTS["servers-list"], -1)
+    assert isinstance(outcome, NotCarried) and "ended with 1" in outcome.reason
