--- a/benchmarks/capacity/measurement.py
+++ b/benchmarks/capacity/measurement.py
@@ -5,15 +5,29 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from .meter import Limits, Spent, late_reason
+from hollow.meter import Limits, Spent, late_reason
 
-__all__ = ["Figures", "Measured", "Measurement", "NotCarried", "Outcome", "RefusedSize", "Rejected", "judge"]
+__all__ = [
+    "Figures",
+    "Measured",
+    "Measurement",
+    "NotCarried",
+    "Outcome",
+    "RefusedSize",
+    "Rejected",
+    "RunFailed",
+    "judge",
+]
 
 
 class RefusedSize(Exception):
     """What is measured refuses this size; the text is its own reason."""
 
 
+class RunFailed(Exception):
+    """The rig could not carry a run; the text says what failed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Figures:
     """What a run found, by name of the quantity; spent: what the rig was while it ran.
--- a/benchmarks/capacity/requests.py
+++ b/benchmarks/capacity/requests.py
@@ -4,6 +4,7 @@
 
 import gc
 
+from hollow.meter import metered
 from lynxrouter import Balancer
 from lynxrouter import interface as api
 from routing.plan import compile_file
@@ -11,7 +12,7 @@
 from .. import matcher
 from . import samples
 from .measurement import Figures
-from .meter import metered
+from .servers import FEW_NODES
 
 __all__ = ["looked_up", "routed", "turned_away"]
 
@@ -39,7 +40,7 @@
 
 def looked_up(size: int) -> Figures:
     """A request and its answer in the decision module, with so many servers."""
-    balancer = Balancer(samples.settings(), 1, SECOND)
+    balancer = Balancer(samples.settings(FEW_NODES), 1, SECOND)
     balancer.handle(2 * SECOND, samples.server_list(size))
     gc.collect()
     now = 3 * SECOND
--- a/benchmarks/capacity/routes.py
+++ b/benchmarks/capacity/routes.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from hollow.meter import metered
 from lynxrouter.interface import Settings
 from routing.gate import Gate
 from routing.plan import Plan, compile_file
@@ -11,7 +12,6 @@
 
 from . import samples
 from .measurement import Figures, RefusedSize
-from .meter import metered
 
 __all__ = ["changed_route", "compiled", "compiled_short"]
 
--- a/benchmarks/capacity/runner.py
+++ b/benchmarks/capacity/runner.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from .measurement import Measured, Measurement, NotCarried, Outcome, RefusedSize, Rejected, judge
+from .measurement import Measured, Measurement, NotCarried, Outcome, RefusedSize, Rejected, RunFailed, judge
 from .registry import MEASUREMENTS
 
 __all__ = ["MOST_MEMORY_BYTES", "decode", "encode", "run_all", "run_here", "run_one"]
@@ -30,6 +30,8 @@
         return judge(measurement, size, measurement.run(size))
     except RefusedSize as error:
         return Rejected(name, size, str(error))
+    except RunFailed as error:
+        return NotCarried(name, size, str(error))
     except MemoryError:
         return NotCarried(name, size, f"takes more than {MOST_MEMORY_BYTES >> 30} GiB")
 
--- a/benchmarks/capacity/servers.py
+++ b/benchmarks/capacity/servers.py
@@ -5,24 +5,30 @@
 import gc
 import random
 
+from hollow.meter import metered
 from lynxrouter import Balancer
 from lynxrouter import interface as api
 
 from . import samples, target
 from .measurement import Figures
-from .meter import metered
 
-__all__ = ["changed_server", "connections", "whole_list"]
+__all__ = ["FEW_NODES", "changed_server", "connections", "whole_list", "whole_list_few_nodes"]
 
 MS, SECOND, MIB = 1_000_000, 1_000_000_000, 1 << 20
 CHANGES = 20
+# How many nodes are told where that does not matter: each server that is new costs a walk over all of them.
+FEW_NODES = 100
 SERVER_TIME = 10 * MS  # that a request takes at a server
 
 
 def whole_list(size: int) -> Figures:
     """A whole list of servers into a module that knows none."""
+    return _whole_list(size, target.NODES)
+
+
+def _whole_list(size: int, nodes: int) -> Figures:
     listing = samples.server_list(size)
-    balancer = Balancer(samples.settings(), 1, SECOND)
+    balancer = Balancer(samples.settings(nodes), 1, SECOND)
     with metered(memory=True) as spent:
         balancer.handle(2 * SECOND, listing)
     assert len(balancer.servers) == size
@@ -31,6 +37,11 @@
     )
 
 
+def whole_list_few_nodes(size: int) -> Figures:
+    """The same with few nodes told, so that the rest of the work and the memory show up to the whole size."""
+    return _whole_list(size, FEW_NODES)
+
+
 def changed_server(size: int) -> Figures:
     """One server that is replaced by a new process, in a module that knows all."""
     balancer = _filled(size)
@@ -75,7 +86,7 @@
 
 
 def _filled(size: int) -> Balancer:
-    balancer = Balancer(samples.settings(), 1, SECOND)
+    balancer = Balancer(samples.settings(FEW_NODES), 1, SECOND)
     balancer.handle(2 * SECOND, samples.server_list(size))
     gc.collect()
     return balancer
--- a/benchmarks/capacity/starts.py
+++ b/benchmarks/capacity/starts.py
@@ -11,10 +11,10 @@
 
 from accord.policy import MOST_BYTES, Refused, first
 from accord.shelf import Shelf
+from hollow.meter import Spent, metered
 
 from . import samples
 from .measurement import Figures, RefusedSize
-from .meter import Spent, metered
 
 __all__ = ["from_accord_folder", "from_file"]
 
--- a/benchmarks/capacity/tenants.py
+++ b/benchmarks/capacity/tenants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from elderscale.config import settings_of
+from hollow.meter import metered
 from lynxrouter import Balancer
 from routing.gate import Gate
 from routing.limits import Effective
@@ -10,7 +11,6 @@
 
 from . import samples
 from .measurement import Figures
-from .meter import metered
 
 __all__ = ["buckets", "named"]
 
--- /dev/null
+++ b/hollow/fleet.py
@@ -0,0 +1,186 @@
+"""Processes of hollow nodes and of keepers: started, founded, asked what they counted, ended."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import msgspec
+
+from accord import words as w
+from accord.service import Unreachable
+from elderscale.accord import call, clock
+
+from .messages import Command, Listening, Report, ReportNow, Reset, Silence, Start
+
+__all__ = ["Fleet", "FleetFailed", "Member", "fleet"]
+
+ROOT = Path(__file__).resolve().parents[1]
+KEEPERS = 3
+CALL_LIMIT_S = 10.0
+LOOK_S = 0.1
+READY_LIMIT_S = 90.0
+_NODES_OF_A_BLOCK = 1 << 12  # addresses that each process has for its nodes
+
+
+class FleetFailed(Exception):
+    """A process ended, or what was waited for did not come; the text says which."""
+
+
+class Member:
+    """One process, with what is said to it and what it answers."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self._process = process
+        self.addresses: list[str] = []
+
+    async def listening(self) -> None:
+        """Wait until it says where its nodes are called."""
+        told: Listening = msgspec.json.decode(await self._line(), type=Listening)
+        self.addresses = told.addresses
+
+    async def say(self, command: Command) -> None:
+        """Have a command carried out."""
+        await self._asked(command)
+
+    async def report(self, policy: str = "") -> Report:
+        """What it counted since it was reset."""
+        return msgspec.json.decode(await self._asked(ReportNow(policy)), type=Report)
+
+    async def end(self) -> None:
+        """End it, and wait until it is gone."""
+        assert self._process.stdin is not None
+        self._process.stdin.close()
+        try:
+            async with asyncio.timeout(CALL_LIMIT_S):
+                await self._process.wait()
+        except TimeoutError:
+            self._process.kill()
+            await self._process.wait()
+
+    async def _asked(self, command: Command) -> bytes:
+        assert self._process.stdin is not None
+        self._process.stdin.write(msgspec.json.encode(command) + b"\n")
+        return await self._line()
+
+    async def _line(self) -> bytes:
+        assert self._process.stdout is not None
+        line = await self._process.stdout.readline()
+        if not line:
+            raise FleetFailed(f"a process of hollow nodes ended with {await self._process.wait()}")
+        return line
+
+
+class Fleet:
+    """Three keepers in processes of their own, and processes of hollow nodes."""
+
+    def __init__(self, folder: Path, lease_ms: int) -> None:
+        self.folder = folder
+        self.lease_ms = lease_ms
+        self.keepers: list[Member] = []
+        self.nodes: list[Member] = []
+
+    @property
+    def keeper_addresses(self) -> list[str]:
+        """Where the keepers are called."""
+        return [address for keeper in self.keepers for address in keeper.addresses]
+
+    async def add(self, name: str, nodes: int, compiles: bool) -> Member:
+        """Start a process; its nodes do not ask for leases yet."""
+        number = len(self.keepers) + len(self.nodes) + 1
+        first = number * _NODES_OF_A_BLOCK
+        host = f"127.{64 + (first >> 16)}.{first >> 8 & 255}.{first & 255 | 1}"
+        command = [
+            sys.executable, "-m", "hollow", "--nodes", str(nodes), "--name", name, "--host", host,
+            "--folder", str(self.folder), "--lease-ms", str(self.lease_ms), "--seed", str(number),
+        ]  # fmt: skip
+        process = await asyncio.create_subprocess_exec(
+            *command, *(["--compile"] if compiles else []),
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, cwd=ROOT, limit=1 << 24,
+        )  # fmt: skip
+        member = Member(process)
+        (self.keepers if compiles else self.nodes).append(member)
+        await member.listening()
+        return member
+
+    async def found(self, file: bytes = b"") -> None:
+        """Begin the accord with a file."""
+        for keeper in self.keepers:
+            await keeper.say(Start(self.keeper_addresses))
+        body = w.encode(w.Founding(file=base64.b64encode(file).decode()))
+        await self.call("found", body)
+
+    async def call(self, path: str, body: bytes | None) -> bytes:
+        """Call the first keeper, as an operator does. FleetFailed: it says no, or nothing."""
+        try:
+            return await call(self.keepers[0].addresses[0], path, body, CALL_LIMIT_S)
+        except Unreachable as error:
+            raise FleetFailed(f"{path}: {error}") from None
+
+    async def start_nodes(self) -> None:
+        """Let all hollow nodes ask for leases, and wait until each holds one."""
+        await asyncio.gather(*(member.say(Start(self.keeper_addresses)) for member in self.nodes))
+        await self.until(lambda report: report.serving == report.nodes)
+
+    async def until(self, holds: Callable[[Report], bool], policy: str = "") -> list[Report]:
+        """Ask all processes again and again until this holds for each report. FleetFailed: too late."""
+        end = asyncio.get_running_loop().time() + READY_LIMIT_S
+        while True:
+            reports = await self.reports(policy)
+            if all(holds(report) for report in reports):
+                return reports
+            if asyncio.get_running_loop().time() > end:
+                slow = next(report for report in reports if not holds(report))
+                raise FleetFailed(
+                    f"not within {READY_LIMIT_S:.0f} s: {slow.serving} of {slow.nodes} serve, {slow.problems}"
+                )
+            await asyncio.sleep(LOOK_S)
+
+    async def reports(self, policy: str = "") -> list[Report]:
+        """The reports of all processes, those of the keepers first."""
+        return list(await asyncio.gather(*(one.report(policy) for one in [*self.keepers, *self.nodes])))
+
+    async def reset(self) -> None:
+        """Let all processes count from now on."""
+        await asyncio.gather(*(one.say(Reset()) for one in [*self.keepers, *self.nodes]))
+
+    async def silence(self, part: float) -> int:
+        """Let a part of the hollow nodes end without a word; how many."""
+        counts = [round(part * len(member.addresses)) for member in self.nodes]
+        for member, count in zip(self.nodes, counts, strict=True):
+            await member.say(Silence(count))
+        return sum(counts)
+
+    async def change(self, out: list[str], reason: str = "capacity") -> tuple[str, int]:
+        """Propose that these servers are out; the change's name, and when it was proposed (ns)."""
+        status = msgspec.json.decode(await self.call("", None))
+        body = w.encode(w.Proposing(None, status["keeper"]["digest"], reason, "rig", out))
+        began = clock()
+        changed = w.decode(await self.call("propose", body), w.Changed)
+        return changed.change, began
+
+    async def end(self) -> None:
+        """End all processes."""
+        await asyncio.gather(*(member.end() for member in [*self.keepers, *self.nodes]))
+
+
+@asynccontextmanager
+async def fleet(
+    folder: Path, nodes: int, lease_ms: int, nodes_of_a_process: int = 50, file: bytes = b""
+) -> AsyncIterator[Fleet]:
+    """Keepers that have begun an accord, and so many hollow nodes that hold leases."""
+    one = Fleet(folder, lease_ms)
+    try:
+        for n in range(KEEPERS):
+            await one.add(f"keeper{n}-", 1, compiles=True)
+        for begin in range(0, nodes, nodes_of_a_process):
+            await one.add(f"n{begin:05d}-", min(nodes_of_a_process, nodes - begin), compiles=False)
+        await one.found(file)
+        await one.start_nodes()
+        yield one
+    finally:
+        await one.end()
--- a/benchmarks/capacity/meter.py
+++ b/hollow/meter.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-__all__ = ["LatenessProbe", "Limits", "Spent", "late_reason", "memory_bytes", "metered"]
+__all__ = ["LatenessProbe", "Limits", "Meter", "Spent", "late_reason", "memory_bytes", "metered"]
 
 SECOND = 1_000_000_000
 PROBE_EVERY_S = 0.01
@@ -67,27 +67,45 @@
     return ""
 
 
+class Meter:
+    """What this process spends from the last reset on. memory: also by how much it grows."""
+
+    def __init__(self, memory: bool = False) -> None:
+        self._memory = memory
+        self._size = self._resident = 0
+        self.reset()
+
+    def reset(self) -> None:
+        """Count from now on."""
+        if self._memory:
+            gc.collect()
+            self._size = memory_bytes()
+            self._resident = _peak_resident()
+        self._switches = _preempted()
+        self._waited = _run_queue_wait_ns()
+        self._wall = time.perf_counter()
+        self._cpu = time.process_time()
+
+    def read(self, spent: Spent) -> Spent:
+        """Fill in what was spent so far."""
+        spent.cpu_s = time.process_time() - self._cpu
+        spent.wall_s = time.perf_counter() - self._wall
+        spent.waited_s = (_run_queue_wait_ns() - self._waited) / SECOND
+        spent.preempted = _preempted() - self._switches
+        if self._memory:
+            spent.peak = _peak_resident() - self._resident
+            gc.collect()
+            spent.memory = memory_bytes() - self._size
+        return spent
+
+
 @contextmanager
 def metered(memory: bool = False) -> Iterator[Spent]:
     """Measure what the block takes. memory: also by how much the process grows, with rubbish collected."""
     spent = Spent()
-    if memory:
-        gc.collect()
-        size = memory_bytes()
-        resident = _peak_resident()
-    switches = _preempted()
-    waited = _run_queue_wait_ns()
-    wall = time.perf_counter()
-    cpu = time.process_time()
+    meter = Meter(memory)
     yield spent
-    spent.cpu_s = time.process_time() - cpu
-    spent.wall_s = time.perf_counter() - wall
-    spent.waited_s = (_run_queue_wait_ns() - waited) / SECOND
-    spent.preempted = _preempted() - switches
-    if memory:
-        spent.peak = _peak_resident() - resident
-        gc.collect()
-        spent.memory = memory_bytes() - size
+    meter.read(spent)
 
 
 def memory_bytes(pid: int | str = "self") -> int:
--- /dev/null
+++ b/hollow/node.py
@@ -0,0 +1,127 @@
+"""One hollow node: a service of the accord behind a listener, with no data plane.
+
+Its disk work goes to threads, as a real node's does. Policies that come into force are noted with their time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from accord.policy import Policy
+from accord.service import Service, Terms
+from accord.words import MOST_CALL
+from elderscale.accord import BACKLOG, MOST_CALLERS, call, clock
+from elderscale.door import Door, Reply
+from elderscale.operator import YIELD
+from lynxrouter.interface import Settings
+from operations.calls import Call, Kind
+from routing.plan import compile_file
+from routing.problems import OperatorError
+from routing.schema import read_all
+
+__all__ = ["HollowNode"]
+
+MS = 1_000_000
+
+
+class HollowNode:
+    """See above. settings: a policy is compiled for these, as a real node does; None: it is taken as it is.
+
+    in_force: by policy, when the node began to serve under it alone (ns of elderscale.accord.clock).
+    """
+
+    def __init__(
+        self, name: str, folder: Path, lease_ns: int, seed: int, settings: Settings | None = None
+    ) -> None:
+        self.name = name
+        self.folder = folder
+        self.lease_ns = lease_ns
+        self.settings = settings
+        self.address = ""
+        self.in_force: dict[str, int] = {}
+        self.problems: list[str] = []
+        self.service: Service | None = None
+        self._random = random.Random(f"{seed}/{name}")
+        self._loop = asyncio.get_running_loop()
+        self._listener = Door(self._answer)
+        self._listener.most = MOST_CALL
+        self._listener.room = MOST_CALLERS
+        self._listener.backlog = BACKLOG
+
+    async def listen(self, host: str, port: int = 0) -> str:
+        """Take calls at an address of its own; the address."""
+        found = await self._listener.open(host, port)
+        self.address = f"{host}:{found}"
+        return self.address
+
+    async def start(self, keepers: tuple[str, ...]) -> None:
+        """Take up what is on disk, and begin to ask for leases. StoreFailed, OSError: the folder cannot be used."""
+        terms = Terms(self.name, self.address, tuple(sorted(keepers)), self.lease_ns, 0, self.folder)
+        (self.folder / self.name).mkdir(parents=True, exist_ok=True)
+        boot = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+        self.service = Service(
+            terms, self._call, self, clock, lambda: time.time_ns() // MS, self._disk, self._random, boot
+        )
+        await self.service.start()
+
+    def close(self) -> None:
+        """Answer and ask no more, without a word to anybody."""
+        if self.service is not None:
+            self.service.close()
+        self._listener.close()
+
+    # What a service asks of its node
+
+    async def compile(self, policy: Policy) -> list[str]:
+        """Compile a policy in a thread, where there are settings to compile it for; why it does not hold."""
+        if self.settings is None:
+            return []
+        interval = sys.getswitchinterval()
+        sys.setswitchinterval(YIELD)
+        try:
+            await self._loop.run_in_executor(None, compile_file, policy.file, self.settings, policy.name)
+        except OperatorError as error:
+            return [str(problem) for problem in error.problems]
+        finally:
+            sys.setswitchinterval(interval)
+        return []
+
+    def keepers_of(self, file: bytes) -> list[str] | None:
+        """The keepers that a policy's file names."""
+        try:
+            tables, _ = read_all(file)
+        except OperatorError:
+            return None
+        return sorted(tables.accord.keepers) if tables.accord is not None else None
+
+    def put(self, policies: tuple[Policy, ...]) -> None:
+        """Note since when a policy is in force alone."""
+        if len(policies) == 1:
+            self.in_force.setdefault(policies[0].name, clock())
+
+    def say(self, event: str, **words: object) -> None:
+        """Keep what went wrong."""
+        if event == "failed" or "error" in words:
+            self.problems.append(f"{event}: {words.get('error')}")
+
+    # Calls
+
+    def _answer(self, one: Call) -> Reply | Awaitable[Reply]:
+        if one.kind is not Kind.POLICY or self.service is None:
+            return Reply(404, "no such call")
+        return self._answered(self.service, one)
+
+    async def _answered(self, service: Service, one: Call) -> Reply:
+        found = await service.answer(one.rest, one.body)
+        return Reply(found.status, found.body, "application/json")
+
+    async def _call(self, door: str, path: str, body: bytes | None, limit: float) -> bytes:
+        return await call(door, path, body, limit, self.name)
+
+    def _disk(self, work: Callable[[], None]) -> Awaitable[None]:
+        return self._loop.run_in_executor(None, work)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,8 +14,8 @@
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.fits import Point, extrapolate, fit, fit_line, fit_power
 from benchmarks.capacity.measurement import Figures, Measured, Measurement, NotCarried, Rejected, judge
-from benchmarks.capacity.meter import LatenessProbe, Limits, Spent, late_reason, metered
 from benchmarks.capacity.registry import MEASUREMENTS
+from hollow.meter import LatenessProbe, Limits, Spent, late_reason, metered
 
 SIZES = (1_000, 3_000, 10_000, 30_000)
 
