--- a/benchmarks/capacity/servers.py
+++ b/benchmarks/capacity/servers.py
@@ -60,7 +60,7 @@
     Time is virtual; each request is answered after SERVER_TIME.
     """
     settings = samples.settings()
-    balancer = _filled(size)
+    balancer = _filled(size, target.NODES)
     rate = target.REQUESTS_A_SECOND / target.NODES
     span = int(settings.idle_timeout * api.IDLE_PART)
     count = int(rate * span / SECOND)
@@ -85,8 +85,8 @@
     )
 
 
-def _filled(size: int) -> Balancer:
-    balancer = Balancer(samples.settings(FEW_NODES), 1, SECOND)
+def _filled(size: int, nodes: int = FEW_NODES) -> Balancer:
+    balancer = Balancer(samples.settings(nodes), 1, SECOND)
     balancer.handle(2 * SECOND, samples.server_list(size))
     gc.collect()
     return balancer
--- a/hollow/fleet.py
+++ b/hollow/fleet.py
@@ -64,6 +64,8 @@
 
     async def _asked(self, command: Command) -> bytes:
         assert self._process.stdin is not None
+        if self._process.stdin.is_closing():
+            raise FleetFailed(f"a process of hollow nodes ended with {await self._process.wait()}")
         self._process.stdin.write(msgspec.json.encode(command) + b"\n")
         return await self._line()
 
--- a/hollow/node.py
+++ b/hollow/node.py
@@ -60,7 +60,7 @@
         return self.address
 
     async def start(self, keepers: tuple[str, ...]) -> None:
-        """Take up what is on disk, and begin to ask for leases. StoreFailed, OSError: the folder cannot be used."""
+        """Take up what is on disk, and begin to ask for leases. StoreFailed, OSError: it cannot be used."""
         terms = Terms(self.name, self.address, tuple(sorted(keepers)), self.lease_ns, 0, self.folder)
         (self.folder / self.name).mkdir(parents=True, exist_ok=True)
         boot = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
--- a/hollow/process.py
+++ b/hollow/process.py
@@ -151,9 +151,8 @@
     parser.add_argument("--seed", type=int, default=1, help="of the chance in their pauses")
     parser.add_argument("--compile", action="store_true", help="compile each policy, as a real node does")
     words = parser.parse_args(arguments)
-    loop = MeteredLoop()
-    try:
-        loop.run_until_complete(_run(words, loop))
-    finally:
-        loop.close()
+    with asyncio.Runner(loop_factory=MeteredLoop) as runner:
+        loop = runner.get_loop()
+        assert isinstance(loop, MeteredLoop)
+        runner.run(_run(words, loop))
     return 0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from benchmarks.capacity import report, runner
+from benchmarks.capacity import control, report, runner
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.fits import Point, extrapolate, fit, fit_line, fit_power
 from benchmarks.capacity.measurement import Figures, Measured, Measurement, NotCarried, Rejected, judge
@@ -122,6 +122,17 @@
     assert all(value == value for value in figures.values.values())
 
 
+@pytest.mark.parametrize("name", [name for name, one in MEASUREMENTS.items() if one.processes])
+def test_small_sizes_of_what_keepers_pay_run(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "LEASE_MS", 1_000)
+    monkeypatch.setattr(control, "CHANGES", 1)
+    measurement = MEASUREMENTS[name]
+    figures = measurement.run(measurement.quick[0])
+    assert set(figures.values) == set(measurement.quantities)
+    assert all(value > 0 for value in figures.values.values())
+    assert figures.spent.wall_s > 0 and figures.spent.late_s > 0
+
+
 def test_the_command_runs_each_size_in_a_process_and_writes_table_and_json(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
