--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -28,6 +28,7 @@
 RENEWAL_SECONDS = 10.0
 CHANGES = 4
 SILENT_PART = 0.1
+KEEPERS = 3
 # An IPv4 and a TCP header with its time stamps, for each segment.
 SEGMENT_HEADER_BYTES = 52
 SECOND = 1_000_000_000
@@ -35,39 +36,41 @@
 
 def renewals(size: int) -> Figures:
     """Nodes that do nothing but renew their leases."""
-    return _run(_renewals(size))
+    return run(_renewals(size))
 
 
 def changes(size: int) -> Figures:
     """How long changes take, one after another: each is proposed once the one before is in force."""
-    return _run(_changes(size, 0.0)).only("in_force_s", "in_force_worst_s")
+    return run(_changes(size, 0.0)).only("in_force_s", "in_force_worst_s")
 
 
 def change_costs(size: int) -> Figures:
     """What such changes cost keepers and nodes."""
-    return _run(_changes(size, 0.0)).only("keeper_cpu_s", "node_cpu_ms", "node_bytes", "node_calls")
+    return run(_changes(size, 0.0)).only("keeper_cpu_s", "node_cpu_ms", "node_bytes", "node_calls")
 
 
 def changes_with_silent_nodes(size: int) -> Figures:
     """The same with a tenth of the nodes ended, their leases still running, before the first change."""
-    return _run(_changes(size, SILENT_PART)).only("in_force_s", "in_force_worst_s")
+    return run(_changes(size, SILENT_PART)).only("in_force_s", "in_force_worst_s")
 
 
-def _run(work: Coroutine[Any, Any, Figures]) -> Figures:
+def run(work: Coroutine[Any, Any, Figures]) -> Figures:
+    """Run this on a loop like that of the processes. RunFailed: the fleet did not come or did not stay."""
     try:
         return uvloop.run(work)
     except FleetFailed as error:
         raise RunFailed(str(error)) from None
 
 
-def _folder() -> tempfile.TemporaryDirectory[str]:
+def folder() -> tempfile.TemporaryDirectory[str]:
+    """For what keepers and nodes keep on disk: in memory where there is a file system for it."""
     memory = Path("/dev/shm")
     return tempfile.TemporaryDirectory(dir=memory if memory.is_dir() else None)
 
 
 async def _renewals(size: int) -> Figures:
-    with _folder() as folder:
-        async with fleet(Path(folder), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
+    with folder() as path:
+        async with fleet(Path(path), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
             await running.reset()
             await asyncio.sleep(min(RENEWAL_SECONDS, 2 * LEASE_MS / 1000))
             reports = await running.reports()
@@ -79,20 +82,20 @@
         "calls_each_keeper_a_second": asked / wall,
         "keeper_ms_a_call": 1000 * max(keeper.cpu_s / max(1, keeper.calls_in) for keeper in keepers),
         "node_core_percent": 100 * sum(one.cpu_s / one.wall_s for one in nodes) / size,
-        "node_bytes_a_second": sum(_wire_bytes(one) for one in nodes) / wall / size,
+        "node_bytes_a_second": sum(wire_bytes(one) for one in nodes) / wall / size,
         "node_connections_a_second": sum(one.opened + one.accepted for one in nodes) / wall / size,
     }
     notes = {
         "payload_part": sum(one.bytes_sent + one.bytes_received for one in nodes)
-        / sum(_wire_bytes(one) for one in nodes),
+        / sum(wire_bytes(one) for one in nodes),
         "hollow_kb_each": sum(one.memory_bytes for one in nodes) / 1024 / size,
     }
-    return Figures(values, _spent(reports), notes)
+    return Figures(values, spent_of(reports), notes)
 
 
 async def _changes(size: int, silent: float) -> Figures:
-    with _folder() as folder:
-        async with fleet(Path(folder), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
+    with folder() as path:
+        async with fleet(Path(path), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
             gone = await running.silence(silent) if silent else 0
             await running.reset()
             times = [await _changed(running, n) for n in range(1 if silent else CHANGES)]
@@ -105,11 +108,11 @@
         "in_force_worst_s": max(times),
         "keeper_cpu_s": max(keeper.cpu_s for keeper in keepers) / count,
         "node_cpu_ms": 1000 * sum(one.cpu_s for one in nodes) / count / live,
-        "node_bytes": sum(_wire_bytes(one) for one in nodes) / count / live,
+        "node_bytes": sum(wire_bytes(one) for one in nodes) / count / live,
         "node_calls": sum(one.calls_in + one.calls_out for one in nodes) / count / live,
     }
     notes = {"changes": float(count), "silent": float(gone), "wall_s": keepers[0].wall_s}
-    return Figures(values, _spent(reports), notes)
+    return Figures(values, spent_of(reports), notes)
 
 
 async def _changed(running: Fleet, number: int) -> float:
@@ -120,17 +123,17 @@
 
 
 def _split(reports: list[Report]) -> tuple[list[Report], list[Report]]:
-    return reports[:3], reports[3:]
+    return reports[:KEEPERS], reports[KEEPERS:]
 
 
-def _wire_bytes(report: Report) -> float:
+def wire_bytes(report: Report) -> float:
     """What its nodes sent and received, with the headers of as many segments as the kernel counted."""
     connections = report.opened + report.accepted
     headers = connections * report.segments_each * SEGMENT_HEADER_BYTES
     return report.bytes_sent + report.bytes_received + headers
 
 
-def _spent(reports: list[Report]) -> Spent:
+def spent_of(reports: list[Report]) -> Spent:
     """How late the worst process of the rig was."""
     worst = max(reports, key=lambda report: report.waited_s / report.wall_s)
     late = max(report.late_s for report in reports)
--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -4,7 +4,7 @@
 
 from hollow.meter import Limits
 
-from . import control, requests, routes, servers, starts, target, tenants
+from . import control, requests, routes, servers, starts, streams, target, tenants
 from .measurement import Measurement
 
 __all__ = ["MEASUREMENTS"]
@@ -12,6 +12,10 @@
 CPU_MEMORY = {"cpu_s": "s", "memory_kb": "KB"}
 
 CHANGE_COSTS = {"keeper_cpu_s": "s", "node_cpu_ms": "ms", "node_bytes": "B", "node_calls": "calls"}
+STREAM = {
+    "p50_s": "s", "p99_s": "s", "worst_s": "s", "unfinished": "changes",
+    "keeper_core_percent": "% of a core", "node_core_percent": "% of a core", "node_bytes_a_second": "B/s",
+}  # fmt: skip
 CHANGE_TIMES = {"in_force_s": "s", "in_force_worst_s": "s"}
 # Processor time bears waiting; how long something takes does not.
 CPU_ONLY = Limits(waited_part=0.6, worst_late_s=1.0)
@@ -30,9 +34,18 @@
         "server-changed", "one changed server", "servers",
         {"cpu_ms": "ms"}, (1_000, 10_000, 30_000, 120_000), (50, 100), servers.changed_server, target.SERVERS,
     ),
+    Measurement(
+        "servers-review", "what the module looks over every half second", "servers",
+        {"cpu_ms": "ms", "core_percent": "% of a core"}, (1_000, 10_000, 30_000, 120_000), (50, 100),
+        servers.review, target.SERVERS,
+    ),
+    Measurement(
+        "servers-list-read", "a whole list as discovery sends it, read", "servers",
+        {"cpu_s": "s"}, (1_000, 10_000, 30_000, 120_000), (50, 100), servers.list_read, target.SERVERS,
+    ),
     Measurement(
         "connections", "servers that a node is connected to, at 690 requests/s", "servers",
-        {"connections": "connections", "request_cpu_us": "us"}, (1_000, 3_000, 10_000, 30_000), (10, 20),
+        {"connections": "connections", "request_cpu_us": "us"}, (1_000, 3_000, 10_000, 30_000, 120_000), (10, 20),
         servers.connections, target.SERVERS,
     ),
     Measurement(
@@ -102,6 +115,18 @@
         CHANGE_TIMES, (50, 100, 200), (10, 20), control.changes_with_silent_nodes, target.NODES,
         limits=LATENCY, processes=True,
     ),
+    Measurement(
+        "stream", "changes at 0.9 a second for 30 s, hollow nodes", "nodes",
+        STREAM, (40, 200), (6,), streams.stream, target.NODES, limits=LATENCY, processes=True,
+    ),
+    Measurement(
+        "stream-silent-tenth", "the same with a tenth of the nodes silent", "nodes",
+        STREAM, (40, 200), (10,), streams.stream_with_silent, target.NODES, limits=LATENCY, processes=True,
+    ),
+    Measurement(
+        "burst", "20 changes within a second, hollow nodes", "nodes",
+        STREAM, (40, 200), (6,), streams.burst, target.NODES, limits=LATENCY, processes=True,
+    ),
 )  # fmt: skip
 
 MEASUREMENTS = {one.name: one for one in _ALL}
--- a/benchmarks/capacity/servers.py
+++ b/benchmarks/capacity/servers.py
@@ -3,24 +3,64 @@
 from __future__ import annotations
 
 import gc
+import json
 import random
+from heapq import heappop, heappush
 
+from elderscale.config import Names
+from elderscale.discovery import MAX_LIST
 from hollow.meter import metered
 from lynxrouter import Balancer
 from lynxrouter import interface as api
+from lynxrouter.learning import REVIEW
 
 from . import samples, target
 from .measurement import Figures
 
-__all__ = ["FEW_NODES", "changed_server", "connections", "whole_list", "whole_list_few_nodes"]
+__all__ = [
+    "FEW_NODES", "changed_server", "connections", "list_read", "review", "whole_list", "whole_list_few_nodes",
+]  # fmt: skip
 
 MS, SECOND, MIB = 1_000_000, 1_000_000_000, 1 << 20
 CHANGES = 20
+REVIEWS = 10
 # How many nodes are told where that does not matter: each server that is new costs a walk over all of them.
 FEW_NODES = 100
 SERVER_TIME = 10 * MS  # that a request takes at a server
 
 
+class _VirtualNode:
+    """Carries out what the module asks for in virtual time: answers after SERVER_TIME, timers when due."""
+
+    def __init__(self, balancer: Balancer, now: int) -> None:
+        self.balancer = balancer
+        self.now = now
+        self.reached: set[api.ServerId] = set()
+        self._due: list[tuple[int, int, api.Event]] = []
+        self._count = 0
+
+    def go_on(self, until: int) -> None:
+        """Let all happen that is due by then."""
+        while self._due and self._due[0][0] <= until:
+            self.now, _, event = heappop(self._due)
+            self.handle(event)
+        self.now = until
+
+    def handle(self, event: api.Event) -> None:
+        """Tell the module, and do what it says."""
+        for action in self.balancer.handle(self.now, event):
+            if isinstance(action, api.Send):
+                self.reached.add(action.server)
+                outcome = api.Outcome(action.id, 0, action.server, api.Result.OK, SERVER_TIME, final=True)
+                self._later(SERVER_TIME, outcome)
+            elif isinstance(action, api.SetTimer):
+                self._later(action.delay, api.Timer(action.token))
+
+    def _later(self, delay: int, event: api.Event) -> None:
+        self._count += 1
+        heappush(self._due, (self.now + delay, self._count, event))
+
+
 def whole_list(size: int) -> Figures:
     """A whole list of servers into a module that knows none."""
     return _whole_list(size, target.NODES)
@@ -54,6 +94,34 @@
     return Figures({"cpu_ms": 1000 * spent.cpu_s / changes}, spent)
 
 
+def review(size: int) -> Figures:
+    """What the module looks over every half second (learning.REVIEW), with nothing changed and no request."""
+    balancer = _filled(size)
+    now = 3 * SECOND
+    with metered() as spent:
+        for _ in range(REVIEWS):
+            balancer.handle(now, api.Timer(1))
+            now += REVIEW
+    values = {"cpu_ms": 1000 * spent.cpu_s / REVIEWS}
+    values["core_percent"] = values["cpu_ms"] / 1000 / (REVIEW / SECOND) * 100
+    return Figures(values, spent)
+
+
+def list_read(size: int) -> Figures:
+    """A whole list as discovery sends it, read and checked; nothing is decided yet."""
+    lines = [
+        {"id": f"s-{n:06d}", "addr": f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}:8080", "zone": f"z{n % 17}",
+         "kind": "m", "cell": n // samples.SERVERS_IN_A_CELL, "state": "SERVING", "weight": 1.5,
+         "started_ms": 1_700_000_000_000 + n}
+        for n in range(size)
+    ]  # fmt: skip
+    body = json.dumps({"version": 1, "full": True, "servers": lines}).encode()
+    names = Names({}, {}, {f"z{n}": n for n in range(17)}, {"m": 0}, ())
+    with metered() as spent:
+        names.listing(json.loads(body))
+    return Figures({"cpu_s": spent.cpu_s}, spent, {"body_mib": len(body) / MIB, "limit_mib": MAX_LIST / MIB})
+
+
 def connections(size: int) -> Figures:
     """Servers that one node reaches while an idle connection is kept, at its share of the peak.
 
@@ -64,22 +132,13 @@
     rate = target.REQUESTS_A_SECOND / target.NODES
     span = int(settings.idle_timeout * api.IDLE_PART)
     count = int(rate * span / SECOND)
-    reached: dict[api.ServerId, int] = {}
-    out: list[tuple[int, api.Send]] = []
-    now = 10 * SECOND
+    node = _VirtualNode(balancer, 10 * SECOND)
     with metered() as spent:
         for number in range(count):
-            now += int(SECOND / rate)
-            while out and out[0][0] <= now:
-                due, sent = out.pop(0)
-                outcome = api.Outcome(sent.id, 0, sent.server, api.Result.OK, SERVER_TIME, final=True)
-                balancer.handle(due, outcome)
-            for action in balancer.handle(now, api.Request(number, 0, 500 * MS)):
-                if isinstance(action, api.Send):
-                    reached[action.server] = reached.get(action.server, 0) + 1
-                    out.append((now + SERVER_TIME, action))
+            node.go_on(node.now + int(SECOND / rate))
+            node.handle(api.Request(number, 0, 500 * MS))
     return Figures(
-        {"connections": float(len(reached)), "request_cpu_us": 1e6 * spent.cpu_s / count},
+        {"connections": float(len(node.reached)), "request_cpu_us": 1e6 * spent.cpu_s / count},
         spent,
         {"requests": float(count)},
     )
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+import math
 import random
 import time
 from pathlib import Path
 
 import pytest
 
-from benchmarks.capacity import control, report, runner
+from benchmarks.capacity import control, report, runner, streams
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.fits import Point, extrapolate, fit, fit_line, fit_power
 from benchmarks.capacity.measurement import Figures, Measured, Measurement, NotCarried, Rejected, judge
@@ -64,6 +65,13 @@
     assert extrapolate(found, 2_900).least == pytest.approx(21.0, rel=0.1)
 
 
+def test_latencies_count_what_did_not_come_in_time() -> None:
+    found = streams.latencies([float(n) for n in range(1, 100)] + [math.inf])
+    assert (found.p50, found.p99, found.worst, found.unfinished) == (50.0, 99.0, math.inf, 1)
+    assert streams.due_in_a_stream(0.5, 6.0) == [0.0, 2.0, 4.0]
+    assert streams.due_in_a_burst(4) == [0.0, 0.25, 0.5, 0.75]
+
+
 def test_what_was_run_at_a_size_stands_for_it() -> None:
     found = fit([Point(1_000, 1.0), Point(3_000, 2.9), Point(10_000, 11.0)])
     assert extrapolate(found, 10_000).least == extrapolate(found, 10_000).most == 11.0
@@ -132,10 +140,13 @@
 def test_small_sizes_of_what_keepers_pay_run(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(control, "LEASE_MS", 1_000)
     monkeypatch.setattr(control, "CHANGES", 1)
+    monkeypatch.setattr(streams, "STREAM_S", 2.5)
+    monkeypatch.setattr(streams, "BURST", 2)
     measurement = MEASUREMENTS[name]
     figures = measurement.run(measurement.quick[0])
     assert set(figures.values) == set(measurement.quantities)
-    assert all(value > 0 for value in figures.values.values())
+    assert all(value > 0 for key, value in figures.values.items() if key != "unfinished")
+    assert not figures.values.get("unfinished")
     assert figures.spent.wall_s > 0 and figures.spent.late_s > 0
 
 
