--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -45,7 +45,8 @@
     ),
     Measurement(
         "connections", "servers that a node is connected to, at 690 requests/s", "servers",
-        {"connections": "connections", "request_cpu_us": "us"}, (1_000, 3_000, 10_000, 30_000, 120_000), (10, 20),
+        {"connections": "connections", "request_cpu_us": "us"},
+        (1_000, 3_000, 10_000, 30_000, 120_000), (10, 20),
         servers.connections, target.SERVERS,
     ),
     Measurement(
