--- a/tests/test_import_direction.py
+++ b/tests/test_import_direction.py
@@ -29,6 +29,7 @@
     "standins": ("elderscale", "lynxrouter"),
     "simulation": ("accord", "elderscale", "lynxrouter", "resources", "standins"),
     "tier": ("accord", "elderscale", "fleet", "lynxrouter", "peers", "resources", "routing", "standins"),
+    "hollow": ("accord", "elderscale", "lynxrouter", "operations", "routing"),
     "mutation": (),
     "hollybay": (
         "accord",
@@ -42,6 +43,8 @@
     ),
     "benchmarks": (
         "accord",
+        "elderscale",
+        "hollow",
         "hollybay",
         "lynxrouter",
         "resources",
