A second answer up to 12 ms late is never taken for the next request's; holds are limited

Cause: on a connection whose last answer is some milliseconds old the next request's last byte was held for 3 ms at most, so that a second copy of the answer later than that was taken for the next request's.

Change: the last byte is held until the last answer is 12 ms old, in all classes. What a server's requests were held is summed (HoldAccount, the rule of ski rental, fading); once it is worth a connection another one is opened, up to four resting ones that have not settled. Where none has settled the one that rested longest is taken.

--- a/elderscale/servers.py
+++ b/elderscale/servers.py
@@ -18,6 +18,7 @@
 
 from . import system
 from .config import MS, SECOND, Listing, Names
+from .holds import HoldAccount
 from .messages import (
     LONG_BODY,
     MAX_BODY,
@@ -41,14 +42,18 @@
 # How long the last byte of a request that must not be repeated freely is held back: about a round trip and
 # the peer's waking up. A connection that is already dead, or reset by its first byte, breaks within it, while
 # it is still certain that nothing ran.
-#
-# The same hold guards a request on a connection whose last answer ended less than this long ago, of whatever
-# class: a server that sends more than belongs to an answer (a second copy, noise) sends it right behind, and
-# the next request must not be written before that shows. What comes before the last byte is no answer to it.
 HOLD_LAST_BYTE = 0.003
-# What is more than an answer may come some milliseconds late: a connection that has rested for so long (s) is
-# taken before one that has not.
+# A server that sends more than belongs to an answer (a second copy, noise) may do so some milliseconds late.
+# A connection is settled when its last answer ended so long ago (s). A settled one is taken before one that
+# is not; on one that is not, the last byte of a request of whatever class is held until it is: what comes
+# before that byte is no answer to it.
 SETTLE = 0.012
+# A server's requests are held for as long as this many connections take to settle, together, before another
+# connection is opened to it instead; see HoldAccount.
+SETTLES_PER_CONNECTION = 2.0
+# Of one server's resting connections: where none of so many has settled, no further one is opened, and a
+# request waits for the one that rested longest, which takes a part of SETTLE.
+MOST_UNSETTLED = 4
 SWEEP = 0.25  # how often that is looked for
 # Part of the drain grace after which an attempt that is not yet whole on the wire is withdrawn.
 GRACE_PART = 0.75
@@ -165,7 +170,7 @@
 class _Backend:
     """A server of the list."""
 
-    __slots__ = ("address", "closes", "draining", "id", "idle", "told", "unsent")
+    __slots__ = ("address", "closes", "draining", "holds", "id", "idle", "told", "unsent")
 
     def __init__(self, server: api.ServerId, address: tuple[str, int]) -> None:
         self.id = server
@@ -174,6 +179,7 @@
         self.closes = 0.0  # while it drains: from when on nothing is written to it (loop's clock, s)
         self.idle: list[ServerConnection] = []  # the last one rested shortest and is taken first
         self.unsent: dict[Attempt, None] = {}  # in the order in which they were begun
+        self.holds = HoldAccount()
         self.told: tuple[bytes, tuple[float, ...]] = (b"", ())
 
     def load_report(self, text: bytes, names: Names) -> tuple[float, ...]:
@@ -270,7 +276,7 @@
         self.client: Client | None = None
         self.taken = 0
         self.moved = self.servers.loop.time()
-        self.hold = not attempt.repeatable or self.moved - self.answered < HOLD_LAST_BYTE
+        self.least_hold = 0.0 if attempt.repeatable else HOLD_LAST_BYTE
         until = attempt.deadline if message.upload is None else min(attempt.deadline, message.upload.until)
         left = max(1, (until - system.monotonic_ns()) // MS)
         headers = [*message.headers, (b"x-time-left-ms", b"%d" % left)]
@@ -283,7 +289,7 @@
         pieces = [head(b"%s %s HTTP/1.1" % (message.method, message.target), headers), *message.body]
         if message.size <= SMALL_BODY:
             pieces = [b"".join(pieces)]
-        if self.hold:
+        if self._hold() > 0.0:
             tail = pieces.pop()
             pieces += [tail[:-1], tail[-1:]]
         pieces.reverse()
@@ -352,13 +358,22 @@
         if self.unsent or self.timer is not None:
             return
         if len(self.pieces) == 1:
-            if self.hold:
-                self.after(HOLD_LAST_BYTE, self._last)
+            hold = self._hold()
+            if hold > 0.0:
+                self.after(hold, self._last)
             else:
                 self._last()
         elif not self.pieces:
             self._written()
 
+    def unsettled(self) -> float:
+        """For how long (s) what comes may still belong to the last answer; 0 or less: no longer."""
+        return SETTLE - (self.servers.loop.time() - self.answered)
+
+    def _hold(self) -> float:
+        """For how long (s) the last byte of the present request is to be held; 0: not at all."""
+        return max(self.least_hold, self.unsettled())
+
     def _last(self) -> None:
         """Write the piece with the last byte. Until the kernel has taken it, the request has not run."""
         self.stop_timer()
@@ -612,15 +627,13 @@
             return
         attempt.backend = backend
         backend.unsent[attempt] = None
-        while backend.idle:
-            conn = self._settled(backend.idle)
-            if conn.alive():
-                self.unpool(conn)
-                conn.stop_timer()
-                conn.begin(attempt)
-                return
-            conn.close()
-        if len(self.connections) + len(self.opening) >= self.limit:
+        conn = self._kept(backend)
+        if conn is not None:
+            self.unpool(conn)
+            conn.stop_timer()
+            conn.begin(attempt)
+            return
+        if self._full():
             if not self.resting:
                 # The node's own want, which says nothing of the server.
                 log.warning("no descriptor left for a connection to a server")
@@ -632,10 +645,31 @@
         # Not in a finally of the task: one that is cancelled before its first step runs none.
         attempt.connecting.add_done_callback(lambda _: self.opening.discard(attempt))
 
+    def _full(self) -> bool:
+        """Whether there is no room for another connection."""
+        return len(self.connections) + len(self.opening) >= self.limit
+
+    def _kept(self, backend: _Backend) -> ServerConnection | None:
+        """The connection at rest that is to be used for a request; None: another one is to be opened."""
+        while backend.idle:
+            conn = self._settled(backend.idle)
+            if not conn.alive():
+                conn.close()
+                continue
+            hold = conn.unsettled()
+            if hold <= 0.0 or len(backend.idle) >= MOST_UNSETTLED or self._full():
+                return conn
+            price = SETTLES_PER_CONNECTION * SETTLE
+            return conn if backend.holds.allows(hold, price, self.loop.time()) else None
+        return None
+
     def _settled(self, idle: list[ServerConnection]) -> ServerConnection:
-        """Of those at rest the last one that rested for long enough; the last one where none did."""
+        """Of those at rest the last one that has settled; where none has, the one that will soonest."""
         before = self.loop.time() - SETTLE
-        return next((conn for conn in reversed(idle) if conn.answered <= before), idle[-1])
+        for conn in reversed(idle):
+            if conn.answered <= before:
+                return conn
+        return min(reversed(idle), key=lambda conn: conn.answered)
 
     async def _connect(self, backend: _Backend, attempt: Attempt) -> None:
         host, port = backend.address
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -277,6 +277,71 @@
     asyncio.run(play())
 
 
+class Later(Twice):
+    """It says the same again some milliseconds after the first bytes of the next request."""
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.heads.append((await read_message(reader))[0])
+        writer.write(OK)
+        await reader.readexactly(1)
+        await asyncio.sleep(4 * module.HOLD_LAST_BYTE)
+        writer.write(self.more)
+        await reader.read(1)  # until the connection ends
+
+
+@pytest.mark.parametrize("cls", ["view", "send", "book"])
+def test_a_second_answer_later_than_the_hold_of_an_unsafe_request_is_no_answer_to_the_next(
+    cls: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "SETTLE", 0.5)
+
+    async def play() -> None:
+        server = Later(OK.replace(b"ok", b"NO"))
+        async with running(tmp_path / "c.json", Registry(), server) as node:  # type: ignore[arg-type]
+            for n in range(2):
+                answer = await node.ask(request(cls, rid=f"r-{n}"))
+                assert answer.startswith(b"HTTP/1.1 200 ") and answer.endswith(b"ok")
+            assert server.accepted == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("settle", [0.0, 0.02])
+def test_requests_in_a_row_are_not_held_for_long_nor_given_many_connections(
+    settle: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Two full holds are worth a connection; a few connections settle in turn."""
+    monkeypatch.setattr(module, "SETTLE", settle)
+
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            for n in range(30):
+                assert b" 200 " in await node.ask(request(rid=f"r-{n}"))
+            if settle:
+                assert 2 <= server.accepted <= module.MOST_UNSETTLED
+            else:
+                assert server.accepted == 1
+
+    asyncio.run(play())
+
+
+def test_without_room_for_another_connection_a_request_is_held(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "SETTLE", 0.02)
+
+    async def play() -> None:
+        server = Backend("s-1")
+        async with running(tmp_path / "c.json", Registry(), server) as node:
+            node.node.servers.limit = 1
+            for n in range(10):
+                assert b" 200 " in await node.ask(request(rid=f"r-{n}"))
+            assert server.accepted == 1
+
+    asyncio.run(play())
+
+
 def test_a_connection_that_rested_for_long_enough_is_taken_first(tmp_path: Path) -> None:
     async def play() -> None:
         server = Held("s-1")
