--- /dev/null
+++ b/accord/calls.py
@@ -0,0 +1,39 @@
+"""How a process calls another one, and a policy that is asked for by its name. No I/O of its own."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Protocol
+
+from . import words as w
+from .policy import Policy, Refused
+
+__all__ = ["Unreachable", "Way", "policy_from"]
+
+
+class Unreachable(Exception):
+    """A call had no answer (status 0), or one that says no, and why."""
+
+    def __init__(self, reason: str, status: int = 0) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class Way(Protocol):
+    """How a process calls another one at its door; Unreachable: no answer within so many seconds."""
+
+    def __call__(self, door: str, path: str, body: bytes | None, limit: float) -> Awaitable[bytes]: ...
+
+
+async def policy_from(
+    call: Callable[[str, str, bytes | None], Awaitable[bytes]], doors: Iterable[str], name: str
+) -> Policy | None:
+    """A policy by its name, without its changes, from the first of these doors that has it; None: nobody
+    does.
+    """
+    for door in doors:
+        try:
+            return w.unpacked((await call(door, f"entry/{name}", None)).decode("ascii", "replace"), name)
+        except (Unreachable, Refused):
+            continue
+    return None
--- a/accord/follow.py
+++ b/accord/follow.py
@@ -10,18 +10,28 @@
 import base64
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import Any
 
 import msgspec
 
+from resources.model import Change
+from resources.wire import MAX_BATCH_BYTES, encode_change
+
 from . import words as w
+from .calls import Unreachable, policy_from
 from .policy import Policy, Refused
-from .service import Unreachable, policy_from
+from .transfer import download, pieces_up
 
-__all__ = ["Follow", "Known", "Verdict", "judge"]
+__all__ = ["BadInput", "Follow", "Known", "Verdict", "judge"]
 
 # Seconds between two looks, and after which a proposal is made again that no keeper knows of.
 LOOK, AGAIN = 0.05, 2.0
+# Seconds for which a call that takes long is made again.
+LONG_LIMIT = 300.0
+# A file or a change of so many bytes goes in pieces.
+MAX_IN_ONE_CALL = w.PIECE_BYTES // 2
+
 
 Call = Callable[[str, str, bytes | None], Awaitable[bytes]]
 
@@ -40,6 +50,21 @@
     reasons: dict[str, list[str]] = field(default_factory=dict)
 
 
+class BadInput(Exception):
+    """A keeper refused what an operator gave. code: the exit status; problems: what does not hold."""
+
+    def __init__(self, code: int, reason: str, problems: Iterable[str] = ()) -> None:
+        super().__init__(reason)
+        self.code = code
+        self.problems = list(problems)
+
+    def verdict(self) -> Verdict:
+        """The same as what became of a change: nothing."""
+        return Verdict(
+            self.code, text=str(self), reasons={"the keeper": self.problems} if self.problems else {}
+        )
+
+
 @dataclass
 class Known:
     """What keepers said: their status by door, and the epochs that they know of."""
@@ -90,17 +115,26 @@
         return Verdict(1, change, epoch, "dropped", reasons)
     else:
         return Verdict(3, change, epoch, "under way", reasons)
+    return everywhere(known, change, epoch, epoch + 2)
+
+
+def everywhere(known: Known, change: str, epoch: int, settled: int) -> Verdict:
+    """Whether a change that began with an epoch, and that was settled with another, is in force at every
+    node.
+    """
+    latest = known.latest
     # Nobody votes for the epoch after it while a lease on one before it runs; late ones may be left.
-    if int(latest["epoch"]) > epoch + 2 and not any(one["late_s"] for one in known.keepers.values()):
+    late = any(one["late_s"] for one in known.keepers.values())
+    if latest is not None and int(latest["epoch"]) > settled and not late:
         return Verdict(0, change, epoch, "was in force everywhere, and a later change goes on or is in force")
     board = known.boards.get(change, [])
     sure = [
         door
         for door, one in known.keepers.items()
         if door in board
-        and one["epoch"] >= epoch + 2
+        and one["epoch"] >= settled
         and not one["quiet_s"]
-        and not any(lease["epoch"] < epoch + 2 for lease in one["older"])
+        and not any(lease["epoch"] < settled for lease in one["older"])
     ]
     if 2 * len(sure) <= len(board) or not board:
         return Verdict(3, change, epoch, "in force, and some nodes may serve under the one before yet")
@@ -159,10 +193,12 @@
         author: str,
         limit: float,
         parent: str = "",
+        like: str = "",
     ) -> Verdict:
-        """Propose a change on what is in force, and follow it for so many seconds.
+        """Propose a change on what is in force, alone in its batch, and follow it for so many seconds.
 
-        file, out, keepers None: as they are. parent: the policy that it was made on, if not the present one.
+        file, out, keepers None: as they are. parent: the policy that it was made on, if not the present one;
+        like: resources as they were after this policy.
         """
         known = await self.look()
         latest = known.latest
@@ -182,6 +218,7 @@
                 author,
                 out,
                 keepers,
+                like=like,
             )
         )
         verdict = Verdict(3, text="no keeper took it")
@@ -194,23 +231,12 @@
                 if error.status in (0, 503, 507):
                     verdict = Verdict(3, text=f"{door}: {error}")
                     continue
-                return self._refused(error)
+                return _bad_input(error).verdict()
             if not limit:
                 return Verdict(3, changed.change, changed.epoch, "proposed")
             return await self.follow(changed.change, changed.epoch, limit, body)
         return verdict
 
-    @staticmethod
-    def _refused(error: Unreachable) -> Verdict:
-        try:
-            told = msgspec.json.decode(str(error).encode())
-        except msgspec.DecodeError:
-            told = {}
-        told = told if isinstance(told, dict) else {}
-        code = 1 if error.status in (409, 422) else 2
-        problems = {"the keeper": told["problems"]} if "problems" in told else {}
-        return Verdict(code, text=str(told.get("refused", error)), reasons=problems)
-
     async def follow(self, change: str, epoch: int, limit: float, body: bytes | None = None) -> Verdict:
         """What becomes of a change within so many seconds. body: to propose it again, where all who knew of
         it are gone before it began; it is the same change then."""
@@ -241,6 +267,201 @@
             except Unreachable:
                 continue
 
+    async def found(self, door: str, file: bytes) -> bytes:
+        """Begin an accord at one of its keepers; its answer. Unreachable: it does not."""
+        text, upload = await self._given(door, file)
+        return await self.patiently(door, "found", w.encode(w.Founding(text or "", upload)))
+
+    async def difference(self, one: str, other: str) -> list[str]:
+        """What differs between two policies, for people. Unreachable: no keeper has both."""
+        error = Unreachable("no keeper answers")
+        for door in self._in_order(self.known):
+            try:
+                return w.decode(await self.call(door, f"diff/{one}/{other}", None), list[str])
+            except Refused as refused:
+                error = Unreachable(f"{door}: {refused}")
+            except Unreachable as why:
+                error = Unreachable(str(_told(why).get("refused", why)), why.status)
+        raise error
+
+    # Changes of resources, by group commit
+
+    async def draft(
+        self,
+        reason: str,
+        author: str,
+        file: bytes | None = None,
+        like: str = "",
+        out: Iterable[str] = (),
+        back_in: Iterable[str] = (),
+    ) -> tuple[w.Drafted, Change | None]:
+        """The change that makes the resources what a file says, or what they were after a policy, and takes
+        servers out or puts them back; None: nothing differs. BadInput: a keeper refuses it; Unreachable: none
+        answers.
+        """
+        known = await self.look()
+        error = Unreachable("no keeper answers")
+        for door in self._in_order(known):
+            try:
+                drafted = await self._draft_at(door, reason, author, file, like, list(out), list(back_in))
+                return drafted, await self._drafted(door, drafted)
+            except Refused as refused:
+                error = Unreachable(f"{door}: {refused}")
+            except Unreachable as why:
+                if why.status not in (0, 404, 503, 507):
+                    raise _bad_input(why) from None
+                error = why
+        raise error
+
+    async def _draft_at(
+        self,
+        door: str,
+        reason: str,
+        author: str,
+        file: bytes | None,
+        like: str,
+        out: list[str],
+        back_in: list[str],
+    ) -> w.Drafted:
+        text, upload = await self._given(door, file)
+        body = w.encode(w.Drafting(reason, author, text, upload, like, out, back_in))
+        return w.decode(await self.patiently(door, "draft", body), w.Drafted)
+
+    async def _given(self, door: str, file: bytes | None) -> tuple[str | None, str]:
+        """A file as it goes into a call: its text, or the id under which it was uploaded."""
+        if file is None:
+            return None, ""
+        if len(file) <= MAX_IN_ONE_CALL:
+            return base64.b64encode(file).decode(), ""
+        return None, await self.upload(door, file)
+
+    async def upload(self, door: str, data: bytes) -> str:
+        """Bring to a keeper what is too long for a call; its id there. Unreachable: the keeper does not take
+        it.
+        """
+        upload = blake2b(data, digest_size=16).hexdigest()
+        for piece in pieces_up(upload, data):
+            await self.call(door, "upload", w.encode(piece))
+        return upload
+
+    async def patiently(self, door: str, path: str, body: bytes) -> bytes:
+        """A call that may take long: made again while the keeper says that it is worked on."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + LONG_LIMIT
+        while True:
+            try:
+                return await self.call(door, path, body)
+            except Unreachable as error:
+                wait = _retry_after(error)
+                if wait is None or loop.time() + wait > end:
+                    raise
+            await asyncio.sleep(wait)
+
+    async def _drafted(self, door: str, drafted: w.Drafted) -> Change | None:
+        if drafted.change:
+            return w.change_from(drafted.change)
+        if not drafted.draft:
+            return None
+        path = f"draft/{drafted.draft}"
+        _, data = await download(
+            lambda part: self.call(door, part, None), path, lambda _: path, MAX_BATCH_BYTES
+        )
+        return w.change_from_bytes(data)
+
+    def _in_order(self, known: Known) -> list[str]:
+        """The keepers that answer, those of the board first and in its order: so most proposers call the same
+        one.
+        """
+        board = known.latest["board"] if known.latest is not None else []
+        return sorted(known.keepers, key=lambda door: (door not in board, door))
+
+    async def change(self, change: Change, limit: float) -> Verdict:
+        """Propose a change of resources, and follow what becomes of it, and of it alone, for so many seconds.
+
+        It may be proposed at several keepers, under its one id, where some do not answer; it is said to be
+        refused only once all of these have refused it.
+        """
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit
+        proposed = _Proposed(change)
+        while True:
+            known = await self.look()
+            verdict = await self._became(known, proposed)
+            if verdict is not None and (verdict.code != 3 or loop.time() >= end):
+                return verdict
+            if verdict is None:
+                verdict = await self._offer(known, proposed)
+                if verdict.code != 3 or loop.time() >= end:
+                    return verdict
+            await asyncio.sleep(max(LOOK, min(proposed.wait, end - loop.time())))
+            proposed.wait = 0.0
+
+    async def _became(self, known: Known, proposed: _Proposed) -> Verdict | None:
+        """What became of a change by what keepers say; None: it is to be proposed, again or for the first
+        time.
+        """
+        if not proposed.doors:
+            return None
+        told: dict[str, w.BecameOf] = {}
+        for door in known.keepers:
+            try:
+                told[door] = w.decode(await self.call(door, f"change/{proposed.id}", None), w.BecameOf)
+            except (Unreachable, Refused):
+                continue
+        for one in told.values():
+            if one.outcome is w.Outcome.IN_FORCE:
+                return await self._in_force(known, one, proposed)
+        for one in told.values():
+            if one.outcome in (w.Outcome.UNDER_WAY, w.Outcome.QUEUED):
+                return Verdict(3, one.policy or proposed.id, one.epoch, one.outcome.value)
+        for door, one in told.items():
+            if one.outcome is w.Outcome.REFUSED:
+                proposed.refused[door] = [str(problem) for problem in one.problems]
+        return proposed.verdict()
+
+    async def _in_force(self, known: Known, one: w.BecameOf, proposed: _Proposed) -> Verdict:
+        """A change that is decided: whether it is in force everywhere."""
+        # Where the log does not reach back to it, the keepers of a later policy know as much.
+        name = one.policy or (known.latest["policy"] if known.latest is not None else "")
+        if name not in known.boards:
+            policy = await self.policy(name)
+            if policy is not None:
+                known.boards[name] = list(policy.keepers)
+        proposed.settled = min(proposed.settled or one.epoch, one.epoch)
+        return everywhere(known, name, proposed.settled, proposed.settled)
+
+    async def _offer(self, known: Known, proposed: _Proposed) -> Verdict:
+        """Propose a change at the first keeper that takes it."""
+        verdict = Verdict(3, proposed.id, text="no keeper answers")
+        doors = [door for door in self._in_order(known) if door not in proposed.refused]
+        for door in sorted(doors, key=lambda door: door not in proposed.doors):
+            proposed.doors.add(door)
+            try:
+                await self._offered(door, proposed)
+                return Verdict(3, proposed.id, text="proposed")
+            except Refused as error:
+                verdict = Verdict(3, proposed.id, text=f"{door}: {error}")
+            except Unreachable as error:
+                wait = _retry_after(error)
+                if error.status in (0, 507) or wait is not None:
+                    proposed.wait = wait or 0.0
+                    verdict = Verdict(3, proposed.id, text=f"{door}: {error}")
+                    continue
+                if error.status != 409:
+                    proposed.doors.discard(door)
+                    return _bad_input(error).verdict()
+                proposed.refused[door] = _problems_of(error)
+                return proposed.verdict() or Verdict(3, proposed.id, text=f"{door}: {error}")
+        return verdict
+
+    async def _offered(self, door: str, proposed: _Proposed) -> None:
+        data = encode_change(proposed.change)
+        if len(data) <= MAX_IN_ONE_CALL:
+            words = w.Changing(base64.b64encode(data).decode())
+        else:
+            words = w.Changing(upload=await self.upload(door, data))
+        w.decode(await self.call(door, "change", w.encode(words)), w.BecameOf)
+
     async def drop(self, change: str) -> str:
         """Give a change up; "" if a keeper will, else why not."""
         why = "no keeper answers"
@@ -251,3 +472,58 @@
             except Unreachable as error:
                 why = str(error)
         return why
+
+
+@dataclass
+class _Proposed:
+    """A change that is followed. doors: where it may have been proposed; refused: why, by door; wait: s.
+
+    settled: the epoch since which it is in force; 0: it is not yet, as far as is known.
+    """
+
+    change: Change
+    doors: set[str] = field(default_factory=set)
+    refused: dict[str, list[str]] = field(default_factory=dict)
+    wait: float = 0.0
+    settled: int = 0
+
+    @property
+    def id(self) -> str:
+        return self.change.id.hex()
+
+    def verdict(self) -> Verdict | None:
+        """It is refused if all say so where it may have been proposed; None: not all of them."""
+        if not self.doors or not self.doors <= self.refused.keys():
+            return None
+        problems = [text for door in sorted(self.doors) for text in self.refused[door]]
+        return Verdict(1, self.id, text="refused", reasons={"the keepers": list(dict.fromkeys(problems))})
+
+
+def _told(error: Unreachable) -> dict[str, Any]:
+    """What a keeper said with its no."""
+    try:
+        told = msgspec.json.decode(str(error).encode("utf-8", "replace"))
+    except msgspec.DecodeError:
+        return {}
+    return told if isinstance(told, dict) else {}
+
+
+def _retry_after(error: Unreachable) -> float | None:
+    """In how many seconds a keeper says that it may be asked again; None: it does not say so."""
+    wait = _told(error).get("retry_after_ms")
+    return min(60.0, max(0.0, wait / 1000)) if isinstance(wait, int) and error.status == 503 else None
+
+
+def _problems_of(error: Unreachable) -> list[str]:
+    found = _told(error).get("problems")
+    if not isinstance(found, list):
+        return [str(error)]
+    return [
+        ": ".join(str(part) for part in one if part) if isinstance(one, list) else str(one) for one in found
+    ]
+
+
+def _bad_input(error: Unreachable) -> BadInput:
+    told = _told(error)
+    code = 1 if error.status in (409, 422) else 2
+    return BadInput(code, str(told.get("refused", error)), _problems_of(error) if "problems" in told else ())
--- a/accord/keeping.py
+++ b/accord/keeping.py
@@ -26,8 +26,8 @@
     State,
     named,
 )
+from .log import PolicyLog
 from .policy import Policy, Refused
-from .shelf import Shelf
 from .store import Store, StoreFailed
 from .words import Asking, Entry, Granting, Promising, Telling, Voting, Waiting
 
@@ -80,7 +80,7 @@
         self,
         me: int,
         store: Store,
-        shelf: Shelf,
+        log: PolicyLog,
         clock: Callable[[], int],
         wall: Callable[[], int],
         longest: int,
@@ -88,7 +88,7 @@
     ) -> None:
         self.me = me
         self.store = store
-        self.shelf = shelf
+        self.log = log
         self.clock = clock
         self.wall = wall
         self.longest = longest
@@ -97,6 +97,8 @@
         self.history: list[Entry] = []
         self.members: dict[int, Member] = {}
         self.refusals: dict[str, dict[str, list[str]]] = {}  # policy, node: why it cannot serve it
+        self.culprits: dict[str, dict[str, list[str]]] = {}  # policy, change: why a node cannot serve it
+        self.whole: dict[str, list[str]] = {}  # policy: why a node could serve none at all
         self.failed = ""  # why what it says cannot be kept
         self._swept = 0
         self.heard = 0  # when somebody last drove here, ns
@@ -110,7 +112,7 @@
             said: _Said = msgspec.msgpack.decode(data, type=_Said)
         except msgspec.DecodeError as error:
             raise StoreFailed(f"{self.store.folder}: {error}") from None
-        if any(self.shelf.get(name) is None for name in named(said.decided)):
+        if any(self.log.get(name) is None for name in named(said.decided)):
             return  # a disk that lost some of it: what else it lost is not known
         kept = Keeper(self.me, said.decided, said.promised, said.accepted, mute=said.mute)
         longest = max(self.longest, said.longest)
@@ -140,24 +142,19 @@
         self.keeper = after
         self.history = history
 
-    async def shelve(self, policy: Policy) -> None:
-        """Bring a policy to the disk. StoreFailed: it is not there."""
-        await self.disk(lambda: self.shelf.put(policy))
-
     def holds(self, state: State) -> bool:
-        """Whether all policies that an epoch names are on the shelf."""
-        return all(self.shelf.get(name) is not None for name in named(state))
+        """Whether all policies that an epoch names are on disk."""
+        return all(self.log.get(name) is not None for name in named(state))
 
     # Beginnings
 
     async def found(self, policy: Policy) -> None:
-        """Begin the accord, under this policy. Refused: it has begun."""
+        """Begin the accord, under this policy, which is on disk already. Refused: it has begun."""
         state = State(0, Stage.SETTLED, policy.name)
         if self.keeper is not None:
             if self.keeper.decided == state:
                 return
             raise Refused(f"founded already: epoch {self.keeper.decided.epoch}, {self.keeper.decided.policy}")
-        await self.shelve(policy)
         await self._take(Keeper(self.me, state))
 
     async def learn_all(self, told: Iterable[tuple[State, State | None]]) -> None:
@@ -178,7 +175,7 @@
     # Calls
 
     async def know(self, state: State) -> bool:
-        """Learn what is decided; whether that was news. Its policies are on the shelf already."""
+        """Learn what is decided; whether that was news. Its policies are on disk already."""
         if self.keeper is None or state.epoch <= self.keeper.decided.epoch or not self.holds(state):
             return False
         await self._take(self.keeper.hear_know(Know(state)))
@@ -211,6 +208,7 @@
         )
         if ask.state is not None and ask.state.new and not ask.able:
             self.refusals.setdefault(ask.state.new, {})[words.name] = list(words.reasons)
+            self._blame(ask.state.new, words)
             while len(self.refusals) > 16:
                 del self.refusals[next(iter(self.refusals))]
         if now - self._swept > SECOND:
@@ -218,6 +216,23 @@
             for process in [p for p, one in self.members.items() if now - one.heard > FORGOTTEN]:
                 del self.members[process]
 
+    def _blame(self, policy: str, words: Asking) -> None:
+        """Note which changes of a batch a node names."""
+        reasons = [f"{words.name}: {reason}" for reason in words.reasons]
+        for change in words.culprits:
+            self.culprits.setdefault(policy, {}).setdefault(change, reasons)
+        if words.whole:
+            self.whole.setdefault(policy, reasons)
+        for noted in (self.culprits, self.whole):
+            while len(noted) > 16:
+                del noted[next(iter(noted))]
+
+    def forget_refusals(self, policy: str) -> None:
+        """A policy is proposed again: what nodes said of it before counts no more."""
+        self.refusals.pop(policy, None)
+        self.culprits.pop(policy, None)
+        self.whole.pop(policy, None)
+
     async def prepare(self, call: Prepare) -> Promising:
         """Somebody who drives asks for a promise."""
         if self.keeper is None:
@@ -234,7 +249,7 @@
         )
 
     async def accept(self, call: Accept) -> Voting:
-        """Somebody who drives asks for a vote; the policies of the epoch are on the shelf already."""
+        """Somebody who drives asks for a vote; the policies of the epoch are on disk already."""
         keeper = self.keeper
         if keeper is None:
             return Voting(why="it knows nothing yet")
--- a/accord/policy.py
+++ b/accord/policy.py
@@ -1,77 +1,130 @@
-"""A policy as a thing: the operator file's bytes, the servers out by hand, and where it comes from. Pure.
+"""A policy: one entry of the replicated log, which is a batch of resource changes and who decides the next
+one. Pure.
 
-Two policies are the same if their digests are: BLAKE2b over the canonical form, which holds everything but
-the digest itself. A change states the digest of its parent, so that one made on an old policy is seen to be.
+Each entry holds the digest of the entry before it (a hash chain) and the digests of the resources on its two
+sides. Two policies are the same if their digests are: BLAKE2b over everything, with the changes by a digest
+of their own, so that an entry is verified also where its changes are not at hand (it came with a snapshot).
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import cached_property
 from hashlib import blake2b
 
 import msgspec
 
-__all__ = ["FIRST", "MOST_BYTES", "Policy", "Refused", "first", "parse", "successor"]
-
-# The longest operator file (bytes), the longest reason, author and server, and the most servers out by hand.
-# An operator file of a thousand routes is some 100 KiB, and one that comes by the door is held whole.
-MOST_BYTES, MOST_WORDS, MOST_OUT = 256 << 10, 400, 2_000
+from resources.batch import MAX_BATCH_CHANGES, Batch, assemble
+from resources.digest import DIGEST_BYTES
+from resources.model import Change, ChangeRefused, Key
+from resources.state import EMPTY, ResourceState
+from resources.wire import MAX_BATCH_BYTES
+
+__all__ = [
+    "FIRST",
+    "MAX_ENTRY_BYTES",
+    "MAX_TEXT_LENGTH",
+    "Policy",
+    "Refused",
+    "changed_keys",
+    "first",
+    "parse",
+    "successor",
+]
+
+# The longest reason, author and keeper, in characters.
+MAX_TEXT_LENGTH = 400
+# The longest entry as encoded: a batch, and what stands around it.
+MAX_ENTRY_BYTES = MAX_BATCH_BYTES + (64 << 10)
 BOARDS = (1, 3, 5)  # keepers that there may be: with an even number one more may fail no more
-_SIZE = 32  # bytes of a digest
 
 
 class Refused(ValueError):
     """It is no policy, or none that may follow; the text says why, and names the field."""
 
 
-class Policy(msgspec.Struct, frozen=True):
-    """One policy. version: 0 for the first, one more for each that follows; parent: the digest before."""
+class Policy(msgspec.Struct, frozen=True, dict=True, array_like=True):
+    """One entry of the log.
+
+    version: 1 for the first, one more for each that follows; it is the revision of the resources after it.
+    parent: the digest of the entry before it. before, after: the digests of the resources on its two sides.
+    content: the digest of the changes. changes: None where they are not at hand.
+    """
 
     version: int
     parent: bytes
-    file: bytes  # of the operator file
-    out: tuple[str, ...]  # servers out by hand, in order
+    before: bytes
+    after: bytes
+    content: bytes
     reason: str
     author: str
     keepers: tuple[str, ...] = ()  # the board: where those who decide are called, in order
+    changes: tuple[Change, ...] | None = None
 
-    @property
+    @cached_property
     def digest(self) -> bytes:
         """What it is known by, 32 bytes."""
         parts = (
             b"%d" % self.version,
             self.parent,
-            self.file,
-            *(b"%d" % len(self.out), *(name.encode() for name in self.out)),
+            self.before,
+            self.after,
+            self.content,
             self.reason.encode(),
             self.author.encode(),
             *(b"%d" % len(self.keepers), *(keeper.encode() for keeper in self.keepers)),
         )
-        whole = blake2b(digest_size=_SIZE, person=b"hollybay.policy")
+        whole = blake2b(digest_size=DIGEST_BYTES, person=b"hollybay.policy")
         for part in parts:
             # Each with its length, or two policies could run together into the same bytes.
             whole.update(len(part).to_bytes(8, "big"))
             whole.update(part)
         return whole.digest()
 
-    @property
+    @cached_property
     def name(self) -> str:
         """Version and the digest's first figures, for people."""
         return f"{self.version}-{self.digest.hex()[:12]}"
 
+    @property
+    def parent_name(self) -> str:
+        """The name of the entry before it; empty for the first."""
+        return f"{self.version - 1}-{self.parent.hex()[:12]}" if self.version > 1 else ""
+
+    @property
+    def batch(self) -> Batch:
+        """Its changes as a batch. Refused: they are not at hand."""
+        if self.changes is None:
+            raise Refused(f"changes: those of {self.name} are not at hand")
+        return Batch(self.version, self.before, self.changes, self.after)
+
+    def without_changes(self) -> Policy:
+        """The same policy, without its changes."""
+        return self if self.changes is None else msgspec.structs.replace(self, changes=None)
+
+
+def changed_keys(changes: Iterable[Change]) -> frozenset[Key]:
+    """The resources that changes touch."""
+    return frozenset(operation.key for change in changes for operation in change.operations)
+
+
+def _content(changes: tuple[Change, ...]) -> bytes:
+    return blake2b(
+        msgspec.msgpack.encode(changes), digest_size=DIGEST_BYTES, person=b"hollybay.changes"
+    ).digest()
+
 
 def _checked(policy: Policy) -> Policy:
     """The policy, where each field is within its bounds; Refused names the one that is not."""
-    if policy.version < 0:
-        raise Refused(f"version: {policy.version} is under 0")
-    if len(policy.parent) != (_SIZE if policy.version else 0):
+    if policy.version < 1:
+        raise Refused(f"version: {policy.version} is under 1")
+    if len(policy.parent) != (DIGEST_BYTES if policy.version > 1 else 0):
         raise Refused(f"parent: {len(policy.parent)} bytes are no digest")
-    if len(policy.file) > MOST_BYTES:
-        raise Refused(f"file: {len(policy.file)} bytes, {MOST_BYTES} at most")
-    if len(policy.out) > MOST_OUT:
-        raise Refused(f"out: {len(policy.out)} servers, {MOST_OUT} at most")
-    if list(policy.out) != sorted(set(policy.out)):
-        raise Refused("out: not in order, or a server stands twice")
+    for field in ("before", "after", "content"):
+        if len(getattr(policy, field)) != DIGEST_BYTES:
+            raise Refused(f"{field}: {len(getattr(policy, field))} bytes are no digest")
+    if policy.version == 1 and policy.before != EMPTY.digest:
+        raise Refused("before: the first entry begins with no resources")
     if policy.keepers and len(policy.keepers) not in BOARDS:
         raise Refused(f"keepers: {len(policy.keepers)}, and there may be {', '.join(map(str, BOARDS))}")
     if list(policy.keepers) != sorted(set(policy.keepers)):
@@ -79,60 +132,103 @@
     for field, text in (
         ("reason", policy.reason),
         ("author", policy.author),
-        *(("out", o) for o in policy.out),
         *(("keepers", k) for k in policy.keepers),
     ):
-        if len(text) > MOST_WORDS or not text.isprintable():
+        if len(text) > MAX_TEXT_LENGTH or not text.isprintable():
             raise Refused(f"{field}: {text[:40]!r} is too long, or no plain text")
         try:
             text.encode()
         except UnicodeEncodeError:
             raise Refused(f"{field}: {text[:40]!r} is no plain text") from None
+    if policy.changes is not None and len(policy.changes) > MAX_BATCH_CHANGES:
+        raise Refused(f"changes: {len(policy.changes)}, {MAX_BATCH_CHANGES} at most")
+    if policy.changes is not None and _content(policy.changes) != policy.content:
+        raise Refused("content: it is not the digest of the changes")
     return policy
 
 
-def first(file: bytes, out: Iterable[str] = (), keepers: Iterable[str] = ()) -> Policy:
-    """The policy that a tier begins with."""
-    return _checked(Policy(0, b"", file, tuple(sorted(set(out))), "first", "", tuple(sorted(keepers))))
-
-
-FIRST = first(b"")
+def first(changes: Iterable[Change] = (), keepers: Iterable[str] = ()) -> Policy:
+    """The policy that a tier begins with. Refused: a change does not fit, or something is out of bounds."""
+    return _entry(None, EMPTY, changes, "first", "", tuple(sorted(keepers)))[0]
 
 
 def successor(
     old: Policy,
-    parent: bytes,
-    file: bytes,
-    out: Iterable[str],
-    reason: str,
-    author: str,
+    state: ResourceState,
+    changes: Iterable[Change],
     keepers: Iterable[str] | None = None,
-) -> Policy:
-    """The policy that follows another; keepers None: the same. Refused: another parent, nothing changed, more
-    keepers changed than one at a time, or out of bounds."""
-    if parent != old.digest:
-        raise Refused(f"parent: made on {parent.hex()[:12] or 'nothing'}, in force is {old.name}")
+    reason: str | None = None,
+    author: str = "",
+) -> tuple[Policy, ResourceState]:
+    """The policy that follows another, and the resources after it. state: those of the old one.
+
+    keepers None: the same. reason None: the one of the change, where it is a single one. Refused: a change
+    does not fit, nothing changes, or more keepers change than one at a time.
+    """
+    taken = tuple(changes)
     board = old.keepers if keepers is None else tuple(sorted(keepers))
-    new = _checked(Policy(old.version + 1, parent, file, tuple(sorted(set(out))), reason, author, board))
-    if (new.file, new.out, new.keepers) == (old.file, old.out, old.keepers):
-        raise Refused(f"file: says the same as {old.name}, with the same servers out")
-    if not reason.strip():
-        raise Refused("reason: missing")
-    come, gone = set(new.keepers) - set(old.keepers), set(old.keepers) - set(new.keepers)
+    if not taken and board == old.keepers:
+        raise Refused(f"changes: says the same as {old.name}")
+    come, gone = set(board) - set(old.keepers), set(old.keepers) - set(board)
     # One for another, or one more and one for the number to be odd; else the new ones could outvote the old
     # before they know anything.
     if old.keepers and len(come) + len(gone) > 2:
         raise Refused(
             f"keepers: {len(come)} come and {len(gone)} go; one at a time may be replaced, or two added"
         )
-    if old.keepers and not new.keepers:
+    if old.keepers and not board:
         raise Refused("keepers: none")
-    return new
+    if reason is None:
+        reason, author = _shown(taken)
+    if not reason.strip():
+        raise Refused("reason: missing")
+    return _entry(old, state, taken, reason, author, board)
+
+
+def _shown(changes: tuple[Change, ...]) -> tuple[str, str]:
+    """The reason and the author that an entry with these changes shows."""
+    if len(changes) == 1:
+        return changes[0].reason, changes[0].author
+    return f"{len(changes)} changes", ""
+
+
+def _entry(
+    old: Policy | None,
+    state: ResourceState,
+    changes: Iterable[Change],
+    reason: str,
+    author: str,
+    keepers: tuple[str, ...],
+) -> tuple[Policy, ResourceState]:
+    try:
+        assembled = assemble(state, changes)
+    except ChangeRefused as error:
+        raise Refused(str(error)) from None
+    if assembled.refused:
+        raise Refused("; ".join(str(error) for _, error in assembled.refused))
+    batch = assembled.batch
+    policy = Policy(
+        batch.revision,
+        old.digest if old is not None else b"",
+        batch.before,
+        batch.after,
+        _content(batch.changes),
+        reason,
+        author,
+        keepers,
+        batch.changes,
+    )
+    return _checked(policy), assembled.state
+
+
+FIRST = first()
 
 
 def parse(data: bytes) -> Policy:
     """A policy from its MessagePack form; Refused: it is none."""
+    if len(data) > MAX_ENTRY_BYTES:
+        raise Refused(f"no policy: {len(data)} bytes, {MAX_ENTRY_BYTES} at most")
     try:
         return _checked(msgspec.msgpack.decode(data, type=Policy))
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise Refused(f"no policy: {error}") from None
--- a/accord/record.py
+++ b/accord/record.py
@@ -42,9 +42,12 @@
     return blake2b(head + data, digest_size=_CHECK, person=b"hollybay.record").digest()
 
 
-def pack(count: int, data: bytes) -> bytes:
-    """The bytes of a record; count: one more than the record before. ValueError: out of range."""
-    if not 0 <= count < 1 << 64 or len(data) > MOST:
+def pack(count: int, data: bytes, most: int = MOST) -> bytes:
+    """The bytes of a record; count: one more than the record before; most: bytes of data.
+
+    ValueError: out of range.
+    """
+    if not 0 <= count < 1 << 64 or len(data) > most:
         raise ValueError(f"a record of count {count} and {len(data)} bytes")
     head = _HEAD.pack(_MAGIC, VERSION, count, len(data))
     return head + _check(head, data) + data
--- a/accord/service.py
+++ b/accord/service.py
@@ -11,22 +11,41 @@
 import asyncio
 import base64
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
 
 import msgspec
 
+from resources.batch import Batch
+from resources.model import CHANGE_ID_BYTES, Change, ChangeRefused, Operation, Problem
+from resources.state import EMPTY, ResourceState
+from resources.wire import encode_change
+
 from . import words as w
+from .calls import Unreachable, Way
 from .core import Accept, Boards, Driver, Know, Node, Stage, State, enough, named, served
+from .drafts import (
+    founding_change,
+    operations_like,
+    proposed_change,
+    server_operations,
+    servers_out,
+    shown_operations,
+)
+from .fetch import NOT_REACHED, Brought, Fetcher
+from .group_commit import Busy, InForce, Pending, ProposalQueue, Queued, RefusedNow, UnderWay
+from .group_commit import Refused as RefusedHere
 from .keeping import Disk, Keeping
+from .log import Entry, NotReached, PolicyLog, is_name
 from .policy import Policy, Refused, first, successor
-from .shelf import Shelf, is_name
 from .store import Store, StoreFailed
+from .transfer import Uploads, piece_of
 from .words import number_of
 
-__all__ = ["Answer", "Hands", "Service", "Terms", "Unreachable", "Way", "policy_from"]
+__all__ = ["Answer", "BadFile", "FileRead", "Hands", "Service", "Terms"]
 
 SECOND = 1_000_000_000
 # Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
@@ -42,36 +61,55 @@
 # Calls to each keeper that an accord begins with, until it answers.
 FOUND_TRIES = 4
 IDLE = 0.25  # seconds between two looks for a change that hangs
+# Seconds for which whoever drives lets others begin, where two of them want to at once.
+GIVE_WAY = (0.01, 0.05)
+# Seconds for which an answer that is longer than a call is kept for its further pieces, and how many are.
+TRANSFER_KEPT, MAX_TRANSFERS = 10.0, 2
+# Seconds that a keeper may take to fetch the first policy, which may be long, and to begin.
+FOUND_CALL_LIMIT = 5.0
+# Seconds after which what takes long is answered by a time to come again (s), and how many calls may take so
+# long.
+LONG_ANSWER, LONG_RETRY, MAX_LONG = 3.0, 0.5, 4
+# Bytes of a change that an answer holds, and of lines for people beside it.
+MAX_DRAFT_BYTES = 64 << 10
+MAX_LINES_BYTES = 128 << 10
+GIVEN_UP = (Problem("change", "", "given up by an operator"),)
 
 _T = TypeVar("_T")
 
 
-class Unreachable(Exception):
-    """A call had no answer (status 0), or one that says no, and why."""
+@dataclass(frozen=True, slots=True)
+class FileRead:
+    """What an operator file says: how the resources differ from it, and the keepers; None: it names none."""
 
-    def __init__(self, reason: str, status: int = 0) -> None:
-        super().__init__(reason)
-        self.status = status
+    operations: tuple[Operation, ...]
+    keepers: list[str] | None
 
 
-class Way(Protocol):
-    """How a process calls another one at its door; Unreachable: no answer within so many seconds."""
+class BadFile(Refused):
+    """An operator file does not hold; problems: all that was found."""
 
-    def __call__(self, door: str, path: str, body: bytes | None, limit: float) -> Awaitable[bytes]: ...
+    def __init__(self, problems: Sequence[str]) -> None:
+        super().__init__("file: " + "; ".join(problems))
+        self.problems = list(problems)
 
 
 class Hands(Protocol):
     """What an accord does to its node."""
 
-    def compile(self, policy: Policy) -> Awaitable[list[str]]:
+    def compile(self, entry: Entry) -> Awaitable[list[str]]:
         """Make a policy ready to be in force; why it cannot be: nothing if it can."""
         ...
 
-    def keepers_of(self, file: bytes) -> list[str] | None:
-        """The keepers that a policy's file names; None: it names none."""
+    def culprits(self, base: Entry, changes: tuple[Change, ...]) -> Awaitable[Mapping[bytes, list[str]]]:
+        """Which changes of a batch on a policy do not hold, one after another, and why; by their ids."""
+        ...
+
+    def read(self, file: bytes, state: ResourceState) -> Awaitable[FileRead]:
+        """What an operator file says. BadFile: it does not hold."""
         ...
 
-    def put(self, policies: tuple[Policy, ...]) -> None:
+    def put(self, entries: tuple[Entry, ...]) -> None:
         """From now on requests begin under the narrower of these; of none: none may begin."""
         ...
 
@@ -99,14 +137,32 @@
     body: bytes
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Change:
-    """A change that this keeper was asked for, and how far it knows of it."""
+    """A policy that this keeper wants to be next, from which epoch on."""
 
     policy: Policy
     epoch: int
 
 
+@dataclass(slots=True)
+class _UnderWay:
+    """The batch of the queue that this keeper wants to be next. began: whether an epoch names it."""
+
+    policy: str
+    batch: Batch
+    began: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Unfit:
+    """Why this node cannot serve a policy. culprits: ids of changes; whole: whatever it holds."""
+
+    reasons: list[str]
+    culprits: tuple[str, ...] = ()
+    whole: bool = False
+
+
 class _Remembered(msgspec.Struct, frozen=True, array_like=True):
     """What a node leaves to the process after it. boot: the machine's; late: ns of its clock."""
 
@@ -144,15 +200,21 @@
         self.keeps = keeps  # whether this process may be the keeper of its name: another one may be it still
         self.process = chance.getrandbits(48)
         self.folder = terms.folder / terms.name
-        self.shelf = Shelf(self.folder / "policies", step)
+        self.log = PolicyLog(self.folder / "policies", step)
+        self.opened = False  # whether what is on disk was taken up
         self.memory = Store(self.folder, "node", step)
         self.node = Node(self.process)
-        self.unfit: dict[str, list[str]] = {}
+        self.unfit: dict[str, _Unfit] = {}
         self.under: tuple[str, ...] = ()  # as it was put in force last
         self.until = 0  # requests may begin under it until then without another look
         self.known_doors: set[str] = set(terms.keepers)
         self.keeping: Keeping | None = None
         self.pending: _Change | None = None
+        self.queue = ProposalQueue()
+        self.batch: _UnderWay | None = None
+        self.long: dict[bytes, asyncio.Task[Answer]] = {}  # what takes long, by the digest of its call
+        self.uploads = Uploads()
+        self.transfers: dict[str, tuple[str, bytes]] = {}
         self.dropping: set[str] = set()
         self.driving = ""
         self.waits: list[w.Waiting] = []
@@ -163,6 +225,9 @@
         self.keeper_lock = asyncio.Lock()
         self.learning = asyncio.Lock()
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.fetcher = Fetcher(
+            self.log, lambda door, path: self._call(door, path, None), self.disk, self._spawn
+        )
         self._kept: State | None = None  # what it left to the process after it, and until when that counts
         self._kept_late = 0
         self._ballot = 0  # the highest count of a ballot that it has seen
@@ -174,6 +239,13 @@
 
     async def start(self) -> None:
         """Take up what is on disk, and begin to ask. StoreFailed: the folder cannot be used."""
+        try:
+            await self.disk(self.log.open)
+        except StoreFailed as error:
+            self.hands.say("log", error=str(error))
+        for file, reason in self.log.aside.items():
+            self.hands.say("set aside", file=file, reason=reason)
+        self.opened = True
         try:
             found = self.memory.open()
             if found is not None:
@@ -208,14 +280,13 @@
         except msgspec.DecodeError:
             return
         self.known_doors |= {door for board in one.boards for door in board}
-        policies = [self.shelf.get(name) for name in named(one.state)]
-        if one.boot == self.boot and self.clock() < one.late and all(p is not None for p in policies):
+        if one.boot == self.boot and self.clock() < one.late:
             self._spawn(self._inherited(one))
 
     async def _inherited(self, one: _Remembered) -> None:
         for name in named(one.state):
-            policy = self.shelf.get(name)
-            if policy is None or await self._compiled(policy):
+            entry = self.log.entry(name)
+            if entry is None or entry.state is None or await self._compiled(entry):
                 return
         if self.node.at is None:
             # As late as the one before was, not as one that holds a lease.
@@ -238,11 +309,11 @@
         node = self.node
         strict = now < node.until
         if under != self.under:
-            policies = tuple(policy for name in under if (policy := self.shelf.get(name)) is not None)
-            if len(policies) < len(under):
-                under = policies = ()
+            entries = tuple(entry for name in under if (entry := self.log.entry(name)) is not None)
+            if len(entries) < len(under):
+                under = entries = ()
             self.under = under
-            self.hands.put(policies)
+            self.hands.put(entries)
             at = node.at
             self.hands.say(
                 "serves" if under else "serves nothing",
@@ -253,24 +324,44 @@
             )
         self.until = (node.until if strict else node.late) if under else 0
 
-    async def _compiled(self, policy: Policy) -> list[str]:
-        """Why this node cannot serve a policy; what can is on its disk and ready."""
-        problems = self.unfit.get(policy.name)
-        if problems is not None:
-            return problems
-        try:
-            if self.shelf.get(policy.name) is None:
-                await self.disk(lambda: self.shelf.put(policy))
-        except StoreFailed as error:
-            return [f"cannot be kept: {error}"]
-        problems = await self.hands.compile(policy)
+    async def _compiled(self, entry: Entry) -> list[str]:
+        """Why this node cannot serve a policy that is on its disk; what it can serve is ready."""
+        name = entry.policy.name
+        known = self.unfit.get(name)
+        if known is not None:
+            return known.reasons
+        problems = await self.hands.compile(entry)
         if problems:
-            problems = [text[:400] for text in problems[: w.MOST_REASONS]]
-            self.unfit[policy.name] = problems
-            self.node = self.node._replace(unfit=self.node.unfit | {policy.name})
-            while len(self.unfit) > 64:
-                self.unfit.pop(next(iter(self.unfit)))
-        return problems
+            self._cannot(name, _Unfit(_shortened(problems), await self._culprits(entry)))
+        return _shortened(problems)
+
+    async def _culprits(self, entry: Entry) -> tuple[str, ...]:
+        """The changes of a batch by which it cannot be served; (): they are not known."""
+        policy = await self._from_disk(entry.policy.name)
+        base = self.log.entry(entry.policy.parent_name)
+        if policy is None or policy.changes is None or base is None or base.state is None:
+            return ()
+        if len(policy.changes) == 1:
+            return (policy.changes[0].id.hex(),)
+        found = await self.hands.culprits(base, policy.changes)
+        return tuple(change.hex() for change in found)[: w.MAX_CULPRITS]
+
+    async def _from_disk(self, name: str) -> Policy | None:
+        """A policy with its changes."""
+        found: list[Policy | None] = []
+        await self.disk(lambda: found.append(self.log.read(name)))
+        return found[0]
+
+    def _forgive(self, name: str) -> None:
+        """Forget that this node cannot serve a policy."""
+        self.unfit.pop(name, None)
+        self.node = self.node._replace(unfit=self.node.unfit - {name})
+
+    def _cannot(self, name: str, why: _Unfit) -> None:
+        self.unfit[name] = why
+        self.node = self.node._replace(unfit=self.node.unfit | {name})
+        while len(self.unfit) > 64:
+            self.unfit.pop(next(iter(self.unfit)))
 
     async def _renew(self) -> None:
         """Ask for a lease, again and again."""
@@ -295,7 +386,7 @@
         """The keepers whose leases it needs for an epoch; of what it does not know, all that it knows of."""
         doors: set[str] = set()
         for name in named(state) if state is not None else ():
-            policy = self.shelf.get(name)
+            policy = self.log.get(name)
             doors |= set(policy.keepers) if policy is not None else set()
         return sorted(doors or self.known_doors)
 
@@ -306,12 +397,20 @@
     async def _round(self) -> None:
         """One call to all keepers; over when a majority has granted, all have answered, or there is news."""
         self.node, ask = self.node.begin(self.clock())
-        reasons: list[str] = []
+        why = _Unfit([])
         if ask.state is not None and ask.state.new:
-            reasons = self.unfit.get(ask.state.new, [])
+            why = self.unfit.get(ask.state.new, why)
         doors = self.doors_of(ask.state)
         asking = w.Asking(
-            w.FORM, ask, self.terms.name, self.terms.door, self.terms.lease, self.terms.late, reasons
+            w.FORM,
+            ask,
+            self.terms.name,
+            self.terms.door,
+            self.terms.lease,
+            self.terms.late,
+            why.reasons,
+            list(why.culprits),
+            why.whole,
         )
         body = w.encode(asking)
         limit = min(CALL_LIMIT, self.terms.lease / SECOND / 3)
@@ -352,31 +451,28 @@
             boards: list[frozenset[int]] = []
             if state.stage is Stage.PREPARE and state.new in self.unfit:
                 # It may hold now, as a disk that was full may have room.
-                del self.unfit[state.new]
-                self.node = self.node._replace(unfit=self.node.unfit - {state.new})
+                self._forgive(state.new)
             for name in named(state):
-                policy = await self._fetched(name, by)
-                if policy is None:
+                brought = await self._fetched(name, by)
+                if brought.policy is None:
                     return  # it will be told again
-                self.known_doors |= set(policy.keepers)
-                boards.append(_board(policy))
-                problems = await self._compiled(policy)
-                if problems and name not in self.node.unfit:
+                self.known_doors |= set(brought.policy.keepers)
+                boards.append(_board(brought.policy))
+                entry = self.log.entry(name)
+                if entry is not None:
+                    await self._compiled(entry)
+                else:
                     # Not kept on this disk: it cannot serve it now, and may later.
-                    self.unfit[name] = problems
-                    self.node = self.node._replace(unfit=self.node.unfit | {name})
+                    self._cannot(name, _Unfit(_shortened([brought.problem]), whole=True))
             self.node = self.node.hear_know(Know(state), tuple(boards))
             self.hands.say("hears", epoch=state.epoch, stage=state.stage.name, policies=list(named(state)))
             self._maybe_keeper()
         self.poked.set()
 
-    async def _fetched(self, name: str, by: str) -> Policy | None:
-        """A policy, from its own shelf or from whoever has it."""
-        known = self.shelf.get(name)
-        if known is not None:
-            return known
+    async def _fetched(self, name: str, by: str) -> Brought:
+        """A policy, from its own disk or from whoever has it."""
         doors = dict.fromkeys([by, *self.doors_of(self.node.want), *sorted(self.known_doors)])
-        return await policy_from(self._call, [door for door in doors if door != self.terms.door], name)
+        return await self.fetcher.bring(name, [door for door in doors if door != self.terms.door])
 
     def _remember(self) -> None:
         """Leave to the process after this one what it may go on with; seldom, as each is a write."""
@@ -388,7 +484,7 @@
             return
         self._kept = node.at
         self._kept_late = node.late
-        boards = [list(p.keepers) for name in named(node.at) if (p := self.shelf.get(name)) is not None]
+        boards = [list(p.keepers) for name in named(node.at) if (p := self.log.get(name)) is not None]
         data = msgspec.msgpack.encode(_Remembered(self.boot, node.at, boards, node.late))
 
         async def keep() -> None:
@@ -403,12 +499,14 @@
 
     def _maybe_keeper(self) -> None:
         """Be a keeper, if a board that it knows of names its door."""
-        if self.keeping is not None or self.terms.door not in self.known_doors or not self.keeps():
+        if self.keeping is not None or not self.opened or self.terms.door not in self.known_doors:
+            return
+        if not self.keeps():
             return
         keeping = Keeping(
             number_of(self.terms.door),
             Store(self.folder, "keeper", self.step),
-            self.shelf,
+            self.log,
             self.clock,
             self.wall,
             self.terms.lease + self.terms.late,
@@ -436,7 +534,7 @@
         latest = max(one.state for one in heard.values() if one.state is not None)
         by = next(door for door, one in heard.items() if one.state == latest)
         try:
-            if not await self._shelved(keeping, latest, by):
+            if not await self._on_disk(latest, by):
                 return
             boards = self._boards(latest)
             self.known_doors |= set(self.doors_of(latest))
@@ -452,18 +550,21 @@
         assert keeping.keeper is not None
         self.hands.say("keeper learned", epoch=keeping.keeper.decided.epoch, mute=keeping.keeper.mute)
 
-    async def _shelved(self, keeping: Keeping, state: State, by: str) -> bool:
-        """Bring the policies that an epoch names to the keeper's disk; whether all are there."""
+    async def _on_disk(self, state: State, by: str) -> bool:
+        """Bring the policies that an epoch names to the disk; whether all are there. StoreFailed: it took
+        none.
+        """
         for name in named(state):
-            policy = await self._fetched(name, by)
-            if policy is None:
+            brought = await self._fetched(name, by)
+            if brought.problem:
+                raise StoreFailed(brought.problem)
+            if brought.policy is None:
                 return False
-            await keeping.shelve(policy)
         return True
 
     def _boards(self, state: State) -> Boards:
         """The boards of the policies that an epoch names, as far as these are here."""
-        policies = [self.shelf.get(name) for name in named(state)]
+        policies = [self.log.get(name) for name in named(state)]
         return tuple(_board(policy) for policy in policies if policy is not None)
 
     async def _learn_keeper(self, state: State, by: str) -> bool:
@@ -471,45 +572,125 @@
         keeping = self.keeping
         if keeping is None or keeping.keeper is None or state.epoch <= keeping.keeper.decided.epoch:
             return False
-        if not await self._shelved(keeping, state, by):
+        if not await self._on_disk(state, by):
             return False
         async with self.keeper_lock:
             new = await keeping.know(state)
         if new and state.stage is Stage.PREPARE:
-            keeping.refusals.pop(state.new, None)  # of an earlier time that it was proposed
+            keeping.forget_refusals(state.new)  # of an earlier time that it was proposed
         if new and state.stage is Stage.SETTLED:
-            self.dropping.clear()
+            self._settled(keeping, state)
+        elif new:
+            self._begun(state)
         if new:
             keeping.heard = self.clock()
-            self.shelf.prune({*named(state), *self.under})
             self.work.set()
         return new
 
+    def _begun(self, state: State) -> None:
+        """An epoch names a change: the batch of the queue, or another one that came before it."""
+        under_way = self.batch
+        if under_way is None:
+            return
+        if state.new == under_way.policy:
+            under_way.began = True
+            return
+        self.batch = None
+        self._lost(under_way, state)
+
+    def _lost(self, under_way: _UnderWay, state: State) -> None:
+        """Another change was decided, or began: the batch waits again."""
+        after = self.log.state(state.policy)
+        self.queue.lost(under_way.batch, after if after is not None else EMPTY, self.clock())
+
+    def _settled(self, keeping: Keeping, state: State) -> None:
+        """A batch of the queue that was under way has come to its end, one way or another."""
+        given_up = set(self.dropping)
+        self.dropping.clear()
+        self._spawn(self._pruned({state.policy, *self.under}))
+        under_way = self.batch
+        if under_way is None:
+            return
+        self.batch = None
+        batch = under_way.batch
+        if state.policy == under_way.policy:
+            self.queue.decided(batch, self.clock())
+        elif not under_way.began or _version_of(state.policy) >= batch.revision:
+            self._lost(under_way, state)
+        elif under_way.policy in given_up:
+            self.queue.dropped(batch, {change.id: GIVEN_UP for change in batch.changes}, self.clock())
+        else:
+            self._dropped(keeping, under_way.policy, batch)
+
+    def _is_batch(self, name: str) -> bool:
+        """Whether this is the policy of the batch that is under way."""
+        return self.batch is not None and self.batch.policy == name
+
+    def _dropped(self, keeping: Keeping, name: str, batch: Batch) -> None:
+        """Nodes could not serve a batch: only the changes that they named are refused, if they named any."""
+        whole = keeping.whole.get(name)
+        named_by_nodes = {
+            bytes.fromhex(change): _problems(reasons)
+            for change, reasons in keeping.culprits.get(name, {}).items()
+        }
+        if whole is not None:
+            named_by_nodes = {change.id: _problems(whole) for change in batch.changes}
+        reasons = [
+            f"{node}: {reason}" for node, texts in keeping.refusals.get(name, {}).items() for reason in texts
+        ]
+        self.queue.dropped(batch, named_by_nodes, self.clock(), _problems(reasons))
+
+    async def _pruned(self, needed: set[str]) -> None:
+        try:
+            await self.disk(lambda: self.log.prune(needed))
+        except StoreFailed as error:
+            self.hands.say("snapshot", error=str(error))
+
     # Calls that come in
 
     async def answer(self, path: str, body: bytes | None) -> Answer:
         """Answer a call at the door. body: None for GET."""
         self.calls_in += 1
+        return await self._guarded(path, self._answer(path, body))
+
+    @staticmethod
+    async def _guarded(path: str, work: Coroutine[Any, Any, Answer]) -> Answer:
+        """The answer, also where it is a no."""
         try:
-            return await self._answer(path, body)
+            return await work
+        except BadFile as error:
+            return Answer(422, w.encode({"refused": "the file does not hold", "problems": error.problems}))
+        except ChangeRefused as error:
+            return Answer(
+                409, w.encode({"refused": str(error), "problems": [str(p) for p in error.problems]})
+            )
         except Refused as error:
-            return _told(409 if path in ("found", "propose", "drop") else 400, str(error))
+            return _told(409 if path in ("found", "propose", "drop", "draft") else 400, str(error))
         except StoreFailed as error:
             return _told(507, f"cannot be kept: {error}")
 
     async def _answer(self, path: str, body: bytes | None) -> Answer:
         if body is None:
-            return self._got(path)
+            return await self._got(path)
         if path == "know":
             knowing = w.decode(body, w.Knowing)
             self._spawn(self._heard(knowing.state, knowing.by))
             return Answer(200, b"{}")
         if path == "propose":
             return await self.propose(w.decode(body, w.Proposing))
+        if path == "change":
+            return await self.change(w.decode(body, w.Changing))
+        if path == "draft":
+            drafting = w.decode(body, w.Drafting)
+            return await self._long(body, lambda: self.draft(drafting))
+        if path == "upload":
+            self.uploads.take(w.decode(body, w.Uploading), self.clock())
+            return Answer(200, b"{}")
         if path == "drop":
             return await self.drop(w.decode(body, w.Dropping))
         if path == "found":
-            return await self._found(w.decode(body, w.Founding))
+            founding = w.decode(body, w.Founding)
+            return await self._long(body, lambda: self._found(founding))
         if path == "join":
             return await self._joined(w.decode(body, w.Knowing))
         if path not in ("ask", "prepare", "accept"):
@@ -526,7 +707,7 @@
             async with self.keeper_lock:
                 return Answer(200, w.encode(await keeping.prepare(preparing.call)))
         accepting = w.decode(body, w.Accepting)
-        await self._shelved(keeping, accepting.call.state, accepting.by)
+        await self._on_disk(accepting.call.state, accepting.by)
         async with self.keeper_lock:
             return Answer(200, w.encode(await keeping.accept(accepting.call)))
 
@@ -542,7 +723,7 @@
             self.hands.say("keeper", error=str(error))
         await self.learn(state, by)
 
-    def _got(self, path: str) -> Answer:
+    async def _got(self, path: str) -> Answer:
         if path == "":
             return Answer(200, w.encode(self.status()))
         if path == "tell":
@@ -551,19 +732,90 @@
             history = self.keeping.history if self.keeping is not None else []
             return Answer(200, w.encode([self._entry(one) for one in history]))
         kind, _, name = path.partition("/")
-        if kind == "file" and is_name(name):
-            policy = self.shelf.get(name)
+        if kind == "entry" and is_name(name):
+            policy = self.log.get(name)
             if policy is not None:
                 return Answer(200, w.packed(policy).encode())
             return _told(404, f"no policy {name} here")
+        if kind == "change":
+            return Answer(200, w.encode(self.became_of(name)))
+        if kind == "diff":
+            return await self._difference(name)
+        if kind == "draft":
+            draft, _, offset = name.partition("/")
+            kept = self.transfers.get(f"draft/{draft}")
+            if kept is None or not (offset or "0").isdecimal():
+                return _told(404, "no such draft here any more")
+            return Answer(200, w.encode(piece_of(*kept, int(offset or "0"))))
+        if kind in ("since", "snapshot"):
+            return await self._transferred(kind, name)
         return _told(404, "no such call")
 
+    async def _transferred(self, kind: str, rest: str) -> Answer:
+        """One piece of a delta (since/VERSION/NAME[/OFFSET]) or of a snapshot (snapshot/NAME[/OFFSET])."""
+        parts = rest.split("/")
+        places = 2 if kind == "since" else 1
+        numbers = [*parts[: places - 1], *parts[places:]]
+        if not places <= len(parts) <= places + 1 or not is_name(parts[places - 1]):
+            return _told(404, "no such call")
+        if not all(number.isdecimal() and len(number) <= 12 for number in numbers):
+            return _told(404, "no such call")
+        key = f"{kind}/{'/'.join(parts[:places])}"
+        offset = int(parts[places]) if len(parts) > places else 0
+        try:
+            name, whole = await self._transfer(key, kind, parts[:places])
+        except NotReached as error:
+            return _told(NOT_REACHED, str(error))
+        return Answer(200, w.encode(piece_of(name, whole, offset)))
+
+    async def _transfer(self, key: str, kind: str, parts: list[str]) -> tuple[str, bytes]:
+        """The whole of a delta or snapshot; kept for a while if it is longer than one piece."""
+        kept = self.transfers.get(key)
+        if kept is not None:
+            return kept
+        found: list[tuple[str, bytes]] = []
+
+        def work() -> None:
+            if kind == "since":
+                found.append((parts[1], self.log.since(int(parts[0]), parts[1])))
+            else:
+                found.append(self.log.snapshot(parts[0]))
+
+        await self.disk(work)
+        name, whole = found[0]
+        if len(whole) > w.PIECE_BYTES:
+            # The further pieces of a snapshot are asked for by its own name.
+            self._hold(f"snapshot/{name}" if kind == "snapshot" else key, found[0])
+        return found[0]
+
+    def _hold(self, key: str, transfer: tuple[str, bytes]) -> None:
+        """Keep what is longer than one piece for a while."""
+        while len(self.transfers) >= MAX_TRANSFERS:
+            del self.transfers[next(iter(self.transfers))]
+        self.transfers[key] = transfer
+        self.loop.call_later(TRANSFER_KEPT, self.transfers.pop, key, None)
+
+    async def _difference(self, names: str) -> Answer:
+        """What differs between two policies (diff/NAME/NAME), as lines for people."""
+        one, _, other = names.partition("/")
+        before, after = self.log.state(one), self.log.state(other)
+        old, new = self.log.get(one), self.log.get(other)
+        if before is None or after is None or old is None or new is None:
+            return _told(404, f"not both of {one} and {other} are kept here")
+        found: list[list[str]] = []
+        await self.disk(lambda: found.append(shown_operations(before, operations_like(before, after))))
+        keepers = [
+            *(f"-keeper {one}" for one in old.keepers if one not in new.keepers),
+            *(f"+keeper {one}" for one in new.keepers if one not in old.keepers),
+        ]
+        return Answer(200, w.encode([*found[0], *keepers]))
+
     def _entry(self, one: w.Entry) -> dict[str, object]:
         found: dict[str, object] = {
             "epoch": one.state.epoch, "stage": one.state.stage.name, "policy": one.state.policy,
             "new": one.state.new, "at": one.at,
         }  # fmt: skip
-        policy = self.shelf.get(one.state.new or one.state.policy)
+        policy = self.log.get(one.state.new or one.state.policy)
         if policy is not None:
             found |= {"reason": policy.reason, "author": policy.author}
         return found
@@ -574,14 +826,7 @@
         """Begin the accord: from an operator, told on to all keepers; or from the keeper that was told."""
         keeping = self._keeper()
         if founding.policy:
-            policy = w.unpacked(founding.policy)
-            if self.terms.door not in policy.keepers or set(policy.keepers) != set(self.terms.keepers):
-                raise Refused(
-                    f"keepers: {', '.join(self.terms.keepers)} here, not {', '.join(policy.keepers)}"
-                )
-            async with self.keeper_lock:
-                await keeping.found(policy)
-            return Answer(200, w.encode({"policy": policy.name}))
+            return await self._found_by(keeping, founding)
         doors = sorted(self.terms.keepers)
         others = [door for door in doors if door != self.terms.door]
         told = dict(await self._all(others, "tell", None, w.Telling))
@@ -596,27 +841,85 @@
         if len(told) < len(others):
             silent = ", ".join(door for door in others if door not in told)
             raise Refused(f"keepers: {silent} did not answer; all must be there when an accord begins")
-        policy = first(_file(founding.file), (), doors)
-        problems = await self._compiled(policy)
+        read = await self.hands.read(self._file(founding.file, founding.upload), EMPTY)
+        changes = (founding_change(read.operations),) if read.operations else ()
+        policy = first(changes, doors)
+        problems = await self._compiled(await self._stored(policy))
         if problems:
             raise Refused("file: " + "; ".join(problems))
         async with self.keeper_lock:
             await keeping.found(policy)
-        body = w.encode(w.Founding(policy=w.packed(policy)))
+        entry = w.packed(policy)
+        short = len(entry) <= w.PIECE_BYTES
+        words = w.Founding(policy=policy.name, entry=entry if short else "", by=self.terms.door)
+        body = w.encode(words)
+        limit = CALL_LIMIT if short else FOUND_CALL_LIMIT
         # A keeper that is not reached learns from the others, and has no vote on the first change.
         left = others
         for _ in range(FOUND_TRIES):
-            left = [door for door in left if not await self._reaches(door, "found", body)]
+            reached = await asyncio.gather(*(self._reaches(door, "found", body, limit) for door in left))
+            left = [door for door, heard in zip(left, reached, strict=True) if not heard]
         answers = [door for door in others if door not in left]
+        self.uploads.done(founding.upload)
         self.hands.say("founded", policy=policy.name, keepers=doors)
         return Answer(200, w.encode({"policy": policy.name, "keepers": [self.terms.door, *answers]}))
 
+    async def _found_by(self, keeping: Keeping, founding: w.Founding) -> Answer:
+        """Begin under the first policy of another keeper."""
+        state = State(0, Stage.SETTLED, founding.policy)
+        knows = keeping.keeper
+        if knows is not None and knows.decided != state:
+            raise Refused(f"founded already: epoch {knows.decided.epoch}, {knows.decided.policy}")
+        if founding.by is None or founding.by not in self.terms.keepers:
+            raise Refused(f"keepers: {', '.join(self.terms.keepers)} here, not {founding.by}")
+        if founding.entry:
+            await self._stored(w.unpacked(founding.entry, founding.policy))
+        brought = await self.fetcher.bring(founding.policy, [founding.by])
+        if brought.problem:
+            raise StoreFailed(brought.problem)
+        policy = brought.policy
+        if policy is None:
+            raise Refused(
+                f"policy: {founding.policy} is not to be had: {self.fetcher.reasons.get(founding.by)}"
+            )
+        if self.terms.door not in policy.keepers or set(policy.keepers) != set(self.terms.keepers):
+            raise Refused(f"keepers: {', '.join(self.terms.keepers)} here, not {', '.join(policy.keepers)}")
+        async with self.keeper_lock:
+            await keeping.found(policy)
+        return Answer(200, w.encode({"policy": policy.name}))
+
+    async def _stored(self, policy: Policy) -> Entry:
+        """A policy that was made here, on disk. StoreFailed: it is not."""
+        found: list[Entry] = []
+        await self.disk(lambda: found.append(self.log.put(policy)))
+        return found[0]
+
+    def _file(self, file: str, upload: str) -> bytes:
+        """An operator file out of a call, or one that was uploaded before it."""
+        return self.uploads.whole(upload) if upload else _from_base64(file)
+
+    async def _long(self, body: bytes, work: Callable[[], Coroutine[Any, Any, Answer]]) -> Answer:
+        """Answer what may take longer than a call may: who makes the call again hears what came of it."""
+        key = blake2b(body, digest_size=16).digest()
+        task = self.long.get(key)
+        if task is None:
+            for done in [key for key, one in self.long.items() if one.done()]:
+                del self.long[done]
+            if len(self.long) >= MAX_LONG:
+                return _busy("others are worked on", LONG_RETRY)
+            task = self.long[key] = self._spawn(self._guarded("found", work()))
+        await asyncio.wait({task}, timeout=LONG_ANSWER)
+        if not task.done():
+            return _busy("it is worked on", LONG_RETRY)
+        self.long.pop(key, None)
+        return task.result()
+
     async def _joined(self, knowing: w.Knowing) -> Answer:
         """Be a keeper of the next policy: learn all from the present ones before it is proposed."""
         for name in named(knowing.state):
-            policy = await self._fetched(name, knowing.by)
-            if policy is not None:
-                self.known_doors |= set(policy.keepers)
+            brought = await self._fetched(name, knowing.by)
+            if brought.policy is not None:
+                self.known_doors |= set(brought.policy.keepers)
         self.known_doors.add(self.terms.door)
         self._maybe_keeper()
         await self._learn_all()
@@ -624,9 +927,9 @@
             raise Refused("it does not hear a majority of the keepers")
         return Answer(200, b"{}")
 
-    async def _reaches(self, door: str, path: str, body: bytes) -> bool:
+    async def _reaches(self, door: str, path: str, body: bytes, limit: float = CALL_LIMIT) -> bool:
         try:
-            await self._call(door, path, body)
+            await self._call(door, path, body, limit)
         except Unreachable:
             return False
         return True
@@ -638,13 +941,18 @@
             raise Refused("this keeper knows nothing yet; `hollybay policy found` begins an accord")
         await self._catch_up()
         state = keeping.keeper.decided
-        old = self.shelf.get(state.policy)
-        if old is None:
-            raise Refused(f"{state.policy} is not on this disk")
-        file = old.file if words.file is None else _file(words.file)
-        out = old.out if words.out is None else words.out
-        keepers = self._keepers(words.keepers, file)
-        policy = successor(old, bytes.fromhex(words.parent), file, out, words.reason, words.author, keepers)
+        base = self._base(state)
+        old, resources = base.policy, base.state
+        assert resources is not None
+        parent = bytes.fromhex(words.parent)
+        if parent != old.digest:
+            raise Refused(f"parent: made on {parent.hex()[:12] or 'nothing'}, in force is {old.name}")
+        wanted = await self._wanted(words, resources)
+        keepers = self._keepers(words.keepers, wanted.keepers)
+        change = proposed_change(resources, wanted.operations, words.reason, words.author, parent)
+        policy, _ = successor(
+            old, resources, (change,) if wanted.operations else (), keepers, words.reason, words.author
+        )
         if state.stage is not Stage.SETTLED:
             if state.new == policy.name:  # asked for again, by one who does not know what came of it
                 return Answer(202, w.encode(w.Changed(policy.name, state.epoch)))
@@ -661,7 +969,7 @@
                 await self._call(door, "join", self._knowing(state))
             except Unreachable as error:
                 raise Refused(f"keepers: {door}: {error}") from None
-        problems = await self._compiled(policy)
+        problems = await self._compiled(await self._stored(policy))
         if problems:
             return Answer(
                 422, w.encode({"refused": f"{policy.name} does not hold here", "problems": problems})
@@ -677,13 +985,198 @@
         self.work.set()
         return Answer(202, w.encode(w.Changed(policy.name, state.epoch + 1)))
 
-    def _keepers(self, keepers: list[str] | None, file: bytes) -> list[str] | None:
+    def _base(self, state: State) -> Entry:
+        """The policy that the next one follows, with its resources."""
+        base = self.log.entry(state.policy)
+        if base is None or base.state is None:
+            raise Refused(f"{state.policy} is not on this disk")
+        return base
+
+    async def _wanted(self, words: w.Proposing, state: ResourceState) -> FileRead:
+        """What a proposal of a whole policy changes, and the keepers that its file names."""
+        operations: tuple[Operation, ...] = ()
+        keepers = None
+        if words.like:
+            operations = await self._like(state, words.like)
+        elif words.file is not None or words.upload:
+            read = await self.hands.read(self._file(words.file or "", words.upload), state)
+            operations, keepers = read.operations, read.keepers
+        if words.out is not None:
+            operations += server_operations(state, words.out)
+        return FileRead(operations, keepers)
+
+    async def _like(self, state: ResourceState, name: str) -> tuple[Operation, ...]:
+        """What makes the resources what they were after a policy."""
+        wanted = self.log.state(name)
+        if wanted is None:
+            raise Refused(f"like: the resources after {name} are not kept here")
+        found: list[tuple[Operation, ...]] = []
+        await self.disk(lambda: found.append(operations_like(state, wanted)))
+        return found[0]
+
+    def _keepers(self, keepers: list[str] | None, named_in_file: list[str] | None) -> list[str] | None:
         """The keepers that a proposal names, by its call or in its file."""
-        named_in_file = self.hands.keepers_of(file)
         if keepers is not None and named_in_file is not None and set(keepers) != set(named_in_file):
             raise Refused("keepers: the file's [accord] names others")
         return keepers if keepers is not None else named_in_file
 
+    # Changes of resources
+
+    async def draft(self, words: w.Drafting) -> Answer:
+        """The change that an operator wants, made on what is in force; nothing is proposed."""
+        keeping = self._keeper()
+        if keeping.keeper is None:
+            raise Refused("this keeper knows nothing yet; `hollybay policy found` begins an accord")
+        await self._catch_up()
+        base = self._base(keeping.keeper.decided)
+        state = base.state
+        assert state is not None
+        operations: tuple[Operation, ...] = ()
+        if words.like:
+            operations = await self._like(state, words.like)
+        elif words.file is not None or words.upload:
+            read = await self.hands.read(self._file(words.file or "", words.upload), state)
+            if read.keepers is not None and set(read.keepers) != set(base.policy.keepers):
+                raise Refused("keepers: the file's [accord] names others; they change by --keeper")
+            operations = read.operations
+        if words.out or words.back_in:
+            out = (set(servers_out(state)) | set(words.out)) - set(words.back_in)
+            operations += server_operations(state, out)
+        name = base.policy.name
+        if not operations:
+            return Answer(200, w.encode(w.Drafted(name, "", 0)))
+        change = Change(
+            self.chance.randbytes(CHANGE_ID_BYTES), state.revision, words.reason, words.author, operations
+        )
+        state.check(change)
+        lines = shown_operations(state, operations)
+        data = encode_change(change)
+        if len(data) <= MAX_DRAFT_BYTES:
+            text = base64.b64encode(data).decode()
+            return Answer(200, w.encode(w.Drafted(name, text, len(operations), _bounded(lines))))
+        draft = change.id.hex()
+        self._hold(f"draft/{draft}", (draft, data))
+        return Answer(200, w.encode(w.Drafted(name, "", len(operations), _bounded(lines), draft)))
+
+    async def change(self, words: w.Changing) -> Answer:
+        """Somebody proposes a change of resources: it waits for the next batch."""
+        keeping = self._keeper()
+        if keeping.keeper is None:
+            return _busy("this keeper knows nothing yet", IDLE)
+        change = w.change_from(words.change) if not words.upload else await self._uploaded(words.upload)
+        state = self._base(keeping.keeper.decided).state
+        assert state is not None
+        if change.made_on > state.revision:
+            await self._catch_up()
+            state = self._base(keeping.keeper.decided).state
+            assert state is not None
+            if change.made_on > state.revision:
+                return _busy(f"made on {change.made_on}, and this keeper knows of {state.revision}", IDLE)
+        offered = self.queue.offer(change, state, self.clock())
+        self.uploads.done(words.upload)
+        change_id = change.id.hex()
+        if isinstance(offered, Busy):
+            return _busy("too many changes wait", offered.retry_after_ns / SECOND)
+        if isinstance(offered, RefusedNow):
+            refused = w.BecameOf(change_id, w.Outcome.REFUSED, problems=list(offered.problems))
+            return Answer(409, w.encode(refused))
+        if isinstance(offered, Queued):
+            self.hands.say("queued", change=change_id, reason=change.reason, author=change.author)
+            self.work.set()
+        return Answer(202, w.encode(self.became_of(change_id)))
+
+    async def _uploaded(self, upload: str) -> Change:
+        """A change that was uploaded."""
+        found: list[Change] = []
+        whole = self.uploads.whole(upload)
+        await self.disk(lambda: found.append(w.change_from_bytes(whole)))
+        return found[0]
+
+    def became_of(self, change: str) -> w.BecameOf:
+        """What became of one change, as far as this keeper knows. Refused: it is no id."""
+        try:
+            change_id = bytes.fromhex(change)
+        except ValueError:
+            raise Refused(f"change: {change[:40]!r} is no id") from None
+        keeping = self._keeper()
+        if len(change_id) != CHANGE_ID_BYTES or keeping.keeper is None:
+            raise Refused(f"change: {change[:40]!r} is no id, or this keeper knows nothing yet")
+        state = keeping.keeper.decided
+        # What is decided says it, whatever this keeper had to do with it.
+        for name in named(state):
+            resources = self.log.state(name)
+            revision = resources.revision_of(change_id) if resources is not None else None
+            if revision is None:
+                continue
+            if name == state.new:
+                return w.BecameOf(change, w.Outcome.UNDER_WAY, name, state.epoch)
+            return self._is_in_force(keeping, change, revision)
+        outcome = self.queue.outcome(change_id, self.clock())
+        if isinstance(outcome, InForce):
+            return self._is_in_force(keeping, change, outcome.revision)
+        if isinstance(outcome, RefusedHere):
+            return w.BecameOf(change, w.Outcome.REFUSED, problems=list(outcome.problems))
+        if isinstance(outcome, Pending):
+            return w.BecameOf(change, w.Outcome.QUEUED, wait_ms=outcome.wait_ns // 1_000_000)
+        if isinstance(outcome, UnderWay):
+            return w.BecameOf(change, w.Outcome.QUEUED)  # no keeper has voted for it yet, as far as is known
+        return w.BecameOf(change, w.Outcome.UNKNOWN)
+
+    def _at_version(self, name: str, version: int) -> str:
+        """The name of the entry of a version, on the chain that ends with a policy; empty: it is let go."""
+        policy = self.log.get(name)
+        while policy is not None and policy.version > version:
+            policy = self.log.get(policy.parent_name)
+        return policy.name if policy is not None and policy.version == version else ""
+
+    def _is_in_force(self, keeping: Keeping, change: str, revision: int) -> w.BecameOf:
+        """A change that was decided with a revision, and an epoch in which that is in force alone, at the
+        latest.
+        """
+        assert keeping.keeper is not None
+        decided = keeping.keeper.decided
+        since = [one.state.epoch for one in keeping.history if _version_of(one.state.policy) >= revision]
+        name = self._at_version(decided.policy, revision)
+        return w.BecameOf(change, w.Outcome.IN_FORCE, name, min(since, default=decided.epoch))
+
+    async def _propose_next(self) -> bool:
+        """Make the next policy of the changes that wait, where the tier is settled; whether there was
+        anything.
+        """
+        keeping = self.keeping
+        if keeping is None or keeping.keeper is None or self.batch is not None:
+            return False
+        decided = keeping.keeper.decided
+        base = self.log.entry(decided.policy)
+        if decided.stage is not Stage.SETTLED or base is None or base.state is None:
+            return False
+        assembled = self.queue.take(base.state, self.clock())
+        if assembled is None:
+            return False
+        batch = assembled.batch
+        policy, _ = successor(base.policy, base.state, batch.changes)
+        try:
+            entry = await self._stored(policy)
+        except StoreFailed:
+            self.queue.lost(batch, base.state, self.clock())
+            raise
+        problems = await self._compiled(entry)
+        if problems:
+            why = self.unfit[policy.name]
+            self._forgive(policy.name)  # proposed again it is another one, or holds
+            reasons = {bytes.fromhex(change): _problems(why.reasons) for change in why.culprits}
+            self.queue.dropped(batch, reasons, self.clock(), _problems(problems))
+            return True
+        if keeping.keeper.decided != decided or self.pending is not None:
+            after = self.log.state(keeping.keeper.decided.policy) or base.state
+            self.queue.lost(batch, after, self.clock())
+            return True
+        self.pending = _Change(entry.policy, decided.epoch + 1)
+        self.batch = _UnderWay(policy.name, batch)
+        self.dropping.discard(policy.name)
+        self.hands.say("proposed", change=policy.name, reason=policy.reason, author=policy.author)
+        return True
+
     async def _catch_up(self) -> None:
         """Hear from the other keepers whether there is something later."""
         keeping = self._keeper()
@@ -736,7 +1229,8 @@
             "stage": at.stage.name if at is not None else "",
             "late": not strict and bool(node.serves(now)),
             "left_s": round(max(0, (node.until if strict else node.late) - now) / SECOND, 3),
-            "unfit": self.unfit,
+            "unfit": {name: why.reasons for name, why in self.unfit.items()},
+            "refused_fetches": self.fetcher.reasons,
             "calls_in": self.calls_in,
             "calls_out": self.calls_out,
         }
@@ -747,13 +1241,18 @@
             return found
         keeper = keeping.keeper
         state = keeper.decided
-        policy = self.shelf.get(state.policy)
+        entry = self.log.entry(state.policy)
+        policy = entry.policy if entry is not None else None
+        resources = entry.state if entry is not None else None
         found["keeper"] = {
             "epoch": state.epoch,
             "stage": state.stage.name,
             "policy": state.policy,
             "digest": policy.digest.hex() if policy is not None else "",
-            "out": list(policy.out) if policy is not None else [],
+            "out": sorted(entry.out) if entry is not None else [],
+            "resources": len(resources.resources) if resources is not None else 0,
+            "resources_digest": resources.digest.hex() if resources is not None else "",
+            "queued": len(self.queue),
             "parent": policy.parent.hex() if policy is not None else "",
             "board": list(policy.keepers) if policy is not None else [],
             "older": [msgspec.to_builtins(one) for one in keeping.older(now)],
@@ -806,12 +1305,26 @@
                 elif self._mine():
                     await self._advance()
                     continue
+                elif await self._propose_next():
+                    continue
             except StoreFailed as error:
                 self.hands.say("keeper", error=str(error))
                 await asyncio.sleep(IDLE)
             self.driving = ""
             self.waits = []
-            await _waited(self.work, IDLE * self.chance.uniform(0.8, 1.2))
+            idle = IDLE * self.chance.uniform(0.8, 1.2)
+            linger = self.queue.next_take_ns(self.clock()) if self._may_propose() else None
+            await _waited(self.work, idle if linger is None else min(idle, max(0.001, linger / SECOND)))
+
+    def _may_propose(self) -> bool:
+        """Whether the next batch may be made here as soon as there is one."""
+        keeping = self.keeping
+        return (
+            keeping is not None
+            and keeping.keeper is not None
+            and keeping.keeper.decided.stage is Stage.SETTLED
+            and self.batch is None
+        )
 
     def _mine(self) -> bool:
         """Whether there is something to drive here, now."""
@@ -824,7 +1337,7 @@
             if pending is not None and pending.epoch != state.epoch + 1:
                 # Another change was decided first, or this one was and is over.
                 self.pending = None
-                if pending.policy.name != state.policy:
+                if pending.policy.name != state.policy and not self._is_batch(pending.policy.name):
                     self.refused.setdefault(
                         pending.policy.name, "another change came first, or it was dropped"
                     )
@@ -881,6 +1394,7 @@
             self.beaten = False
             self.driving = ""
             keeping.heard = self.clock()
+            await asyncio.sleep(self.chance.uniform(*GIVE_WAY))
         else:
             self.lost = min(self.lost + 1, 5)
             await asyncio.sleep(self.chance.uniform(0.02, 0.05) * 2**self.lost)
@@ -1053,18 +1567,6 @@
                 task.cancel()
 
 
-async def policy_from(
-    call: Callable[[str, str, bytes | None], Awaitable[bytes]], doors: Iterable[str], name: str
-) -> Policy | None:
-    """A policy by its name, from the first of these doors that has it; None: nobody does."""
-    for door in doors:
-        try:
-            return w.unpacked((await call(door, f"file/{name}", None)).decode("ascii", "replace"), name)
-        except (Unreachable, Refused):
-            continue
-    return None
-
-
 async def _waited(event: asyncio.Event, seconds: float) -> None:
     """Wait for an event, so long at the most."""
     try:
@@ -1074,6 +1576,10 @@
         pass
 
 
+def _version_of(name: str) -> int:
+    return int(name.partition("-")[0])
+
+
 def _board(policy: Policy) -> frozenset[int]:
     """The numbers of a policy's keepers."""
     return frozenset(number_of(door) for door in policy.keepers)
@@ -1083,7 +1589,32 @@
     return Answer(status, w.encode({"refused": reason}))
 
 
-def _file(text: str) -> bytes:
+def _busy(reason: str, seconds: float) -> Answer:
+    """An answer that says when to come again."""
+    return Answer(503, w.encode({"refused": reason, "retry_after_ms": max(1, int(1000 * seconds))}))
+
+
+def _bounded(lines: list[str]) -> list[str]:
+    """Lines for people, as many as an answer holds."""
+    left = MAX_LINES_BYTES
+    for place, line in enumerate(lines):
+        left -= len(line) + 4
+        if left < 0:
+            return [*lines[:place], f"and {len(lines) - place} more lines"]
+    return lines
+
+
+def _shortened(problems: Sequence[str]) -> list[str]:
+    """Problems as they are told."""
+    return [text[:400] for text in problems[: w.MOST_REASONS]]
+
+
+def _problems(reasons: Sequence[str]) -> tuple[Problem, ...]:
+    """Reasons of nodes as problems of a change."""
+    return tuple(Problem("change", "", reason) for reason in reasons[: w.MOST_REASONS])
+
+
+def _from_base64(text: str) -> bytes:
     """A file out of a call."""
     try:
         return base64.b64decode(text, validate=True)
--- a/accord/words.py
+++ b/accord/words.py
@@ -7,29 +7,43 @@
 from __future__ import annotations
 
 import base64
+from enum import Enum
 from hashlib import blake2b
 from typing import Annotated, TypeVar
 
 import msgspec
 
+from resources.model import CHANGE_ID_BYTES, Change, Problem
+from resources.wire import WireError, decode_change, encode_change
+
 from .core import Accept, Accepted, Ask, Grant, Prepare, Promise, State
-from .policy import MOST_BYTES, Policy, Refused, parse
+from .policy import Policy, Refused, parse
 
 __all__ = [
-    "FORM", "MOST_CALL", "Accepting", "Asking", "Changed", "Dropping", "Entry", "Founding", "Granting",
-    "Knowing", "Preparing", "Promising", "Proposing", "Telling", "Voting", "Waiting", "decode", "encode",
-    "number_of", "packed", "unpacked",
+    "FORM", "MAX_CULPRITS", "MOST_CALL", "PIECE_BYTES", "Accepting", "Asking", "BecameOf", "Changed",
+    "Changing", "Drafted", "Drafting", "Dropping", "Entry", "Founding", "Granting", "Knowing", "Outcome",
+    "Piece", "Preparing", "Promising", "Proposing", "Telling", "Uploading", "Voting", "Waiting",
+    "change_from", "change_from_bytes", "change_text", "decode", "encode", "number_of", "packed", "unpacked",
 ]  # fmt: skip
 
-FORM = 1  # of these words; who speaks another one is told so
-# The longest call: a policy, and what stands around it.
-MOST_CALL = 4 * MOST_BYTES // 3 + (64 << 10)
+FORM = 2  # of these words; who speaks another one is told so
+# What is larger than one call (deltas, snapshots, operator files, large changes) goes in pieces of so many
+# bytes.
+PIECE_BYTES = 256 << 10
+# The longest call: a piece in base64, and what stands around it.
+MOST_CALL = 4 * PIECE_BYTES // 3 + (64 << 10)
 MOST_REASONS = 20
+MAX_CULPRITS = 64  # changes that a node names in one call
+MOST_OUT = 2000  # servers that one call names
 
 Text = Annotated[str, msgspec.Meta(max_length=400)]
 Nanoseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000_000_000)]
 Door = Annotated[str, msgspec.Meta(max_length=100, pattern=r"^(\[[0-9a-fA-F:.]+\]|[^:\[\]\s]+):[0-9]{1,5}$")]
 Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{0,64}$")]
+ChangeId = Annotated[str, msgspec.Meta(pattern=rf"^[0-9a-f]{{{2 * CHANGE_ID_BYTES}}}$")]
+UploadId = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{32})?$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^([0-9]{1,12}-[0-9a-f]{12})?$")]
+Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 
 
 class _Words(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -37,7 +51,11 @@
 
 
 class Asking(_Words, frozen=True):
-    """A node asks a keeper. lease, late: ns that it counts with; reasons: why it is not able."""
+    """A node asks a keeper. lease, late: ns that it counts with; reasons: why it is not able.
+
+    culprits: the changes of the batch that it cannot serve, as far as it knows; whole: it could serve none
+    now.
+    """
 
     form: int
     ask: Ask
@@ -46,6 +64,8 @@
     lease: Nanoseconds
     late: Nanoseconds
     reasons: Annotated[list[Text], msgspec.Meta(max_length=MOST_REASONS)] = []
+    culprits: Annotated[list[ChangeId], msgspec.Meta(max_length=MAX_CULPRITS)] = []
+    whole: bool = False
 
 
 class Granting(_Words, frozen=True):
@@ -120,21 +140,112 @@
 
 
 class Founding(_Words, frozen=True):
-    """An operator begins the tier's accord; or a keeper passes it on, with the policy."""
+    """An operator begins the tier's accord, with a file or one that was uploaded; or a keeper passes it on.
+
+    policy: the name of the first policy; entry: it itself, where it is short; by: where it is to be had.
+    """
 
     file: str = ""
-    policy: str = ""
+    upload: UploadId = ""
+    policy: Name = ""
+    entry: str = ""
+    by: Door | None = None
 
 
 class Proposing(_Words, frozen=True):
-    """An operator proposes a change. file: base64; out, keepers: None: as they are."""
+    """An operator proposes a change of the policy with this digest, alone in its batch.
+
+    file: base64; upload: it was uploaded; out: all servers out; like: as they were after this policy;
+    keepers: all of them. None or empty: as they are.
+    """
 
     file: str | None
     parent: Digest
     reason: Text
     author: Text = ""
-    out: Annotated[list[Text], msgspec.Meta(max_length=2000)] | None = None
+    out: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] | None = None
     keepers: Annotated[list[Door], msgspec.Meta(max_length=9)] | None = None
+    upload: UploadId = ""
+    like: Name = ""
+
+
+class Drafting(_Words, frozen=True):
+    """An operator asks for the change that makes the resources what a file says, or servers be out or in.
+
+    file, upload, like: as in Proposing; out, back_in: servers to take out, and to put back.
+    """
+
+    reason: Text
+    author: Text = ""
+    file: str | None = None
+    upload: UploadId = ""
+    like: Name = ""
+    out: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] = []
+    back_in: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] = []
+
+
+class Drafted(_Words, frozen=True):
+    """The answer: the change, made on this policy, and the number of its operations.
+
+    change: base64; empty where nothing differs, or it is too long and to be fetched as draft/DRAFT. lines:
+    what it does, for people.
+    """
+
+    policy: str
+    change: str
+    operations: int
+    lines: list[str] = []
+    draft: str = ""
+
+
+class Changing(_Words, frozen=True):
+    """Somebody proposes a change of resources. change: base64 of its MessagePack; upload: it was uploaded."""
+
+    change: str = ""
+    upload: UploadId = ""
+
+
+class Outcome(str, Enum):
+    """What became of a change, as one keeper knows it."""
+
+    QUEUED = "queued"
+    UNDER_WAY = "under way"
+    IN_FORCE = "in force"  # decided; some nodes may serve under the policy before yet
+    REFUSED = "refused"  # this keeper will not propose it
+    UNKNOWN = "unknown"  # it was not proposed here, or that is forgotten: it may be proposed again
+
+
+class BecameOf(_Words, frozen=True):
+    """The answer to a proposal of a change, and to a question for it.
+
+    policy: the entry that holds it; epoch: in force: since which it is so, or a later one; under way: the one
+    that tells it. wait_ms: until it is decided, estimated.
+    """
+
+    id: str
+    outcome: Outcome
+    policy: str = ""
+    epoch: int = 0
+    wait_ms: int = 0
+    problems: list[Problem] = []
+
+
+class Uploading(_Words, frozen=True):
+    """One piece of what is too long for one call. id: chosen by who sends it; data: base64; total: bytes."""
+
+    id: UploadId
+    total: Count
+    offset: Count
+    data: str
+
+
+class Piece(_Words, frozen=True):
+    """One piece of an answer that is too long for one call; name: what it is a piece of; data: base64."""
+
+    name: str
+    total: Count
+    offset: Count
+    data: str
 
 
 class Changed(_Words, frozen=True):
@@ -204,6 +315,28 @@
     return policy
 
 
+def change_text(change: Change) -> str:
+    """A change as text."""
+    return base64.b64encode(encode_change(change)).decode()
+
+
+def change_from(text: str) -> Change:
+    """A change from its text. Refused: it is none."""
+    try:
+        data = base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise Refused(f"change: {error}") from None
+    return change_from_bytes(data)
+
+
+def change_from_bytes(data: bytes) -> Change:
+    """A change from its bytes. Refused: it is none."""
+    try:
+        return decode_change(data)
+    except WireError as error:
+        raise Refused(f"change: {error}") from None
+
+
 def number_of(address: str) -> int:
     """A keeper's number."""
     return int.from_bytes(blake2b(address.encode(), digest_size=6).digest(), "big")
--- a/benchmarks/accord.py
+++ b/benchmarks/accord.py
@@ -17,8 +17,10 @@
 from pathlib import Path
 
 from accord.core import Node, Stage, State
-from accord.policy import Policy
-from accord.service import Service, Terms
+from accord.log import Entry
+from accord.service import FileRead, Service, Terms
+from resources.model import Change
+from resources.state import ResourceState
 from tier.plan import compile_plan
 from tier.report import Report, report_of
 from tier.rig import RigFailed, play
@@ -58,13 +60,16 @@
 
 
 class _Hands:
-    async def compile(self, policy: Policy) -> list[str]:
+    async def compile(self, entry: Entry) -> list[str]:
         return []
 
-    def keepers_of(self, file: bytes) -> list[str] | None:
-        return None
+    async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
+        return {}
 
-    def put(self, policies: tuple[Policy, ...]) -> None:
+    async def read(self, file: bytes, state: ResourceState) -> FileRead:
+        return FileRead((), None)
+
+    def put(self, entries: tuple[Entry, ...]) -> None:
         """Nothing is served here."""
 
     def say(self, event: str, **words: object) -> None:
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -21,15 +21,19 @@
 import h11
 import structlog
 
-from accord.policy import Policy, Refused
-from accord.service import Service, Terms, Unreachable
+from accord.calls import Unreachable
+from accord.log import Entry
+from accord.policy import Refused
+from accord.service import BadFile, FileRead, Service, Terms
 from accord.store import StoreFailed
 from accord.words import MOST_CALL
 from operations.calls import Call
+from resources.model import Change, ChangeRefused
+from resources.state import ResourceState
 from routing.narrow import Narrow
-from routing.plan import Plan, compile_file
+from routing.plan import Plan
 from routing.problems import OperatorError
-from routing.schema import AccordTable, read_all
+from routing.schema import AccordTable
 
 from .agreement import PolicyCalls
 from .clients import Clients
@@ -37,6 +41,7 @@
 from .desk import Desk
 from .door import Reply
 from .operator import YIELD, Operator
+from .policy_plans import plan_after, plan_of, read_file
 
 __all__ = ["Accord", "descriptors", "join", "terms_of"]
 
@@ -155,51 +160,91 @@
 
     # What the service does to the node
 
-    async def compile(self, policy: Policy) -> list[str]:
-        """Compile a policy's file for this node's settings; why it does not hold."""
-        if policy.name in self.plans:
+    async def compile(self, entry: Entry) -> list[str]:
+        """Compile a policy for this node's settings, on the plan of the one before where that is at hand; why
+        it does not hold."""
+        name = entry.policy.name
+        if name in self.plans:
             return []
+        made: list[Plan] = []
+        problems = await self._in_thread(lambda: made.append(self._compiled(entry)))
+        if problems:
+            return problems
+        self.plans[name] = made[0]
+        for old in list(self.plans)[:-KEPT]:
+            if old not in self.service.under:
+                del self.plans[old]
+        return []
+
+    def _compiled(self, entry: Entry) -> Plan:
+        """The plan of a policy. OperatorError, ChangeRefused: it does not hold."""
+        assert entry.state is not None
+        before = self.plans.get(entry.policy.parent_name)
+        name = entry.policy.name
+        if before is None or entry.changed is None:
+            return plan_of(entry.state, self.settings, name)
+        return plan_after(before, entry.state, entry.changed, self.settings, name)
+
+    async def _in_thread(self, work: Callable[[], object]) -> list[str]:
+        """Do what takes the processor for long beside the loop; the problems of what does not hold."""
         interval = sys.getswitchinterval()
         sys.setswitchinterval(YIELD)
         try:
-            plan = await self.loop.run_in_executor(
-                None, compile_file, policy.file, self.settings, policy.name
-            )
+            await self.loop.run_in_executor(None, work)
         except OperatorError as error:
             return [str(problem) for problem in error.problems]
-        except Exception as error:  # what nobody foresaw in a file costs this policy and nothing else
+        except ChangeRefused as error:
+            return [str(problem) for problem in error.problems]
+        except Exception as error:  # what nobody foresaw costs this policy and nothing else
             return [f"cannot be compiled: {type(error).__name__}: {error}"]
         finally:
             sys.setswitchinterval(interval)
-        self.plans[policy.name] = plan
-        for name in list(self.plans)[:-KEPT]:
-            if name not in self.service.under:
-                del self.plans[name]
         return []
 
-    def put(self, policies: tuple[Policy, ...]) -> None:
+    async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
+        """Which changes of a batch do not hold, each on those before it that do; by their ids."""
+        found: dict[bytes, list[str]] = {}
+        await self._in_thread(lambda: self._find_culprits(base, changes, found))
+        return found
+
+    def _find_culprits(self, base: Entry, changes: tuple[Change, ...], found: dict[bytes, list[str]]) -> None:
+        state = base.state
+        assert state is not None
+        name = base.policy.name
+        plan = self.plans.get(name) or plan_of(state, self.settings, name)
+        for change in changes:
+            after = state.with_change(change, state.revision + 1)
+            changed = [operation.key for operation in change.operations]
+            try:
+                plan = plan_after(plan, after, changed, self.settings, name)
+            except (OperatorError, ChangeRefused) as error:
+                found[change.id] = [str(problem) for problem in error.problems]
+            else:
+                state = after
+
+    async def read(self, file: bytes, state: ResourceState) -> FileRead:
+        """What an operator file says, as differences to a state. BadFile: it does not hold."""
+        made: list[FileRead] = []
+        problems = await self._in_thread(lambda: made.append(FileRead(*read_file(file, state))))
+        if problems:
+            raise BadFile(problems)
+        return made[0]
+
+    def put(self, entries: tuple[Entry, ...]) -> None:
         """Put the narrower of these in force; requests that have begun go on under what they began with."""
-        if not policies:
+        if not entries:
             return
-        plans = [self._plan(policy) for policy in policies]
+        plans = [self._plan(entry) for entry in entries]
         both = Narrow(plans[0], plans[1], self.settings) if len(plans) > 1 else plans[0]
         self.gate.take_over(both)
-        self.desk.agreed({server for policy in policies for server in policy.out})
+        self.desk.agreed({server for entry in entries for server in entry.out})
 
-    def _plan(self, policy: Policy) -> Plan:
-        plan = self.plans.get(policy.name)
+    def _plan(self, entry: Entry) -> Plan:
+        plan = self.plans.get(entry.policy.name)
         if plan is None:
-            plan = self.plans[policy.name] = compile_file(policy.file, self.settings, policy.name)
+            plan = self.plans[entry.policy.name] = self._compiled(entry)
         return plan
 
-    def keepers_of(self, file: bytes) -> list[str] | None:
-        """The keepers that a file's [accord] names."""
-        try:
-            tables, _ = read_all(file)
-        except OperatorError:
-            return None
-        return sorted(tables.accord.keepers) if tables.accord is not None else None
-
     def say(self, event: str, **words: object) -> None:
         """Write down a transition."""
         self.log.info(event, **words)
--- a/hollybay/policy.py
+++ b/hollybay/policy.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import difflib
 import getpass
 import json
 import os
@@ -18,10 +16,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from accord import words as w
-from accord.follow import Follow, Known, Verdict
-from accord.policy import Policy
-from accord.service import Unreachable
+from accord.calls import Unreachable
+from accord.follow import BadInput, Follow, Known, Verdict
 
 __all__ = ["policy"]
 
@@ -130,7 +126,6 @@
 def found(file: str | None, doors: tuple[str, ...]) -> None:
     """Begin an accord, once, with FILE or with no routes and limits: all keepers must be there."""
     data = _read(file) if file is not None else b""
-    body = w.encode(w.Founding(file=base64.b64encode(data).decode()))
 
     async def work() -> str:
         follow = _follow(doors)
@@ -140,7 +135,7 @@
             if "keeper_waits" not in status and status.get("keeper") is None:
                 continue
             try:
-                told = json.loads(await _call(door, "found", body))
+                told = json.loads(await follow.found(door, data))
                 return f"founded: {told['policy']}, keepers {', '.join(told['keepers'])}"
             except Unreachable as error:
                 why = str(error)
@@ -180,13 +175,20 @@
     as_json: bool,
     doors: tuple[str, ...],
 ) -> None:
-    """Propose a change: FILE as the operator file, servers out or back, other keepers."""
+    """Propose a change: FILE as the operator file, servers out or back, other keepers.
+
+    Only what differs is changed, together with what others change meanwhile; with --parent, or other
+    keepers, it is a change by itself and refused if there is another one.
+    """
     if file is None and not out and not back_in and not keepers:
         raise click.UsageError("nothing to propose: no FILE, --out, --in or --keeper")
     data = _read(file) if file is not None else None
+    name = author if author is not None else _user()
 
     async def work() -> Verdict:
         follow = _follow(doors, _Shown(as_json))
+        if not parent and not keepers:
+            return await _applied(follow, limit, reason, name, data, out=out, back_in=back_in)
         servers = None
         if out or back_in:
             await follow.look()
@@ -194,12 +196,33 @@
             if latest is None:
                 return Verdict(3, text="no keeper answers")
             servers = sorted((set(latest["out"]) | set(out)) - set(back_in))
-        name = author if author is not None else _user()
         return await follow.propose(data, servers, list(keepers) or None, reason, name, limit, parent)
 
     _end(asyncio.run(work()), as_json)
 
 
+async def _applied(
+    follow: Follow,
+    limit: float,
+    reason: str,
+    author: str,
+    file: bytes | None = None,
+    like: str = "",
+    out: Iterable[str] = (),
+    back_in: Iterable[str] = (),
+) -> Verdict:
+    """Have the change made that makes the resources so, propose it and follow it."""
+    try:
+        drafted, change = await follow.draft(reason, author, file, like, out, back_in)
+    except BadInput as error:
+        return error.verdict()
+    except Unreachable as error:
+        return Verdict(3, text=str(error))
+    if change is None:
+        return Verdict(1, text=f"says the same as {drafted.policy}, which is in force")
+    return await follow.change(change, limit)
+
+
 def _user() -> str:
     try:
         return getpass.getuser()
@@ -277,33 +300,29 @@
 
 @policy.command()
 @click.argument("one")
-@click.argument("other")
+@click.argument("other", required=False)
 @_DOOR
-def diff(one: str, other: str, doors: tuple[str, ...]) -> None:
-    """What differs between two policies, by their names."""
+def diff(one: str, other: str | None, doors: tuple[str, ...]) -> None:
+    """What differs between two policies, by their names; or what a FILE would change."""
     follow = _follow(doors)
 
-    async def work() -> list[Policy | None]:
+    async def work() -> list[str]:
         await follow.look()
-        return [await follow.policy(one), await follow.policy(other)]
-
-    texts = []
-    for name, policy_ in zip((one, other), asyncio.run(work()), strict=True):
-        if policy_ is None:
-            click.echo(f"{name}: no keeper has it", err=True)
-            sys.exit(2)
-        texts.append(_as_text(policy_))
-    click.echo("".join(difflib.unified_diff(texts[0], texts[1], one, other)), nl=False)
-
+        if other is not None:
+            return await follow.difference(one, other)
+        drafted, _ = await follow.draft("a difference", "", _read(one))
+        return drafted.lines
 
-def _as_text(policy_: Policy) -> list[str]:
-    lines = policy_.file.decode("utf-8", "replace").splitlines(keepends=True)
-    lines = [line if line.endswith("\n") else line + "\n" for line in lines]
-    return [
-        *lines,
-        *(f"# out: {server}\n" for server in policy_.out),
-        *(f"# keeper: {k}\n" for k in policy_.keepers),
-    ]
+    try:
+        lines = asyncio.run(work())
+    except BadInput as error:
+        click.echo("\n".join(error.problems or [str(error)]), err=True)
+        sys.exit(2)
+    except Unreachable as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    for line in lines:
+        click.echo(line)
 
 
 @policy.command()
@@ -351,13 +370,15 @@
         if latest is None:
             return Verdict(3, text="no keeper answers")
         now = await follow.policy(latest["policy"])
-        if now is None or not now.version:
+        if now is None or now.version < 2:
             return Verdict(2, text="nothing was in force before")
-        before = await follow.policy(f"{now.version - 1}-{now.parent.hex()[:12]}")
+        before = await follow.policy(now.parent_name)
         if before is None:
             return Verdict(3, text="no keeper has what was in force before")
+        if before.keepers == now.keepers:
+            return await _applied(follow, limit, reason, _user(), like=before.name)
         return await follow.propose(
-            before.file, list(before.out), list(before.keepers), reason, _user(), limit
+            None, None, list(before.keepers), reason, _user(), limit, like=before.name
         )
 
     _end(asyncio.run(work()), as_json)
--- a/tests/test_accord_rehearsal.py
+++ b/tests/test_accord_rehearsal.py
@@ -9,9 +9,10 @@
 
 from accord.follow import Known, judge
 from accord.oracle import Begun, Outcome, Said, check
-from simulation.accord_rehearsal import Played, Shape, play, shape_of
+from simulation.accord_rehearsal import Played, Shape, play, shape_of, stream_shape_of
 
 SEEDS = range(50)
+STREAM_SEEDS = range(20)
 
 
 def test_fifty_seeds_keep_the_guarantee_and_come_to_their_end() -> None:
@@ -27,6 +28,19 @@
     assert sum(played.dropped for played in found) > 5
 
 
+def test_streams_of_changes_are_decided_once_and_each_proposer_is_told_of_its_own() -> None:
+    """With keepers killed, cut off, stopped, their disks full or lost, and proposers that repeat themselves."""
+    shapes = [replace(stream_shape_of(seed), seconds=10.0) for seed in STREAM_SEEDS]
+    with ProcessPoolExecutor(8) as pool:
+        found = list(pool.map(play, STREAM_SEEDS, shapes, chunksize=2))
+    for played in found:
+        assert not played.faults, (played.seed, played.faults[:3])
+        assert played.ended, (played.seed, played.why)
+    # Else they would show nothing.
+    assert sum(played.streamed for played in found) > 500
+    assert sum(played.refused for played in found) > 200
+
+
 def test_a_seed_plays_the_same_twice() -> None:
     shape = Shape(seconds=6.0)
     one, other = play(3, shape), play(3, shape)
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -225,27 +225,28 @@
 
 def _hampered(full: bool) -> None:
     """No policy after the first compiles here, or its disk is full from then on."""
+    from accord.log import Entry, PolicyLog
     from accord.policy import Policy
-    from accord.shelf import Shelf
     from accord.store import StoreFailed
     from elderscale.accord import Accord
 
     if not full:
         compiled = Accord.compile
 
-        async def compile(self: Accord, policy: Policy) -> list[str]:
-            return ["[route 1]: does not hold here"] if policy.version else await compiled(self, policy)
+        async def compile(self: Accord, entry: Entry) -> list[str]:
+            later = entry.policy.version > 1
+            return ["[route 1]: does not hold here"] if later else await compiled(self, entry)
 
         Accord.compile = compile  # type: ignore[method-assign]
         return
-    kept = Shelf.put
+    kept = PolicyLog.put
 
-    def put(self: Shelf, policy: Policy) -> None:
-        if policy.version and self.get(policy.name) is None:
+    def put(self: PolicyLog, policy: Policy) -> Entry:
+        if policy.version > 1 and self.get(policy.name) is None:
             raise StoreFailed("[Errno 28] No space left on device")
-        kept(self, policy)
+        return kept(self, policy)
 
-    Shelf.put = put  # type: ignore[method-assign]
+    PolicyLog.put = put  # type: ignore[method-assign]
 
 
 async def _worker(role: str, name: str, folder: Path, words: dict[str, Any]) -> None:
@@ -783,7 +784,7 @@
     async def do_found(self, doors: list[str], file: str) -> None:
         """Begin."""
         from accord import words as w
-        from accord.service import Unreachable
+        from accord.calls import Unreachable
 
         body = w.encode(w.Founding(file=base64.b64encode(file.encode()).decode()))
         for left in range(9, -1, -1):
