elderscale: a node takes a policy in on the plan of the one before; problems show their values

Compiling a policy cost what all routes are worth; on the plan before it costs what the policy changes.

--- a/accord/log.py
+++ b/accord/log.py
@@ -334,7 +334,7 @@
         return msgspec.msgpack.encode(pieces)
 
     def snapshot(self, name: str) -> tuple[str, bytes]:
-        """The newest snapshot at or before an entry; its name first. Reads a file. NotReached: none is here."""
+        """The name and bytes of the newest snapshot at or before an entry. Reads a file. NotReached: none."""
         entry = self._entries.get(name)
         while entry is not None:
             at = entry.policy.name
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -31,8 +31,8 @@
 from resources.model import Change, ChangeRefused
 from resources.state import ResourceState
 from routing.narrow import Narrow
-from routing.plan import Plan
 from routing.problems import OperatorError
+from routing.resource_plan import ResourcePlan
 from routing.schema import AccordTable
 
 from .agreement import PolicyCalls
@@ -41,7 +41,7 @@
 from .desk import Desk
 from .door import Reply
 from .operator import YIELD, Operator
-from .policy_plans import plan_after, plan_of, read_file
+from .policy_plans import culprits_of, plan_of, read_file
 
 __all__ = ["Accord", "descriptors", "join", "terms_of"]
 
@@ -94,7 +94,7 @@
         self.clients = clients
         self.began: Callable[[int, tuple[str, ...]], None] | None = None
         self.loop = asyncio.get_running_loop()
-        self.plans: dict[str, Plan] = {}
+        self.plans: dict[str, ResourcePlan] = {}
         self.log = structlog.wrap_logger(
             logging.getLogger("hollybay.accord"),
             processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
@@ -166,7 +166,7 @@
         name = entry.policy.name
         if name in self.plans:
             return []
-        made: list[Plan] = []
+        made: list[ResourcePlan] = []
         problems = await self._in_thread(lambda: made.append(self._compiled(entry)))
         if problems:
             return problems
@@ -176,14 +176,9 @@
                 del self.plans[old]
         return []
 
-    def _compiled(self, entry: Entry) -> Plan:
-        """The plan of a policy. OperatorError, ChangeRefused: it does not hold."""
-        assert entry.state is not None
-        before = self.plans.get(entry.policy.parent_name)
-        name = entry.policy.name
-        if before is None or entry.changed is None:
-            return plan_of(entry.state, self.settings, name)
-        return plan_after(before, entry.state, entry.changed, self.settings, name)
+    def _compiled(self, entry: Entry) -> ResourcePlan:
+        """The plan of a policy, on that of the one before if it is here. ChangeRefused: it does not hold."""
+        return plan_of(entry, self.plans.get(entry.policy.parent_name), self.settings)
 
     async def _in_thread(self, work: Callable[[], object]) -> list[str]:
         """Do what takes the processor for long beside the loop; the problems of what does not hold."""
@@ -204,28 +199,14 @@
     async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
         """Which changes of a batch do not hold, each on those before it that do; by their ids."""
         found: dict[bytes, list[str]] = {}
-        await self._in_thread(lambda: self._find_culprits(base, changes, found))
+        plan = self.plans.get(base.policy.name)
+        await self._in_thread(lambda: found.update(culprits_of(base, plan, changes, self.settings)))
         return found
 
-    def _find_culprits(self, base: Entry, changes: tuple[Change, ...], found: dict[bytes, list[str]]) -> None:
-        state = base.state
-        assert state is not None
-        name = base.policy.name
-        plan = self.plans.get(name) or plan_of(state, self.settings, name)
-        for change in changes:
-            after = state.with_change(change, state.revision + 1)
-            changed = [operation.key for operation in change.operations]
-            try:
-                plan = plan_after(plan, after, changed, self.settings, name)
-            except (OperatorError, ChangeRefused) as error:
-                found[change.id] = [str(problem) for problem in error.problems]
-            else:
-                state = after
-
     async def read(self, file: bytes, state: ResourceState) -> FileRead:
         """What an operator file says, as differences to a state. BadFile: it does not hold."""
         made: list[FileRead] = []
-        problems = await self._in_thread(lambda: made.append(FileRead(*read_file(file, state))))
+        problems = await self._in_thread(lambda: made.append(read_file(file, state)))
         if problems:
             raise BadFile(problems)
         return made[0]
@@ -239,7 +220,7 @@
         self.gate.take_over(both)
         self.desk.agreed({server for entry in entries for server in entry.out})
 
-    def _plan(self, entry: Entry) -> Plan:
+    def _plan(self, entry: Entry) -> ResourcePlan:
         plan = self.plans.get(entry.policy.name)
         if plan is None:
             plan = self.plans[entry.policy.name] = self._compiled(entry)
--- a/elderscale/policy_plans.py
+++ b/elderscale/policy_plans.py
@@ -5,79 +5,54 @@
 
 from __future__ import annotations
 
-import tomllib
-from collections.abc import Iterable
-
-import msgspec
-
+from accord.log import Entry
+from accord.service import FileRead
 from lynxrouter import interface as api
-from resources.model import Delete, Key, Kind, Operation, Upsert
+from resources.batch import assemble
+from resources.model import Change
 from resources.state import ResourceState
-from routing.forms import _struct
-from routing.plan import Plan, compile_plan
-from routing.problems import OperatorError, Problem
-from routing.schema import OperatorFile, read_all
-
-__all__ = ["plan_after", "plan_of", "read_file"]
+from routing.problems import OperatorError
+from routing.resource_plan import ResourcePlan, Validator, plan_after, plan_of_state
+from routing.resource_tables import operations_between, resources_of
+from routing.schema import read_all
 
+__all__ = ["culprits_of", "plan_of", "read_file"]
 
-def _wanted(file: bytes) -> dict[Key, bytes]:
-    data = tomllib.loads(file.decode())
-    found: dict[Key, bytes] = {}
-    for kind in (Kind.DEFAULTS, Kind.PATHS):
-        if kind.value in data:
-            found[Key(kind, "")] = msgspec.msgpack.encode(data[kind.value])
-    for name, table in data.get("class", {}).items():
-        found[Key(Kind.CLASS, name)] = msgspec.msgpack.encode(table)
-    for table in data.get("route", []):
-        found[Key(Kind.ROUTE, table["name"])] = msgspec.msgpack.encode(table)
-    return found
 
+def read_file(file: bytes, state: ResourceState) -> FileRead:
+    """What makes the resources what a file says, and the keepers that it names.
 
-def read_file(file: bytes, state: ResourceState) -> tuple[tuple[Operation, ...], list[str] | None]:
-    """What makes the resources what a file says, and the keepers that it names. OperatorError: it does not
-    hold.
+    OperatorError, ChangeRefused: the file does not hold.
     """
     tables, problems = read_all(file)
     if problems:
         raise OperatorError("operator file", problems)
-    wanted = _wanted(file)
-    operations: list[Operation] = []
-    for key, there in state.resources.items():
-        if key not in wanted and key.kind is not Kind.SERVER_OUT:
-            operations.append(Delete(key.kind, key.name, there.version))
-    for key, body in wanted.items():
-        old = state.resources.get(key)
-        if old is None or old.body != body:
-            operations.append(Upsert(key.kind, key.name, old.version if old else 0, body))
     keepers = sorted(tables.accord.keepers) if tables.accord is not None else None
-    return tuple(operations), keepers
+    return FileRead(operations_between(state, resources_of(tables)), keepers)
 
 
-def plan_of(state: ResourceState, settings: api.Settings, name: str) -> Plan:
-    """The plan of a state, compiled anew. OperatorError: it does not hold."""
-    data: dict[str, object] = {}
-    classes, routes = {}, []
-    for key, one in sorted(state.resources.items()):
-        if key.kind is Kind.SERVER_OUT:
-            continue
-        table = msgspec.msgpack.decode(one.body)
-        if key.kind is Kind.ROUTE:
-            routes.append(table)
-        elif key.kind is Kind.CLASS:
-            classes[key.name] = table
-        else:
-            data[key.kind.value] = table
-    problems: list[Problem] = []
-    tables = _struct(OperatorFile, data | {"class": classes, "route": routes}, "", problems)
-    assert tables is not None
-    return compile_plan(tables, settings, name, problems)
+def plan_of(entry: Entry, before: ResourcePlan | None, settings: api.Settings) -> ResourcePlan:
+    """The plan of a policy; before: that of the policy that it follows, None: it is not at hand.
+
+    ChangeRefused: it does not hold. On the plan before, the cost goes with what the policy changes.
+    """
+    assert entry.state is not None
+    if before is None or entry.changed is None:
+        return plan_of_state(entry.state, settings)
+    return plan_after(before, entry.state, entry.changed, settings)
+
 
+def culprits_of(
+    base: Entry, plan: ResourcePlan | None, changes: tuple[Change, ...], settings: api.Settings
+) -> dict[bytes, list[str]]:
+    """Which changes of a batch do not hold, each on those before it that do, and why; by their ids.
 
-def plan_after(
-    plan: Plan, state: ResourceState, changed: Iterable[Key], settings: api.Settings, name: str
-) -> Plan:
-    """The plan of a state that differs from another plan's in these resources. OperatorError: it does not
-    hold.
+    plan: that of the policy that the batch follows, None: it is not at hand.
     """
-    return plan_of(state, settings, name)
+    state = base.state
+    assert state is not None
+    sound = Validator(plan if plan is not None else plan_of_state(state, settings), settings)
+    return {
+        change.id: [str(problem) for problem in error.problems]
+        for change, error in assemble(state, changes, sound).refused
+    }
--- a/routing/problems.py
+++ b/routing/problems.py
@@ -21,13 +21,23 @@
     value: object
     reason: str
 
+    @property
+    def reason_with_value(self) -> str:
+        """The reason, and the value that it is about."""
+        return self.reason if self.value is None else f"{self.reason} (= {_shown_value(self.value)})"
+
     def __str__(self) -> str:
-        text = repr(self.value)
-        shown = "" if self.value is None else f" = {text if len(text) <= _SHOWN else text[:_SHOWN] + '...'}"
+        shown = "" if self.value is None else f" = {_shown_value(self.value)}"
         at = ": ".join(part for part in (self.table and f"[{self.table}]", self.key) if part)
         return f"{at}{shown}: {self.reason}" if at else self.reason
 
 
+def _shown_value(value: object) -> str:
+    """A value as problems show it, shortened."""
+    text = repr(value)
+    return text if len(text) <= _SHOWN else text[:_SHOWN] + "..."
+
+
 class OperatorError(ValueError):
     """The file does not hold; nothing of it was taken over. problems: all that was found."""
 
--- a/routing/resource_plan.py
+++ b/routing/resource_plan.py
@@ -410,17 +410,16 @@
 def _told(problem: Problem) -> ResourceProblem:
     """A problem of a table as one of its resource."""
     table = problem.table
+    reason = problem.reason_with_value
     if table == "defaults":
-        return ResourceProblem(str(DEFAULTS), problem.key, problem.reason)
+        return ResourceProblem(str(DEFAULTS), problem.key, reason)
     if table.startswith("class."):
         name = table[len("class.") :].removesuffix(".limits")
         field = "limits" if table.endswith(".limits") else ""
-        return ResourceProblem(str(Key(Kind.CLASS, name)), _joined(field, problem.key), problem.reason)
+        return ResourceProblem(str(Key(Kind.CLASS, name)), _joined(field, problem.key), reason)
     # A route's name has no quotes.
     _, name, rest = table.split("'", 2)
-    return ResourceProblem(
-        str(Key(Kind.ROUTE, name)), _joined(rest.removeprefix("."), problem.key), problem.reason
-    )
+    return ResourceProblem(str(Key(Kind.ROUTE, name)), _joined(rest.removeprefix("."), problem.key), reason)
 
 
 def _joined(*parts: str) -> str:
--- a/tests/test_accord_rehearsal.py
+++ b/tests/test_accord_rehearsal.py
@@ -29,7 +29,7 @@
 
 
 def test_streams_of_changes_are_decided_once_and_each_proposer_is_told_of_its_own() -> None:
-    """With keepers killed, cut off, stopped, their disks full or lost, and proposers that repeat themselves."""
+    """With keepers killed, cut off, stopped, disks full or lost, and proposers that repeat themselves."""
     shapes = [replace(stream_shape_of(seed), seconds=10.0) for seed in STREAM_SEEDS]
     with ProcessPoolExecutor(8) as pool:
         found = list(pool.map(play, STREAM_SEEDS, shapes, chunksize=2))
--- a/tests/test_resource_plan.py
+++ b/tests/test_resource_plan.py
@@ -241,7 +241,7 @@
     try:
         return compile_plan(tables_of(state), SETTINGS)
     except OperatorError as error:
-        return [(problem.table, problem.reason) for problem in error.problems]
+        return [(problem.table, problem.reason_with_value) for problem in error.problems]
     except ChangeRefused:
         return None
 
