Accord: changes of single resources by call and by command; what is long goes in pieces

hollybay policy change writes what a small file holds or deletes by name; propose and back make one change of what differs, so that they go together with what others change meanwhile; diff FILE shows it.

--- a/accord/drafts.py
+++ b/accord/drafts.py
@@ -7,11 +7,21 @@
 
 import msgspec
 
-from resources.model import CHANGE_ID_BYTES, Change, Delete, Kind, Operation, Upsert
+from resources.model import (
+    CHANGE_ID_BYTES,
+    Change,
+    ChangeRefused,
+    Delete,
+    Kind,
+    Operation,
+    Problem,
+    Upsert,
+)
 from resources.state import ResourceState
 
 __all__ = [
     "MAX_SHOWN",
+    "deletions",
     "founding_change",
     "operations_like",
     "proposed_change",
@@ -20,6 +30,7 @@
     "shown_operations",
 ]
 
+KINDS = frozenset(kind.value for kind in Kind)
 MAX_SHOWN = 2000  # lines of differences that are shown
 
 
@@ -39,6 +50,23 @@
     return tuple(found)
 
 
+def deletions(state: ResourceState, names: Iterable[str]) -> tuple[Operation, ...]:
+    """What deletes resources that are named KIND/NAME. ChangeRefused: there is no such one."""
+    found: list[Operation] = []
+    problems: list[Problem] = []
+    for text in dict.fromkeys(names):
+        kind, _, name = text.partition("/")
+        there = state.get(Kind(kind), name) if kind in KINDS else None
+        if there is None:
+            known = "" if kind in KINDS else f"; kinds are {', '.join(sorted(KINDS))}"
+            problems.append(Problem(text[:80], "", f"there is no such resource{known}"))
+        else:
+            found.append(Delete(there.kind, there.name, there.version))
+    if problems:
+        raise ChangeRefused(tuple(problems))
+    return tuple(found)
+
+
 def operations_like(state: ResourceState, wanted: ResourceState) -> tuple[Operation, ...]:
     """What makes the resources of one state those of another; looks at every resource of both."""
     found: list[Operation] = []
--- a/accord/follow.py
+++ b/accord/follow.py
@@ -23,7 +23,7 @@
 from .policy import Policy, Refused
 from .transfer import download, pieces_up
 
-__all__ = ["BadInput", "Follow", "Known", "Verdict", "judge"]
+__all__ = ["BadInput", "Follow", "Known", "Verdict", "Wish", "judge"]
 
 # Seconds between two looks, and after which a proposal is made again that no keeper knows of.
 LOOK, AGAIN = 0.05, 2.0
@@ -141,6 +141,18 @@
     return Verdict(0, change, epoch, "in force everywhere")
 
 
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What an operator wants of the resources; as in words.Drafting."""
+
+    file: bytes | None = None
+    like: str = ""
+    out: tuple[str, ...] = ()
+    back_in: tuple[str, ...] = ()
+    partial: bool = False
+    delete: tuple[str, ...] = ()
+
+
 class Follow:
     """Calls keepers for an operator. call: door, path, body; Unreachable as in service.Way."""
 
@@ -286,15 +298,7 @@
 
     # Changes of resources, by group commit
 
-    async def draft(
-        self,
-        reason: str,
-        author: str,
-        file: bytes | None = None,
-        like: str = "",
-        out: Iterable[str] = (),
-        back_in: Iterable[str] = (),
-    ) -> tuple[w.Drafted, Change | None]:
+    async def draft(self, reason: str, author: str, wish: Wish) -> tuple[w.Drafted, Change | None]:
         """The change that makes the resources what a file says, or what they were after a policy, and takes
         servers out or puts them back; None: nothing differs. BadInput: a keeper refuses it; Unreachable: none
         answers.
@@ -303,7 +307,7 @@
         error = Unreachable("no keeper answers")
         for door in self._in_order(known):
             try:
-                drafted = await self._draft_at(door, reason, author, file, like, list(out), list(back_in))
+                drafted = await self._draft_at(door, reason, author, wish)
                 return drafted, await self._drafted(door, drafted)
             except Refused as refused:
                 error = Unreachable(f"{door}: {refused}")
@@ -313,19 +317,20 @@
                 error = why
         raise error
 
-    async def _draft_at(
-        self,
-        door: str,
-        reason: str,
-        author: str,
-        file: bytes | None,
-        like: str,
-        out: list[str],
-        back_in: list[str],
-    ) -> w.Drafted:
-        text, upload = await self._given(door, file)
-        body = w.encode(w.Drafting(reason, author, text, upload, like, out, back_in))
-        return w.decode(await self.patiently(door, "draft", body), w.Drafted)
+    async def _draft_at(self, door: str, reason: str, author: str, wish: Wish) -> w.Drafted:
+        text, upload = await self._given(door, wish.file)
+        words = w.Drafting(
+            reason,
+            author,
+            text,
+            upload,
+            wish.like,
+            list(wish.out),
+            list(wish.back_in),
+            wish.partial,
+            list(wish.delete),
+        )
+        return w.decode(await self.patiently(door, "draft", w.encode(words)), w.Drafted)
 
     async def _given(self, door: str, file: bytes | None) -> tuple[str | None, str]:
         """A file as it goes into a call: its text, or the id under which it was uploaded."""
--- a/accord/service.py
+++ b/accord/service.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from resources.batch import Batch
-from resources.model import CHANGE_ID_BYTES, Change, ChangeRefused, Operation, Problem
+from resources.model import CHANGE_ID_BYTES, Change, ChangeRefused, Operation, Problem, Upsert
 from resources.state import EMPTY, ResourceState
 from resources.wire import encode_change
 
@@ -28,6 +28,7 @@
 from .calls import Unreachable, Way
 from .core import Accept, Boards, Driver, Know, Node, Stage, State, enough, named, served
 from .drafts import (
+    deletions,
     founding_change,
     operations_like,
     proposed_change,
@@ -1039,6 +1040,9 @@
             if read.keepers is not None and set(read.keepers) != set(base.policy.keepers):
                 raise Refused("keepers: the file's [accord] names others; they change by --keeper")
             operations = read.operations
+            if words.partial:
+                operations = tuple(one for one in operations if isinstance(one, Upsert))
+        operations += deletions(state, words.delete)
         if words.out or words.back_in:
             out = (set(servers_out(state)) | set(words.out)) - set(words.back_in)
             operations += server_operations(state, out)
--- a/accord/words.py
+++ b/accord/words.py
@@ -172,7 +172,8 @@
 class Drafting(_Words, frozen=True):
     """An operator asks for the change that makes the resources what a file says, or servers be out or in.
 
-    file, upload, like: as in Proposing; out, back_in: servers to take out, and to put back.
+    file, upload, like: as in Proposing; partial: what the file does not hold stays as it is; out, back_in:
+    servers to take out, and to put back; delete: resources to delete, as KIND/NAME.
     """
 
     reason: Text
@@ -182,6 +183,8 @@
     like: Name = ""
     out: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] = []
     back_in: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] = []
+    partial: bool = False
+    delete: Annotated[list[Text], msgspec.Meta(max_length=MOST_OUT)] = []
 
 
 class Drafted(_Words, frozen=True):
--- a/hollybay/policy.py
+++ b/hollybay/policy.py
@@ -17,7 +17,7 @@
 from rich.table import Table
 
 from accord.calls import Unreachable
-from accord.follow import BadInput, Follow, Known, Verdict
+from accord.follow import BadInput, Follow, Known, Verdict, Wish
 
 __all__ = ["policy"]
 
@@ -188,7 +188,7 @@
     async def work() -> Verdict:
         follow = _follow(doors, _Shown(as_json))
         if not parent and not keepers:
-            return await _applied(follow, limit, reason, name, data, out=out, back_in=back_in)
+            return await _applied(follow, limit, reason, name, Wish(data, out=out, back_in=back_in))
         servers = None
         if out or back_in:
             await follow.look()
@@ -201,19 +201,10 @@
     _end(asyncio.run(work()), as_json)
 
 
-async def _applied(
-    follow: Follow,
-    limit: float,
-    reason: str,
-    author: str,
-    file: bytes | None = None,
-    like: str = "",
-    out: Iterable[str] = (),
-    back_in: Iterable[str] = (),
-) -> Verdict:
+async def _applied(follow: Follow, limit: float, reason: str, author: str, wish: Wish) -> Verdict:
     """Have the change made that makes the resources so, propose it and follow it."""
     try:
-        drafted, change = await follow.draft(reason, author, file, like, out, back_in)
+        drafted, change = await follow.draft(reason, author, wish)
     except BadInput as error:
         return error.verdict()
     except Unreachable as error:
@@ -230,6 +221,37 @@
         return ""
 
 
+@policy.command()
+@click.argument("file", type=click.Path(dir_okay=False), required=False)
+@click.option(
+    "--delete", multiple=True, metavar="KIND/NAME", help="Delete a resource: route/halls, class/view."
+)
+@click.option("--reason", required=True, help="Why; it stands in the history.")
+@click.option("--author", default=None, help="Who; your user name if not given.")
+@_LIMIT
+@_JSON
+@_DOOR
+def change(
+    file: str | None,
+    delete: tuple[str, ...],
+    reason: str,
+    author: str | None,
+    limit: float,
+    as_json: bool,
+    doors: tuple[str, ...],
+) -> None:
+    """Write or replace the routes, classes, tenants and defaults that FILE holds; the others stay."""
+    if file is None and not delete:
+        raise click.UsageError("nothing to change: no FILE and no --delete")
+    wish = Wish(_read(file) if file is not None else None, partial=True, delete=delete)
+
+    async def work() -> Verdict:
+        follow = _follow(doors, _Shown(as_json))
+        return await _applied(follow, limit, reason, author if author is not None else _user(), wish)
+
+    _end(asyncio.run(work()), as_json)
+
+
 @policy.command()
 @_JSON
 @_DOOR
@@ -310,7 +332,7 @@
         await follow.look()
         if other is not None:
             return await follow.difference(one, other)
-        drafted, _ = await follow.draft("a difference", "", _read(one))
+        drafted, _ = await follow.draft("a difference", "", Wish(_read(one)))
         return drafted.lines
 
     try:
@@ -376,7 +398,7 @@
         if before is None:
             return Verdict(3, text="no keeper has what was in force before")
         if before.keepers == now.keepers:
-            return await _applied(follow, limit, reason, _user(), like=before.name)
+            return await _applied(follow, limit, reason, _user(), Wish(like=before.name))
         return await follow.propose(
             None, None, list(before.keepers), reason, _user(), limit, like=before.name
         )
--- a/tests/test_accord_node.py
+++ b/tests/test_accord_node.py
@@ -250,6 +250,138 @@
     asyncio.run(play())
 
 
+def test_a_change_of_one_resource_by_the_command(tmp_path: Path) -> None:
+    first_file, second = tmp_path / "first.toml", tmp_path / "second.toml"
+    first_file.write_bytes(ROUTE + ROUTE.replace(b"/x", b"/y").replace(b'"x"', b'"y"'))
+    second.write_bytes(ROUTE.replace(b"/view/x", b"/view/z").replace(b'"x"', b'"z"'))
+    bad = tmp_path / "bad.toml"
+    bad.write_text('[[route]]\nname = "x"\nclass = "nobody"\n')
+
+    async def play() -> None:
+        async with agreeing(tmp_path, Backend("s-1")) as (_, accord):
+
+            async def did(*words: str) -> Result:
+                return await asyncio.to_thread(run, accord, *words)
+
+            def routes() -> list[str]:
+                return sorted(route.name for route in accord.gate.plan.routes)  # type: ignore[union-attr]
+
+            await founded(accord, first_file.read_bytes())
+            assert routes() == ["x", "y"]
+            shown = await did("diff", str(second))
+            assert shown.exit_code == 0 and "-route 'x'" in shown.output and "+route 'z'" in shown.output
+            done = await did("change", str(second), "--reason", "one more", "--json")
+            assert done.exit_code == 0 and routes() == ["x", "y", "z"], done.output
+            assert json.loads(done.output)["code"] == 0
+            done = await did("change", "--delete", "route/y", "--reason", "one less")
+            assert done.exit_code == 0 and routes() == ["x", "z"], done.output
+            for words, code, why in (
+                (("--delete", "route/y"), 1, "route/y: there is no such resource"),
+                (("--delete", "rout/y"), 1, "kinds are class"),
+                ((str(bad),), 1, "nobody"),
+                ((str(second),), 1, "says the same"),
+                ((str(tmp_path / "none"),), 2, "No such file"),
+                ((), 2, "nothing to change"),
+            ):
+                refused = await did("change", *words, "--reason", "r")
+                assert refused.exit_code == code and why in refused.output, (words, refused.output)
+            assert routes() == ["x", "z"] and accord.sure()
+
+    asyncio.run(play())
+
+
+def test_changes_by_calls_each_hears_of_its_own(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with agreeing(tmp_path) as (_, accord):
+            early = await raw(accord, "POST /-/policy/change", changing(route_change("early")))
+            assert early[0] == 503 and json.loads(early[1])["retry_after_ms"] > 0
+            await founded(accord)
+            many = [route_change(f"r{n}") for n in range(20)]
+            # One that no node can serve among them, one on a version that never was, one that comes twice.
+            odd = replaced(route_change("odd"), {"name": "odd", "class": "nobody"})
+            stale = route_change("stale", base=7)
+            answers = await asyncio.gather(
+                *(raw(accord, "POST /-/policy/change", changing(one)) for one in (*many, odd, stale, many[0]))
+            )
+            assert [status for status, _ in answers] == [202] * 21 + [409, 202]
+            assert "was made on version 7" in answers[21][1].decode()
+            told = {one.id: await ended(accord, one) for one in (*many, odd)}
+            assert {told[one.id].outcome for one in many} == {w.Outcome.IN_FORCE}
+            assert told[odd.id].outcome is w.Outcome.REFUSED
+            assert any("nobody" in str(problem) for problem in told[odd.id].problems)
+            keeping = accord.service.keeping
+            assert keeping is not None and keeping.keeper is not None
+            state = accord.service.log.state(keeping.keeper.decided.policy)
+            # Two batches were enough, as the one was found before anything was proposed.
+            assert state is not None and len(state.resources) == 20 and state.revision < 6
+            for one in many:
+                assert state.revision_of(one.id) == int(told[one.id].policy.partition("-")[0])
+            # Proposed again, it is the same change and has no second effect.
+            again = await raw(accord, "POST /-/policy/change", changing(many[3]))
+            assert again[0] == 202 and json.loads(again[1])["outcome"] == "in force"
+            assert keeping.keeper.decided.policy == accord.service.under[0]
+            for path, status in ((f"change/{'0' * 32}", 200), ("change/xyz", 400), ("change/00", 400)):
+                assert (await raw(accord, f"GET /-/policy/{path}"))[0] == status
+            for body in (b"{}", b'{"change": "!!"}', b'{"change": "AAAA"}', changing(odd)[:-9] + b'"}'):
+                assert (await raw(accord, "POST /-/policy/change", body))[0] == 400, body[:60]
+
+    asyncio.run(play())
+
+
+def changing(change: Change) -> bytes:
+    return w.encode(w.Changing(w.change_text(change)))
+
+
+def replaced(change: Change, table: dict[str, str]) -> Change:
+    (operation,) = change.operations
+    assert isinstance(operation, Upsert)
+    fresh = msgspec.structs.replace(operation, body=msgspec.msgpack.encode(table))
+    return msgspec.structs.replace(change, operations=(fresh,))
+
+
+async def ended(accord: Accord, change: Change) -> w.BecameOf:
+    """What became of a change, once that is known."""
+    async with asyncio.timeout(LIMIT):
+        while True:
+            found = w.decode((await raw(accord, f"GET /-/policy/change/{change.id.hex()}"))[1], w.BecameOf)
+            if found.outcome in (w.Outcome.IN_FORCE, w.Outcome.REFUSED):
+                return found
+            await asyncio.sleep(0.02)
+
+
+def test_what_is_longer_than_a_call_goes_in_pieces(tmp_path: Path) -> None:
+    """An operator file, the change that it makes, and the first policy, each of some MiB."""
+    text = "".join(
+        f'[[route]]\nname = "r{n}"\nhosts = ["h{n}.example.org"]\npath = {{ prefix = "/view/{n}" }}\n'
+        for n in range(9000)
+    )
+    whole, fewer = tmp_path / "whole.toml", tmp_path / "fewer.toml"
+    whole.write_text(text)
+    fewer.write_text(text[: text.index('[[route]]\nname = "r6000"')])
+    assert len(text) > 2 * w.PIECE_BYTES
+
+    async def play() -> None:
+        async with agreeing(tmp_path) as (_, accord):
+            found = await asyncio.to_thread(run, accord, "found", str(whole))
+            assert found.exit_code == 0, found.output
+            async with asyncio.timeout(LIMIT):
+                while not accord.sure():
+                    await asyncio.sleep(0.01)
+            assert len(accord.gate.plan.routes) == 9000  # type: ignore[union-attr]
+            done = await asyncio.to_thread(run, accord, "propose", str(fewer), "--reason", "fewer")
+            assert done.exit_code == 0, done.output
+            assert len(accord.gate.plan.routes) == 6000  # type: ignore[union-attr]
+            # Another node, with nothing on its disk, fetches all that in pieces.
+            async with agreeing(tmp_path, name="n1", keepers=(accord.terms.door,)) as (_, other):
+                async with asyncio.timeout(LIMIT):
+                    while not other.sure():
+                        await asyncio.sleep(0.02)
+                mine, its = accord.service, other.service
+                assert its.log.state(its.under[0]) == mine.log.state(mine.under[0])
+
+    asyncio.run(play())
+
+
 def test_sighup_proposes_nothing_and_says_what_to_use(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
