--- a/accord/follow.py
+++ b/accord/follow.py
@@ -29,6 +29,8 @@
 LOOK, AGAIN = 0.05, 2.0
 # Seconds for which a call that takes long is made again.
 LONG_LIMIT = 300.0
+# Times that such a call may have no answer, one after another.
+SILENT_TRIES = 5
 # A file or a change of so many bytes goes in pieces.
 MAX_IN_ONE_CALL = w.PIECE_BYTES // 2
 
@@ -350,17 +352,19 @@
         return upload
 
     async def patiently(self, door: str, path: str, body: bytes) -> bytes:
-        """A call that may take long: made again while the keeper says that it is worked on."""
+        """A call that may take long: made again while the keeper works on it, or is too busy to answer."""
         loop = asyncio.get_running_loop()
         end = loop.time() + LONG_LIMIT
+        silent = 0
         while True:
             try:
                 return await self.call(door, path, body)
             except Unreachable as error:
                 wait = _retry_after(error)
-                if wait is None or loop.time() + wait > end:
+                silent = silent + 1 if not error.status else 0
+                if (wait is None and not 0 < silent < SILENT_TRIES) or loop.time() > end:
                     raise
-            await asyncio.sleep(wait)
+            await asyncio.sleep(wait or LOOK)
 
     async def _drafted(self, door: str, drafted: w.Drafted) -> Change | None:
         if drafted.change:
--- a/accord/service.py
+++ b/accord/service.py
@@ -70,7 +70,7 @@
 FOUND_CALL_LIMIT = 5.0
 # Seconds after which what takes long is answered by a time to come again (s), and how many calls may take so
 # long.
-LONG_ANSWER, LONG_RETRY, MAX_LONG = 3.0, 0.5, 4
+LONG_ANSWER, LONG_RETRY, MAX_LONG = 1.0, 0.5, 4
 # Bytes of a change that an answer holds, and of lines for people beside it.
 MAX_DRAFT_BYTES = 64 << 10
 MAX_LINES_BYTES = 128 << 10
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -14,7 +14,7 @@
 import socket
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from pathlib import Path
 from typing import cast
 
@@ -37,6 +37,7 @@
 
 from .agreement import PolicyCalls
 from .clients import Clients
+from .collection import paused
 from .config import Config, ConfigError
 from .desk import Desk
 from .door import Reply
@@ -142,8 +143,9 @@
         self._lock = held
         return True
 
-    def _disk(self, work: Callable[[], None]) -> Awaitable[None]:
-        return self.loop.run_in_executor(None, work)
+    async def _disk(self, work: Callable[[], None]) -> None:
+        with paused():
+            await self.loop.run_in_executor(None, work)
 
     # Requests
 
@@ -185,7 +187,8 @@
         interval = sys.getswitchinterval()
         sys.setswitchinterval(YIELD)
         try:
-            await self.loop.run_in_executor(None, work)
+            with paused():
+                await self.loop.run_in_executor(None, work)
         except OperatorError as error:
             return [str(problem) for problem in error.problems]
         except ChangeRefused as error:
--- a/tests/test_resource_plan.py
+++ b/tests/test_resource_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import re
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -247,7 +248,7 @@
 
 
 def plain(reason: str) -> str:
-    return reason.split(" (in force for")[0]
+    return re.sub(r" \(in force for [^)]*\)", "", reason)
 
 
 def resource(table: str) -> str:
