--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -12,7 +12,6 @@
 import os
 import random
 import socket
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -24,15 +23,13 @@
 from accord.calls import Unreachable
 from accord.log import Entry
 from accord.policy import Refused
-from accord.service import BadFile, FileRead, Service, Terms
+from accord.service import FileRead, Service, Terms
 from accord.store import StoreFailed
 from accord.words import MOST_CALL
 from operations.calls import Call
-from resources.model import Change, ChangeRefused
+from resources.model import Change
 from resources.state import ResourceState
 from routing.narrow import Narrow
-from routing.problems import OperatorError
-from routing.resource_plan import ResourcePlan
 from routing.schema import AccordTable
 
 from .agreement import PolicyCalls
@@ -41,8 +38,8 @@
 from .config import Config, ConfigError
 from .desk import Desk
 from .door import Reply
-from .operator import YIELD, Operator
-from .policy_plans import culprits_of, plan_of, read_file
+from .operator import Operator
+from .policy_plans import PolicyPlans, read_file
 
 __all__ = ["Accord", "descriptors", "join", "terms_of"]
 
@@ -50,7 +47,6 @@
 LEAST_CALLERS, MOST_CALLERS, OUT = 16, 256, 40
 MOST_ANSWER = MOST_CALL
 BACKLOG = 1024
-KEPT = 8  # compiled policies that are kept
 
 
 def clock() -> int:
@@ -95,7 +91,7 @@
         self.clients = clients
         self.began: Callable[[int, tuple[str, ...]], None] | None = None
         self.loop = asyncio.get_running_loop()
-        self.plans: dict[str, ResourcePlan] = {}
+        self.plans = PolicyPlans(self.settings, lambda: self.service.under)
         self.log = structlog.wrap_logger(
             logging.getLogger("hollybay.accord"),
             processors=[structlog.processors.TimeStamper(fmt="iso"), structlog.processors.JSONRenderer()],
@@ -163,72 +159,26 @@
     # What the service does to the node
 
     async def compile(self, entry: Entry) -> list[str]:
-        """Compile a policy for this node's settings, on the plan of the one before where that is at hand; why
-        it does not hold."""
-        name = entry.policy.name
-        if name in self.plans:
-            return []
-        made: list[ResourcePlan] = []
-        problems = await self._in_thread(lambda: made.append(self._compiled(entry)))
-        if problems:
-            return problems
-        self.plans[name] = made[0]
-        for old in list(self.plans)[:-KEPT]:
-            if old not in self.service.under:
-                del self.plans[old]
-        return []
-
-    def _compiled(self, entry: Entry) -> ResourcePlan:
-        """The plan of a policy, on that of the one before if it is here. ChangeRefused: it does not hold."""
-        return plan_of(entry, self.plans.get(entry.policy.parent_name), self.settings)
-
-    async def _in_thread(self, work: Callable[[], object]) -> list[str]:
-        """Do what takes the processor for long beside the loop; the problems of what does not hold."""
-        interval = sys.getswitchinterval()
-        sys.setswitchinterval(YIELD)
-        try:
-            with paused():
-                await self.loop.run_in_executor(None, work)
-        except OperatorError as error:
-            return [str(problem) for problem in error.problems]
-        except ChangeRefused as error:
-            return [str(problem) for problem in error.problems]
-        except Exception as error:  # what nobody foresaw costs this policy and nothing else
-            return [f"cannot be compiled: {type(error).__name__}: {error}"]
-        finally:
-            sys.setswitchinterval(interval)
-        return []
+        """Compile a policy for this node's settings; why it does not hold."""
+        return await self.plans.compile(entry)
 
     async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
         """Which changes of a batch do not hold, each on those before it that do; by their ids."""
-        found: dict[bytes, list[str]] = {}
-        plan = self.plans.get(base.policy.name)
-        await self._in_thread(lambda: found.update(culprits_of(base, plan, changes, self.settings)))
-        return found
+        return await self.plans.culprits(base, changes)
 
     async def read(self, file: bytes, state: ResourceState) -> FileRead:
         """What an operator file says, as differences to a state. BadFile: it does not hold."""
-        made: list[FileRead] = []
-        problems = await self._in_thread(lambda: made.append(read_file(file, state)))
-        if problems:
-            raise BadFile(problems)
-        return made[0]
+        return await read_file(file, state)
 
     def put(self, entries: tuple[Entry, ...]) -> None:
         """Put the narrower of these in force; requests that have begun go on under what they began with."""
         if not entries:
             return
-        plans = [self._plan(entry) for entry in entries]
+        plans = [self.plans.of(entry) for entry in entries]
         both = Narrow(plans[0], plans[1], self.settings) if len(plans) > 1 else plans[0]
         self.gate.take_over(both)
         self.desk.agreed({server for entry in entries for server in entry.out})
 
-    def _plan(self, entry: Entry) -> ResourcePlan:
-        plan = self.plans.get(entry.policy.name)
-        if plan is None:
-            plan = self.plans[entry.policy.name] = self._compiled(entry)
-        return plan
-
     def say(self, event: str, **words: object) -> None:
         """Write down a transition."""
         self.log.info(event, **words)
--- a/hollow/fleet.py
+++ b/hollow/fleet.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from accord import words as w
-from accord.service import Unreachable
+from accord.calls import Unreachable
 from elderscale.accord import call, clock
 
 from .messages import Command, Listening, Report, ReportNow, Reset, Silence, Start
--- a/hollow/node.py
+++ b/hollow/node.py
@@ -7,22 +7,20 @@
 
 import asyncio
 import random
-import sys
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from accord.policy import Policy
-from accord.service import Service, Terms
+from accord.log import Entry
+from accord.service import FileRead, Service, Terms
 from accord.words import MOST_CALL
 from elderscale.accord import BACKLOG, MOST_CALLERS, call, clock
 from elderscale.door import Door, Reply
-from elderscale.operator import YIELD
+from elderscale.policy_plans import PolicyPlans, read_file
 from lynxrouter.interface import Settings
 from operations.calls import Call, Kind
-from routing.plan import compile_file
-from routing.problems import OperatorError
-from routing.schema import read_all
+from resources.model import Change
+from resources.state import ResourceState
 
 __all__ = ["HollowNode"]
 
@@ -41,7 +39,7 @@
         self.name = name
         self.folder = folder
         self.lease_ns = lease_ns
-        self.settings = settings
+        self.plans = PolicyPlans(settings, self._in_use) if settings is not None else None
         self.address = ""
         self.in_force: dict[str, int] = {}
         self.problems: list[str] = []
@@ -75,34 +73,27 @@
             self.service.close()
         self._listener.close()
 
+    def _in_use(self) -> tuple[str, ...]:
+        return self.service.under if self.service is not None else ()
+
     # What a service asks of its node
 
-    async def compile(self, policy: Policy) -> list[str]:
-        """Compile a policy in a thread, where there are settings to compile it for; why it does not hold."""
-        if self.settings is None:
-            return []
-        interval = sys.getswitchinterval()
-        sys.setswitchinterval(YIELD)
-        try:
-            await self._loop.run_in_executor(None, compile_file, policy.file, self.settings, policy.name)
-        except OperatorError as error:
-            return [str(problem) for problem in error.problems]
-        finally:
-            sys.setswitchinterval(interval)
-        return []
-
-    def keepers_of(self, file: bytes) -> list[str] | None:
-        """The keepers that a policy's file names."""
-        try:
-            tables, _ = read_all(file)
-        except OperatorError:
-            return None
-        return sorted(tables.accord.keepers) if tables.accord is not None else None
-
-    def put(self, policies: tuple[Policy, ...]) -> None:
+    async def compile(self, entry: Entry) -> list[str]:
+        """Compile a policy as a real node does, where there are settings to compile it for."""
+        return await self.plans.compile(entry) if self.plans is not None else []
+
+    async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
+        """Which changes of a batch do not hold; by their ids."""
+        return await self.plans.culprits(base, changes) if self.plans is not None else {}
+
+    async def read(self, file: bytes, state: ResourceState) -> FileRead:
+        """What an operator file says, as differences to a state. BadFile: it does not hold."""
+        return await read_file(file, state)
+
+    def put(self, entries: tuple[Entry, ...]) -> None:
         """Note since when a policy is in force alone."""
-        if len(policies) == 1:
-            self.in_force.setdefault(policies[0].name, clock())
+        if len(entries) == 1:
+            self.in_force.setdefault(entries[0].policy.name, clock())
 
     def say(self, event: str, **words: object) -> None:
         """Keep what went wrong."""
