--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -13,15 +13,17 @@
 from pathlib import Path
 from typing import Any
 
-import uvloop
-
+from accord.policy import MOST_BYTES
 from hollow.fleet import Fleet, FleetFailed, fleet
 from hollow.messages import Report
 from hollow.meter import Spent
 
-from .measurement import Figures, RunFailed
+from . import samples
+from .measurement import Figures, RefusedSize, RunFailed
 
-__all__ = ["change_costs", "changes", "changes_with_silent_nodes", "renewals"]
+__all__ = [
+    "change_by_file", "change_costs", "changes", "changes_with_silent_nodes", "renewals", "run", "status",
+]  # fmt: skip
 
 LEASE_MS = 5_000
 NODES_OF_A_PROCESS = 50
@@ -29,6 +31,8 @@
 CHANGES = 4
 SILENT_PART = 0.1
 KEEPERS = 3
+FEW_NODES = 10
+LOOKS = 50
 # An IPv4 and a TCP header with its time stamps, for each segment.
 SEGMENT_HEADER_BYTES = 52
 SECOND = 1_000_000_000
@@ -54,10 +58,23 @@
     return run(_changes(size, SILENT_PART)).only("in_force_s", "in_force_worst_s")
 
 
+def change_by_file(size: int) -> Figures:
+    """One change of a server, beside so many routes in the policy's file: ten nodes, which do not compile."""
+    file = samples.routes_file(size).encode()
+    if len(file) > MOST_BYTES:
+        raise RefusedSize(f"file: {len(file)} bytes, {MOST_BYTES} at most")
+    return run(_changes(FEW_NODES, 0.0, file)).only("keeper_cpu_s", "node_cpu_ms", "node_bytes")
+
+
+def status(size: int) -> Figures:
+    """One look of an operator at a keeper, which tells of all nodes."""
+    return run(_status(size))
+
+
 def run(work: Coroutine[Any, Any, Figures]) -> Figures:
     """Run this on a loop like that of the processes. RunFailed: the fleet did not come or did not stay."""
     try:
-        return uvloop.run(work)
+        return asyncio.run(work)
     except FleetFailed as error:
         raise RunFailed(str(error)) from None
 
@@ -93,9 +110,9 @@
     return Figures(values, spent_of(reports), notes)
 
 
-async def _changes(size: int, silent: float) -> Figures:
+async def _changes(size: int, silent: float, file: bytes = b"") -> Figures:
     with folder() as path:
-        async with fleet(Path(path), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
+        async with fleet(Path(path), size, LEASE_MS, NODES_OF_A_PROCESS, file) as running:
             gone = await running.silence(silent) if silent else 0
             await running.reset()
             times = [await _changed(running, n) for n in range(1 if silent else CHANGES)]
@@ -115,6 +132,19 @@
     return Figures(values, spent_of(reports), notes)
 
 
+async def _status(size: int) -> Figures:
+    with folder() as path:
+        async with fleet(Path(path), size, LEASE_MS, NODES_OF_A_PROCESS) as running:
+            await running.reset()
+            answers = [await running.call("", None) for _ in range(LOOKS)]
+            reports = await running.reports()
+    asked, *others = (keeper.cpu_s for keeper in reports[:KEEPERS])
+    # The other keepers had the same renewals meanwhile, and no looks.
+    cpu = max(0.0, asked - sum(others) / len(others))
+    values = {"keeper_cpu_ms": 1000 * cpu / LOOKS, "bytes": float(len(answers[-1]))}
+    return Figures(values, spent_of(reports))
+
+
 async def _changed(running: Fleet, number: int) -> float:
     """One change; seconds from its proposal until the last node that lives serves under it alone."""
     name, began = await running.change([f"s-{number:06d}"])
--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -106,6 +106,16 @@
         CHANGE_COSTS, (50, 100, 200, 400), (4, 6), control.change_costs, target.NODES,
         limits=CPU_ONLY, processes=True,
     ),
+    Measurement(
+        "change-by-file", "a change beside routes in the file, ten nodes", "routes",
+        {"keeper_cpu_s": "s", "node_cpu_ms": "ms", "node_bytes": "B"}, (100, 300, 1_000, 3_000), (10,),
+        control.change_by_file, target.ROUTES, limits=CPU_ONLY, processes=True,
+    ),
+    Measurement(
+        "operator-status", "one look of an operator at a keeper", "nodes",
+        {"keeper_cpu_ms": "ms", "bytes": "B"}, (50, 100, 200, 400), (4,), control.status, target.NODES,
+        limits=CPU_ONLY, processes=True,
+    ),
     Measurement(
         "change-time", "changes one after another, until in force everywhere, hollow nodes", "nodes",
         CHANGE_TIMES, (50, 100, 200, 400), (4, 6), control.changes, target.NODES,
