--- a/benchmarks/capacity/fits.py
+++ b/benchmarks/capacity/fits.py
@@ -21,6 +21,7 @@
 MOST_EXPONENT_DISTANCE = 0.25
 # A figure that spreads little does not depend on the size if a line misses by this part of its spread.
 LEAST_NOISE = 0.2
+NO_SPREAD = 0.1
 LEAST_POINTS_FOR_A_BEND = 3
 
 
@@ -186,6 +187,8 @@
     if min(values) <= 0:
         return False
     spread = max(values) / min(values) - 1
+    if spread <= NO_SPREAD:
+        return True
     return spread <= MOST_RESIDUAL and line.worst >= spread * LEAST_NOISE
 
 
--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -4,7 +4,7 @@
 
 from hollow.meter import Limits
 
-from . import control, requests, routes, servers, starts, streams, target, tenants
+from . import control, requests, resource_states, routes, servers, starts, streams, target, tenants
 from .measurement import Measurement
 
 __all__ = ["MEASUREMENTS"]
@@ -92,6 +92,23 @@
         "request-rejected", "a rejection, compared with all tenants", "tenants",
         {"cpu_us": "us"}, (3_000, 30_000, 300_000), (50, 100), requests.turned_away, target.TENANTS,
     ),
+    Measurement(
+        "resources-routes", "a state of routes as resources", "routes",
+        CPU_MEMORY, (1_000, 10_000, 110_000), (50, 100), resource_states.routes_in_memory, target.ROUTES,
+    ),
+    Measurement(
+        "resources-tenants", "a state of tenants as resources", "tenants",
+        CPU_MEMORY, (3_000, 30_000, 300_000), (50, 100), resource_states.tenants_in_memory, target.TENANTS,
+    ),
+    Measurement(
+        "resource-changed", "one changed route as a resource: assembled, encoded, followed", "routes",
+        {"cpu_us": "us", "batch_bytes": "B"}, (1_000, 10_000, 110_000), (50, 100),
+        resource_states.changed, target.ROUTES,
+    ),
+    Measurement(
+        "resources-snapshot-read", "a snapshot of routes as resources, read", "routes",
+        {"cpu_s": "s"}, (1_000, 10_000, 110_000), (50, 100), resource_states.snapshot_read, target.ROUTES,
+    ),
     Measurement(
         "renewals", "leases renewed, three keepers, hollow nodes", "nodes",
         {
--- /dev/null
+++ b/benchmarks/capacity/resource_states.py
@@ -0,0 +1,103 @@
+"""Configuration as resources: the state in memory, one change, and the snapshot that a start reads.
+
+Routes here have the limits of samples.routes_file, tenants a rate; bodies are MessagePack of their tables.
+"""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Iterator
+
+import msgspec
+
+from hollow.meter import metered
+from resources.batch import assemble, follow
+from resources.model import Change, Kind, Resource, Upsert
+from resources.state import ResourceState, restored
+from resources.wire import WireError, decode_snapshot, encode_batch, encode_snapshot
+
+from . import samples
+from .measurement import Figures, RefusedSize
+
+__all__ = ["changed", "routes_in_memory", "snapshot_read", "tenants_in_memory"]
+
+KIB = 1 << 10
+MIB = 1 << 20
+CHANGES = 200
+
+
+def routes_in_memory(size: int) -> Figures:
+    """A state of so many routes."""
+    return _in_memory(_routes(size))
+
+
+def tenants_in_memory(size: int) -> Figures:
+    """A state of so many tenants."""
+    return _in_memory(_tenants(size))
+
+
+def changed(size: int) -> Figures:
+    """One route changed beside so many: a batch of one change assembled, sent, and followed by a node."""
+    state = restored(1, _routes(size), ())
+    gc.collect()
+    sent = 0
+    with metered() as spent:
+        for number in range(CHANGES):
+            operation = Upsert(
+                Kind.ROUTE, f"r{number % size}", _version(state, number % size), _route(size + number)
+            )
+            change = Change(number.to_bytes(16, "big"), state.revision, "capacity", "rig", (operation,))
+            batch = assemble(state, (change,)).batch
+            sent += len(encode_batch(batch))
+            state = follow(state, batch)
+    return Figures({"cpu_us": 1e6 * spent.cpu_s / CHANGES, "batch_bytes": sent / CHANGES}, spent)
+
+
+def snapshot_read(size: int) -> Figures:
+    """A snapshot of so many routes, read and checked against its digest."""
+    state = restored(1, _routes(size), ())
+    data = encode_snapshot(state)
+    gc.collect()
+    try:
+        with metered() as spent:
+            found = decode_snapshot(data, state.digest)
+    except WireError as error:
+        raise RefusedSize(str(error)) from None
+    assert found.digest == state.digest
+    return Figures({"cpu_s": spent.cpu_s}, spent, {"snapshot_mib": len(data) / MIB})
+
+
+def _in_memory(resources: Iterator[Resource]) -> Figures:
+    with metered(memory=True) as spent:
+        state = restored(1, resources, ())
+    assert state.revision == 1
+    return Figures({"cpu_s": spent.cpu_s, "memory_kb": spent.memory / KIB}, spent)
+
+
+def _version(state: ResourceState, number: int) -> int:
+    there = state.get(Kind.ROUTE, f"r{number}")
+    return there.version if there is not None else 0
+
+
+def _routes(count: int) -> Iterator[Resource]:
+    return (Resource(Kind.ROUTE, f"r{n}", 1, _route(n)) for n in range(count))
+
+
+def _tenants(count: int) -> Iterator[Resource]:
+    return (Resource(Kind.TENANT, f"tenant-{n:06d}", 1, _tenant(n)) for n in range(count))
+
+
+def _route(number: int) -> bytes:
+    return msgspec.msgpack.encode(
+        {
+            "path": {"exact": f"/{samples.CLASS}/halls/h{number}"},
+            "limits": {
+                "in_flight": 1000,
+                "rate": {"per_second": 100_000, "burst": 100_000, "by": "tenant"},
+            },
+        }
+    )
+
+
+def _tenant(number: int) -> bytes:
+    return msgspec.msgpack.encode({"rate": {"per_second": 10 + number % 7, "burst": 10}})
