--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -6,7 +6,7 @@
 import sys
 from pathlib import Path
 
-from . import report, runner
+from . import page, report, runner
 from .measurement import Measurement, NotCarried
 from .registry import MEASUREMENTS
 
@@ -22,6 +22,12 @@
         runner.limit_memory()
         print(runner.encode(runner.run_here(name, int(size))))
         return 0
+    if words.page:
+        outcomes = page.read_outcomes(words.page)
+        print(page.slope_table(outcomes), page.budget_table(outcomes), sep="\n\n")
+        if words.plot:
+            report.plot(outcomes, words.plot)
+        return 0
     unknown = [name for name in words.names if name not in MEASUREMENTS]
     if unknown:
         parser.error(f"no such measurement: {', '.join(unknown)}; there are {', '.join(MEASUREMENTS)}")
@@ -56,6 +62,9 @@
     parser.add_argument("--quick", action="store_true", help="the small sizes of the tests")
     parser.add_argument("--json", type=Path, help="also write outcomes and fits here")
     parser.add_argument("--plot", type=Path, help="also draw them here")
+    parser.add_argument(
+        "--page", type=Path, nargs="+", help="print the tables of the page from these JSON files"
+    )
     parser.add_argument("--one", nargs=2, metavar=("NAME", "SIZE"), help="one size, in this very process")
     return parser
 
--- /dev/null
+++ b/benchmarks/capacity/budgets.py
@@ -0,0 +1,250 @@
+"""Measured slopes held against the budgets: over or under, and by what factor. Pure.
+
+Each row is arithmetic on measured quantities at the expected size. What is assumed beyond the operators'
+letter stands here as a constant with the word "assumed".
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from . import target
+from .report import Series
+
+__all__ = ["ROWS", "Range", "Row", "Verdict", "judged"]
+
+# Assumed: a server that is restarted or replaced changes its line twice, gone and ready.
+LINES_OF_A_REPLACED_SERVER = 2
+# Assumed peaks: servers in a rack; servers restarted by one release within an hour; changes in one second.
+RACK_SERVERS = 40
+RELEASE_SERVERS_AN_HOUR = 6_000
+BURST_CHANGES = 20
+# How often `hollybay policy` looks while it follows a change (accord.follow.LOOK).
+LOOKS_A_SECOND = 20
+ZONES = 17
+
+CHANGES_A_SECOND = target.CHANGES_A_DAY / target.DAY_S
+SERVER_LINES_A_SECOND = LINES_OF_A_REPLACED_SERVER * target.REPLACED_SERVERS_A_DAY / target.DAY_S
+RELEASE_LINES_A_SECOND = LINES_OF_A_REPLACED_SERVER * RELEASE_SERVERS_AN_HOUR / 3_600
+CORE_PERCENT = 100 * target.CONTROL_CORE_PART
+ONE_CORE_PERCENT = 100.0  # a keeper is one process of Python, so one core
+
+
+@dataclass(frozen=True, slots=True)
+class Range:
+    """A figure at the expected size, between two values where the fits differ."""
+
+    least: float
+    most: float
+
+    def times(self, factor: float) -> Range:
+        """So many times as much."""
+        return Range(self.least * factor, self.most * factor)
+
+    def plus(self, other: Range) -> Range:
+        """Both together."""
+        return Range(self.least + other.least, self.most + other.most)
+
+
+At = Callable[[str, str], Range]
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One figure held against its budget. how: the slope and what it is multiplied with, in words."""
+
+    role: str
+    what: str
+    unit: str
+    budget: float
+    how: str
+    figure: Callable[[At], Range]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A row with its figure. None: what it is made of was not measured."""
+
+    row: Row
+    figure: Range | None
+
+    @property
+    def factor(self) -> Range | None:
+        """How many times the budget; above 1 is over."""
+        return None if self.figure is None else self.figure.times(1 / self.row.budget)
+
+
+def _of(measurement: str, quantity: str, factor: float = 1.0) -> Callable[[At], Range]:
+    return lambda at: at(measurement, quantity).times(factor)
+
+
+def _sum(*parts: Callable[[At], Range]) -> Callable[[At], Range]:
+    def whole(at: At) -> Range:
+        found = Range(0.0, 0.0)
+        for part in parts:
+            found = found.plus(part(at))
+        return found
+
+    return whole
+
+
+MB = 1 / 1024
+SERVER_MEMORY = _of("servers-list-few-nodes", "memory_kb", MB)
+ROUTE_MEMORY = _of("routes-compiled", "memory_kb", MB)
+TENANT_MEMORY = _of("tenants-named", "memory_kb", MB)
+BUCKET_MEMORY = _of("tenant-buckets", "memory_kb", MB)
+CHANGE_RATE = f"{CHANGES_A_SECOND:.2f} changes/s"
+LINE_RATE = f"{SERVER_LINES_A_SECOND:.2f} lines/s"
+
+ROWS = (
+    Row("node", "memory: servers", "MB", target.CONTROL_MEMORY_MB, "servers-list-few-nodes", SERVER_MEMORY),
+    Row("node", "memory: routes, compiled", "MB", target.CONTROL_MEMORY_MB, "routes-compiled", ROUTE_MEMORY),
+    Row("node", "memory: tenants, named", "MB", target.CONTROL_MEMORY_MB, "tenants-named", TENANT_MEMORY),
+    Row(
+        "node", "memory: buckets of all tenants at one route", "MB", target.CONTROL_MEMORY_MB,
+        "tenant-buckets", BUCKET_MEMORY,
+    ),
+    Row(
+        "node", "memory: all of these", "MB", target.CONTROL_MEMORY_MB, "sum",
+        _sum(SERVER_MEMORY, ROUTE_MEMORY, TENANT_MEMORY, BUCKET_MEMORY),
+    ),
+    Row(
+        "node", "processor: one changed route, file compiled anew", "% of a core", CORE_PERCENT,
+        f"route-changed-by-file x {CHANGE_RATE}",
+        _of("route-changed-by-file", "cpu_s", 100 * CHANGES_A_SECOND),
+    ),
+    Row(
+        "node", "processor: review of all servers", "% of a core", CORE_PERCENT,
+        "servers-review, twice a second", _of("servers-review", "core_percent"),
+    ),
+    Row(
+        "node", "processor: changed servers", "% of a core", CORE_PERCENT, f"server-changed x {LINE_RATE}",
+        _of("server-changed", "cpu_ms", 0.1 * SERVER_LINES_A_SECOND),
+    ),
+    Row(
+        "node", "processor: calls of changes", "% of a core", CORE_PERCENT,
+        f"change-costs x {CHANGE_RATE}", _of("change-costs", "node_cpu_ms", 0.1 * CHANGES_A_SECOND),
+    ),
+    Row(
+        "node", "processor: renewals", "% of a core", CORE_PERCENT, "renewals",
+        _of("renewals", "node_core_percent"),
+    ),
+    Row(
+        "node", "bytes: renewals", "B/s", target.CONTROL_BYTES_A_SECOND, "renewals",
+        _of("renewals", "node_bytes_a_second"),
+    ),
+    Row(
+        "node", "bytes: calls of changes, an empty file", "B/s", target.CONTROL_BYTES_A_SECOND,
+        f"change-costs x {CHANGE_RATE}", _of("change-costs", "node_bytes", CHANGES_A_SECOND),
+    ),
+    Row(
+        "node", "bytes: the file of each change", "B/s", target.CONTROL_BYTES_A_SECOND,
+        f"change-by-file x {CHANGE_RATE}", _of("change-by-file", "node_bytes", CHANGES_A_SECOND),
+    ),
+    Row(
+        "node", "start: servers and routes", "s of processor", target.START_LIMIT_S,
+        "servers-list + start-from-file",
+        _sum(_of("servers-list", "cpu_s"), _of("start-from-file", "cpu_s")),
+    ),
+    Row(
+        "node", "longest stop of the loop: review", "ms", target.REQUEST_ADDED_MS, "servers-review",
+        _of("servers-review", "cpu_ms"),
+    ),
+    Row(
+        "node", "longest stop of the loop: a changed server", "ms", target.REQUEST_ADDED_MS,
+        "server-changed", _of("server-changed", "cpu_ms"),
+    ),
+    Row(
+        "node", "a request: its route and its server", "ms", target.REQUEST_ADDED_MS,
+        "request-route + request-server",
+        _sum(_of("request-route", "cpu_us", 1e-3), _of("request-server", "cpu_us", 1e-3)),
+    ),
+    Row(
+        "node", "a request that is rejected", "ms", target.REQUEST_ADDED_MS, "request-rejected",
+        _of("request-rejected", "cpu_us", 1e-3),
+    ),
+    Row(
+        "keeper", "processor: renewals", "% of a core", ONE_CORE_PERCENT, "renewals",
+        _of("renewals", "keeper_core_percent"),
+    ),
+    Row(
+        "keeper", "processor: changes, an empty file", "% of a core", ONE_CORE_PERCENT,
+        f"change-costs x {CHANGE_RATE}", _of("change-costs", "keeper_cpu_s", 100 * CHANGES_A_SECOND),
+    ),
+    Row(
+        "keeper", "one change: processor, so the least time until in force", "s", target.CHANGE_LIMIT_S,
+        "change-costs", _of("change-costs", "keeper_cpu_s"),
+    ),
+    Row(
+        "keeper", "one change beside the routes of its file, ten nodes", "s", target.CHANGE_LIMIT_S,
+        "change-by-file", _of("change-by-file", "keeper_cpu_s"),
+    ),
+    Row(
+        "operator's command", "following one change: processor of each keeper", "% of a core",
+        ONE_CORE_PERCENT, f"operator-status x {LOOKS_A_SECOND} looks/s",
+        _of("operator-status", "keeper_cpu_ms", 0.1 * LOOKS_A_SECOND),
+    ),
+    Row(
+        "peak", f"a release, {RELEASE_SERVERS_AN_HOUR:,} servers in an hour (assumed): a node's processor",
+        "% of a core", CORE_PERCENT, f"server-changed x {RELEASE_LINES_A_SECOND:.1f} lines/s",
+        _of("server-changed", "cpu_ms", 0.1 * RELEASE_LINES_A_SECOND),
+    ),
+    Row(
+        "peak", f"a rack of {RACK_SERVERS} servers (assumed), line by line: a node's processor", "s",
+        target.CHANGE_LIMIT_S, f"server-changed x {RACK_SERVERS}",
+        _of("server-changed", "cpu_ms", RACK_SERVERS / 1000),
+    ),
+    Row(
+        "peak", f"a zone's servers ({target.SERVERS // ZONES:,}) new at a node at once", "s",
+        target.START_LIMIT_S, f"servers-list / {ZONES}", _of("servers-list", "cpu_s", 1 / ZONES),
+    ),
+    Row(
+        "peak", f"{BURST_CHANGES} changes in a second (assumed): a keeper's processor", "s",
+        target.CHANGE_LIMIT_S, f"change-costs x {BURST_CHANGES}",
+        _of("change-costs", "keeper_cpu_s", BURST_CHANGES),
+    ),
+    Row(
+        "peak", "a change with a tenth of the nodes silent", "s", target.CHANGE_LIMIT_S,
+        "change-silent-tenth", _of("change-silent-tenth", "in_force_s"),
+    ),
+    Row(
+        "resources", "memory: routes", "MB", target.CONTROL_MEMORY_MB, "resources-routes",
+        _of("resources-routes", "memory_kb", MB),
+    ),
+    Row(
+        "resources", "memory: tenants", "MB", target.CONTROL_MEMORY_MB, "resources-tenants",
+        _of("resources-tenants", "memory_kb", MB),
+    ),
+    Row(
+        "resources", "processor: one changed route in the state", "% of a core", CORE_PERCENT,
+        f"resource-changed x {CHANGE_RATE}", _of("resource-changed", "cpu_us", 1e-4 * CHANGES_A_SECOND),
+    ),
+    Row(
+        "resources", "bytes: batches", "B/s", target.CONTROL_BYTES_A_SECOND,
+        f"resource-changed x {CHANGE_RATE}", _of("resource-changed", "batch_bytes", CHANGES_A_SECOND),
+    ),
+    Row(
+        "resources", "start: the snapshot of all routes, read", "s of processor", target.START_LIMIT_S,
+        "resources-snapshot-read", _of("resources-snapshot-read", "cpu_s"),
+    ),
+)  # fmt: skip
+
+
+def judged(series: Iterable[Series], rows: Iterable[Row] = ROWS) -> list[Verdict]:
+    """Each row with its figure, as far as what it is made of was measured at two sizes or more."""
+    known = {(one.measurement, one.quantity): one.target for one in series if one.target is not None}
+
+    def at(measurement: str, quantity: str) -> Range:
+        found = known[measurement, quantity]
+        return Range(found.least, found.most)
+
+    verdicts = []
+    for row in rows:
+        try:
+            figure = row.figure(at)
+        except KeyError:
+            verdicts.append(Verdict(row, None))
+            continue
+        verdicts.append(Verdict(row, figure))
+    return verdicts
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,11 +14,20 @@
 
 import pytest
 
-from benchmarks.capacity import control, report, runner, streams
+from benchmarks.capacity import budgets, control, page, report, runner, streams
 from benchmarks.capacity.__main__ import main
 from benchmarks.capacity.fits import Point, extrapolate, fit, fit_line, fit_power
-from benchmarks.capacity.measurement import Figures, Measured, Measurement, NotCarried, Rejected, judge
+from benchmarks.capacity.measurement import (
+    Figures,
+    Measured,
+    Measurement,
+    NotCarried,
+    Outcome,
+    Rejected,
+    judge,
+)
 from benchmarks.capacity.registry import MEASUREMENTS
+from benchmarks.capacity.report import series_of
 from hollow.meter import LatenessProbe, Limits, Spent, late_reason, metered
 
 # Quantities that a small run may have none of.
@@ -196,6 +205,64 @@
     assert "refused" in report.outcome_line(outcome)
 
 
+def measured(name: str, **points: tuple[tuple[int, float], ...]) -> list[Outcome]:
+    """Outcomes of one measurement: by quantity, sizes with values."""
+    sizes = [size for size, _ in next(iter(points.values()))]
+    return [
+        Measured(name, size, {key: dict(values)[size] for key, values in points.items()}, {}, 0.0, 0.0)
+        for size in sizes
+    ]
+
+
+def test_a_slope_is_held_against_its_budget_by_a_factor() -> None:
+    costs = ((100, 1.0), (200, 2.0), (400, 4.0))
+    outcomes = measured("request-rejected", cpu_us=costs) + measured("servers-review", cpu_ms=costs)
+    verdicts = {one.row.what: one for one in budgets.judged(series_of(outcomes))}
+    # 0.01 us a tenant and 300,000 tenants are 3 ms, where 1.7 ms are allowed.
+    rejected = verdicts["a request that is rejected"]
+    assert rejected.figure is not None and rejected.factor is not None
+    assert rejected.figure.least == pytest.approx(3.0) and rejected.factor.most == pytest.approx(3.0 / 1.7)
+    assert page.said(rejected) == "**OVER 1.76 x**"
+    assert verdicts["longest stop of the loop: review"].figure == budgets.Range(
+        pytest.approx(1_200.0), pytest.approx(1_200.0)
+    )
+    # What was not measured is said to be so, also where another part of a sum was.
+    assert verdicts["processor: review of all servers"].figure is None
+    assert verdicts["memory: all of these"].figure is None
+    told = page.budget_table(outcomes)
+    assert told.count("not measured") == len(budgets.ROWS) - 2
+
+
+def test_under_over_and_between_are_told_apart() -> None:
+    row = budgets.ROWS[0]
+    for part, words in (((0.5, 0.5), "under, 0.5 x"), ((0.5, 1.5), "**OVER or under, 0.5 to 1.5 x**")):
+        figure = budgets.Range(part[0] * row.budget, part[1] * row.budget)
+        assert page.said(budgets.Verdict(row, figure)) == words
+
+
+def test_the_page_takes_the_last_figure_of_each_size(tmp_path: Path) -> None:
+    first, second = tmp_path / "1.json", tmp_path / "2.json"
+    early = measured("request-rejected", cpu_us=((100, 1.0), (200, 9.0)))
+    first.write_bytes(report.as_json(early))
+    late: list[Outcome] = [Measured("request-rejected", 200, {"cpu_us": 2.0}, {}, 0.0, 0.0)]
+    late += [NotCarried("request-rejected", 100, "late"), Rejected("request-rejected", 400, "too many")]
+    second.write_bytes(report.as_json(late))
+    found = page.read_outcomes([first, second])
+    assert [(one.size, type(one)) for one in found] == [(100, Measured), (200, Measured), (400, Rejected)]
+    told = page.slope_table(found)
+    assert "100: 1; 200: 2; 400: refused" in told
+
+
+def test_each_row_of_the_budgets_names_quantities_that_are_measured() -> None:
+    known = {(one.name, quantity) for one in MEASUREMENTS.values() for quantity in one.quantities}
+
+    def at(measurement: str, quantity: str) -> budgets.Range:
+        assert (measurement, quantity) in known
+        return budgets.Range(1.0, 1.0)
+
+    assert all(row.figure(at).least > 0 for row in budgets.ROWS)
+
+
 def test_a_run_that_ends_badly_has_no_figure() -> None:
     outcome = runner.run_one(MEASUREMENTS["servers-list"], -1)
     assert isinstance(outcome, NotCarried) and "ended with 1" in outcome.reason
