--- a/fleet/__init__.py
+++ b/fleet/__init__.py
@@ -3,6 +3,7 @@
 from .budgets import Budgets
 from .calls import Calls, first_call
 from .census import Census
+from .outliers import Shares
 from .pressure import Pressure
 from .reach import Reach
 from .room import Room
@@ -11,6 +12,6 @@
 from .worth import by_worth, deal
 
 __all__ = [
-    "Budgets", "Calls", "Census", "Failures", "Pressure", "Reach", "Room", "by_worth", "cold_gap", "deal",
-    "first_call", "heed", "place",
+    "Budgets", "Calls", "Census", "Failures", "Pressure", "Reach", "Room", "Shares", "by_worth", "cold_gap",
+    "deal", "first_call", "heed", "place",
 ]  # fmt: skip
--- a/lynxrouter/learning.py
+++ b/lynxrouter/learning.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from fleet import Census, Failures, Reach, Room, heed
+from fleet import Census, Failures, Reach, Room, Shares, heed
 from fleet.told import SPAN
 
 from .interface import Outcome, Result, Settings
@@ -64,7 +64,7 @@
         self.near_late = 0.0  # mean response time as a share of the aim, near and far
         self.far_late = 0.0
         self.failing = 0.0  # share of attempts that fail, over all servers
-        self.turned = [0.0] * len(settings.tenants)  # share of answers that are rejections, by tenant
+        self.turned = Shares(len(settings.tenants))  # share of answers that are rejections, by tenant
         self.count = [0.0] * classes  # requests that came lately, by class, and those that were served
         self.done = [0.0] * classes
         self.worth_lost = self.worth_asked = 0.0  # worth of late and failed attempts, and of all
@@ -129,14 +129,12 @@
 
     def _turned_away(self, tenant: int, rejected: bool) -> bool:
         """Note an answer to a tenant; whether it is a rejection that meets this tenant alone."""
-        if tenant >= len(self.turned):
+        if tenant >= self.turned.count:
             return False
-        share = self.turned[tenant] + TURNED_WEIGHT * (float(rejected) - self.turned[tenant])
-        self.turned[tenant] = share
-        if not rejected or share <= TURNED_FROM or len(self.turned) < 2:
+        share = self.turned.move(tenant, float(rejected), TURNED_WEIGHT)
+        if not rejected or share <= TURNED_FROM or self.turned.count < 2:
             return False
-        others = sorted(other for n, other in enumerate(self.turned) if n != tenant)
-        return share > TURNED_EXCESS * others[len(others) // 2]
+        return share > TURNED_EXCESS * self.turned.median_of_others(tenant)
 
     def learn(self, s: Server, request: Owed, event: Outcome, now: int, stale: bool) -> bool:
         """Take in how an attempt ended; whether its server is to be left out for a pause."""
