Where lists tell no loads, queues teach neither a request's work nor a kind's speed

Change: the mean load of a server as the node's own attempts tell it (those out, times the nodes, by ready servers). From one on, once a class has eight answers, only those of cold servers teach work, and none teach the speed of kinds. Where lists tell loads nothing changes: the mean stays 0.

--- a/lynxrouter/admission.py
+++ b/lynxrouter/admission.py
@@ -19,8 +19,7 @@
 # Share that may be shed for each shortest aim that an attempt takes now beyond a part of it; a larger one
 # falls to that by so much at each review.
 SHED_WAIT, SHED_WAIT_FROM, SHED_LET_GO = 0.5, 0.5, 0.6
-# How far below what the servers finish the admitted work goes, for each unit of worth lost, so that queues
-# shrink.
+# How far below what servers finish admitted work goes for each unit of worth lost, so that queues shrink.
 SHED_DRAIN = 1.0
 COUNT_FADE = 0.7  # what a review leaves of the counts by class
 # A class is refused at once where what waits ahead of it would take this part of the shortest aim of those
--- a/lynxrouter/brain.py
+++ b/lynxrouter/brain.py
@@ -201,8 +201,7 @@
         if scope is None or request.deadline - self.now <= 2 * self.settings.tick:
             self._give_up(request)
             return
-        # While shedding, a server that is full is no reason to try the next: all are, and it would feed the
-        # jam.
+        # While shedding, a full server is no reason to try the next: all are, and it would feed the jam.
         cls = self.settings.classes[request.cls]
         shedding = self.admission.shed > SHED_FROM and may_refuse(cls, request.tries)
         if request.tries and (self.repeats.resends < 1.0 or shedding):
--- a/lynxrouter/choice.py
+++ b/lynxrouter/choice.py
@@ -30,6 +30,7 @@
 # Draws by capacity in search of a server to which this node has a connection at rest.
 DRAWS = 4
 TRIAL_PART = 0.1  # of its capacity that is offered to a server on trial after a pause
+QUEUE_WEIGHT = 0.4  # of one look at what is out in the mean load of a server
 # Above this share of paused capacity a shared cause is likelier than bad servers: nobody is paused any more.
 PAUSED_MOST = 0.5
 
@@ -95,6 +96,9 @@
             crossing.begin(sum(s.size for s in zones[True]), total)
         learned.renew_work()
         learned.nodes = learned.census.others(now, total)
+        if not live and ready:
+            out = learned.nodes * self.admission.pressure.out / len(ready)  # were all nodes like this one
+            learned.queue += QUEUE_WEIGHT * (out - learned.queue)
         self.admission.weigh()
         self.near, self.near_draw, crossing.near_load = self._index(zones[True], held[True], now)
         self.far, self.far_draw, crossing.far_load = self._index(zones[False], held[False], now)
--- a/lynxrouter/crossing.py
+++ b/lynxrouter/crossing.py
@@ -10,8 +10,7 @@
 
 __all__ = ["CLASS_RATIO", "Crossing", "ahead"]
 
-# Speeds within this ratio make one class, and loads within it are the same: less is within the noise of the
-# estimates.
+# Speeds within this ratio make one class, and loads within it are the same: less is noise of the estimates.
 CLASS_RATIO = 1.25
 # Crossing zones starts when near answers take this share of their aim, and this much more than far ones.
 SPILL_FROM, SPILL_MARGIN = 0.35, 0.1
@@ -19,8 +18,7 @@
 # A request crosses zones at once where that saves this part of the price in worth that would come late; under
 # one, as a request that stays delays the others there, too.
 CROSS_PART = 0.5
-# Part of the load that the list told of a server which is likely still there: it is a second old, and a queue
-# is worked off sooner.
+# Part of the load that a list told which is likely still there: it is old, and queues are worked off.
 TOLD_PART = 0.25
 
 
--- a/lynxrouter/learning.py
+++ b/lynxrouter/learning.py
@@ -10,17 +10,16 @@
 
 __all__ = ["PAUSE_FIRST", "REVIEW", "Learning"]
 
-# How often estimates, gaps and draw tables are renewed: often against seconds-long troubles, rarely against
-# CPU.
+# How often estimates, gaps and draw tables are renewed: often against troubles of seconds, rarely for CPU.
 REVIEW = SECOND // 2
 # With fewer outcomes than this in a review's span what was lost before is no evidence of the present, and
 # fades: else a share that leaves no request to learn from would be shed for ever.
 SHED_HEARD, SHED_FADE = 8, 0.8
 # A response counts as twice its aim at most, so that one straggler does not decide.
 LATE_MOST = 2.0
-# Load that the list tells (requests held for each core) under which a server counts as idle when a
-# request's work is learned, and the least weight of one such answer.
-IDLE_LOAD, WORK_WEIGHT = 2.0, 0.02
+# Load (requests held for each core) under which a server counts as idle when work is learned: as lists tell
+# it, or else the mean of the fleet. The least weight of an answer, and how many are taken at any mean.
+IDLE_LOAD, IDLE_MEAN, WORK_WEIGHT, WORK_FEW = 2.0, 1.0, 0.02, 8
 KIND_WEIGHT = 0.005  # of one answer in what is learned of its kind of machine
 # First pause after a server failed, doubled up to the longest.
 PAUSE_FIRST, PAUSE_MOST = SECOND, 8 * SECOND
@@ -71,14 +70,13 @@
         self.heard = 0  # outcomes that tell of load since the last review
         self.missing = 0.0  # the first as a share of the second
         self.ratio = 1.0  # mean of response times relative to their class's mean
-        # Response time of a kind relative to what its listed size promises.
-        self.slow_of_kind = [1.0] * settings.kinds
-        # Mean response time x size (x 1/cost hint), by class.
-        self.base = [0.0] * classes
+        self.slow_of_kind = [1.0] * settings.kinds  # response time relative to what its listed size promises
+        self.base = [0.0] * classes  # mean response time x size (x 1/cost hint), by class
         # Mean time that one request takes at an idle server of size 1, by class, and how many told of it.
         self.work: list[float] = [0.0] * classes
         self.work_time, self.work_share = [0.0] * classes, [0.0] * classes
         self.work_seen = [0] * classes
+        self.queue = 0.0  # mean load of a server as this node's own attempts tell, where lists do not
         self.mean_work = 0.0
 
     def review(self, now: int) -> bool:
@@ -117,7 +115,8 @@
         """
         work = rtt * s.size * s.warmth
         known = self.work[cls]
-        if s.load + beside < IDLE_LOAD and not stale:
+        queued = s.warmth >= 1.0 and self.queue >= IDLE_MEAN and self.work_seen[cls] >= WORK_FEW
+        if s.load + beside < IDLE_LOAD and not stale and not queued:
             self.work_seen[cls] += 1
             weight = max(WORK_WEIGHT, 1.0 / self.work_seen[cls])
             self.work_time[cls] += weight * (work - self.work_time[cls])
@@ -212,10 +211,11 @@
         self.base[request.cls] = base + 0.01 * (sample - base)
         ratio = min(sample / base, 8.0)
         s.slow += 0.15 * (ratio - s.slow)
-        # By kind there are answers enough to correct the size that the list gives.
-        kind = self.slow_of_kind[s.kind]
-        self.slow_of_kind[s.kind] = kind * (1.0 + KIND_WEIGHT * (ratio / self.ratio - 1.0))
-        self.ratio += KIND_WEIGHT * (ratio - self.ratio)
+        # By kind there are answers enough to correct the size that the list gives, but for those of queues.
+        if self.queue < IDLE_MEAN:
+            kind = self.slow_of_kind[s.kind]
+            self.slow_of_kind[s.kind] = kind * (1.0 + KIND_WEIGHT * (ratio / self.ratio - 1.0))
+            self.ratio += KIND_WEIGHT * (ratio - self.ratio)
 
     def _learn_failure(self, s: Server, request: Owed, event: Outcome, now: int) -> bool:
         """From an attempt that failed; whether its server is to be left out for a pause."""
