--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -13,13 +13,12 @@
 from pathlib import Path
 from typing import Any
 
-from accord.policy import MOST_BYTES
 from hollow.fleet import Fleet, FleetFailed, fleet
 from hollow.messages import Report
 from hollow.meter import Spent
 
 from . import samples
-from .measurement import Figures, RefusedSize, RunFailed
+from .measurement import Figures, RunFailed
 
 __all__ = [
     "change_by_file", "change_costs", "changes", "changes_with_silent_nodes", "renewals", "run", "status",
@@ -61,8 +60,6 @@
 def change_by_file(size: int) -> Figures:
     """One change of a server, beside so many routes in the policy's file: ten nodes, which do not compile."""
     file = samples.routes_file(size).encode()
-    if len(file) > MOST_BYTES:
-        raise RefusedSize(f"file: {len(file)} bytes, {MOST_BYTES} at most")
     return run(_changes(FEW_NODES, 0.0, file)).only("keeper_cpu_s", "node_cpu_ms", "node_bytes")
 
 
--- a/hollow/fleet.py
+++ b/hollow/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -13,6 +12,7 @@
 
 from accord import words as w
 from accord.calls import Unreachable
+from accord.follow import Follow
 from elderscale.accord import call, clock
 
 from .messages import Command, Listening, Report, ReportNow, Reset, Silence, Start
@@ -119,8 +119,12 @@
         """Begin the accord with a file."""
         for keeper in self.keepers:
             await keeper.say(Start(self.keeper_addresses))
-        body = w.encode(w.Founding(file=base64.b64encode(file).decode()))
-        await self.call("found", body)
+        first = self.keeper_addresses[0]
+        follow = Follow(lambda door, path, body: call(door, path, body, CALL_LIMIT_S), [first])
+        try:
+            await follow.found(first, file)
+        except Unreachable as error:
+            raise FleetFailed(f"found: {error}") from None
 
     async def call(self, path: str, body: bytes | None) -> bytes:
         """Call the first keeper, as an operator does. FleetFailed: it says no, or nothing."""
