--- a/resources/log.py
+++ b/resources/log.py
@@ -12,21 +12,19 @@
 class BatchLog:
     """Batches one after another, bounded in number and in bytes; the oldest are let go."""
 
-    def __init__(self, max_batches: int, max_bytes: int) -> None:
+    def __init__(self, max_batches: int, max_bytes: int, newest: int = 0) -> None:
+        """newest: the revision that a snapshot already has; batches go on from there (0: from anywhere)."""
+        self.newest = newest  # the revision of the last batch, also where that is no longer kept
         self.max_batches = max_batches
         self.max_bytes = max_bytes
         self.bytes = 0
         self._batches: deque[tuple[Batch, int]] = deque()
 
-    @property
-    def newest(self) -> int:
-        """The revision of the last batch; 0: there is none."""
-        return self._batches[-1][0].revision if self._batches else 0
-
     def append(self, batch: Batch, size: int) -> None:
         """Keep one more; size: its bytes as encoded. ValueError: it does not follow the last one."""
-        if self._batches and batch.revision != self.newest + 1:
+        if self.newest and batch.revision != self.newest + 1:
             raise ValueError(f"revision {batch.revision} does not follow {self.newest}")
+        self.newest = batch.revision
         self._batches.append((batch, size))
         self.bytes += size
         while len(self._batches) > self.max_batches or self.bytes > self.max_bytes:
@@ -36,7 +34,7 @@
         """The batches after a revision, in order; None: some of them are gone, and a snapshot is needed."""
         if revision >= self.newest:
             return ()
-        if self._batches[0][0].revision > revision + 1:
+        if not self._batches or self._batches[0][0].revision > revision + 1:
             return None
         return tuple(batch for batch, _ in self._batches if batch.revision > revision)
 
--- a/resources/wire.py
+++ b/resources/wire.py
@@ -1,8 +1,13 @@
-"""The MessagePack form of changes, batches and snapshots, bounded in size; strict in both directions."""
+"""The MessagePack form of changes, batches and snapshots, bounded in size; strict in both directions.
+
+Batches and snapshots end with a checksum of all their bytes: the digests in them cover the resources, but no
+reason, author or revision.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
+from hashlib import blake2b
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -13,6 +18,7 @@
 from .state import ResourceState, restored
 
 __all__ = [
+    "CHECKSUM_BYTES",
     "FORM",
     "MAX_BATCH_BYTES",
     "MAX_SNAPSHOT_BYTES",
@@ -28,6 +34,7 @@
 FORM = 1  # the form of a snapshot; another one is refused
 MAX_BATCH_BYTES = 64 << 20
 MAX_SNAPSHOT_BYTES = 512 << 20
+CHECKSUM_BYTES = 16
 
 ChangeId = Annotated[bytes, msgspec.Meta(min_length=CHANGE_ID_BYTES, max_length=CHANGE_ID_BYTES)]
 
@@ -49,7 +56,25 @@
 T = TypeVar("T")
 
 
-def _decoded(data: bytes, kind: type[T], limit: int) -> T:
+def _checksum(data: bytes | memoryview) -> bytes:
+    return blake2b(data, digest_size=CHECKSUM_BYTES, person=b"hollybay.wire").digest()
+
+
+def _with_checksum(data: bytes) -> bytes:
+    return data + _checksum(data)
+
+
+def _checked(data: bytes, limit: int) -> memoryview:
+    """The bytes without their checksum."""
+    if len(data) > limit:
+        raise WireError(f"{len(data)} bytes, {limit} at most")
+    inner = memoryview(data)[:-CHECKSUM_BYTES]
+    if len(data) <= CHECKSUM_BYTES or _checksum(inner) != data[-CHECKSUM_BYTES:]:
+        raise WireError("checksum: the bytes are damaged or not whole")
+    return inner
+
+
+def _decoded(data: bytes | memoryview, kind: type[T], limit: int) -> T:
     if len(data) > limit:
         raise WireError(f"{len(data)} bytes, {limit} at most")
     try:
@@ -70,25 +95,24 @@
 
 def encode_batch(batch: Batch) -> bytes:
     """A batch as bytes."""
-    return msgspec.msgpack.encode(batch)
+    return _with_checksum(msgspec.msgpack.encode(batch))
 
 
 def decode_batch(data: bytes) -> Batch:
     """A batch from its bytes. WireError: they hold none."""
-    return _decoded(data, Batch, MAX_BATCH_BYTES)
+    return _decoded(_checked(data, MAX_BATCH_BYTES), Batch, MAX_BATCH_BYTES)
 
 
 def encode_snapshot(state: ResourceState) -> bytes:
     """A whole state as bytes; equal states give equal bytes."""
-    return msgspec.msgpack.encode(
-        _Snapshot(
-            FORM,
-            state.revision,
-            list(_in_order(state)),
-            sorted(state.ids_at.items()),
-            state.digest,
-        )
+    snapshot = _Snapshot(
+        FORM,
+        state.revision,
+        list(_in_order(state)),
+        sorted(state.ids_at.items()),
+        state.digest,
     )
+    return _with_checksum(msgspec.msgpack.encode(snapshot))
 
 
 def _in_order(state: ResourceState) -> Iterator[Resource]:
@@ -111,7 +135,7 @@
     WireError: it is no snapshot, is of another form, or its digest is not that of its resources, or not the
     expected one.
     """
-    snapshot = _decoded(data, _Snapshot, MAX_SNAPSHOT_BYTES)
+    snapshot = _decoded(_checked(data, MAX_SNAPSHOT_BYTES), _Snapshot, MAX_SNAPSHOT_BYTES)
     if snapshot.form != FORM:
         raise WireError(f"form: {snapshot.form}, and this build reads {FORM}")
     state = restored(snapshot.revision, snapshot.resources, snapshot.ids_at)
