--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -4,13 +4,14 @@
 
 import sys
 
-from . import flood, matcher, routed_node, simulation
+from . import flood, matcher, route_changes, routed_node, simulation
 
 ALL = {
     "matcher": matcher.main,
     "routed_node": routed_node.main,
     "flood": flood.main,
     "simulation": simulation.main,
+    "route_changes": route_changes.main,
 }
 
 
--- /dev/null
+++ b/benchmarks/route_changes.py
@@ -0,0 +1,124 @@
+"""What one changed route costs a node, and what routes and tenants cost in memory, by their number.
+
+Each size in a process of its own. Processor time is the process's; memory is growth of PSS.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import statistics
+import subprocess
+import sys
+import time
+
+from lynxrouter import interface as api
+from resources.model import Change, Key, Kind, Upsert
+from resources.state import EMPTY, ResourceState
+from routing.resource_plan import plan_after, plan_of_state
+from routing.resource_tables import decode_table, encode_table
+from routing.schema import (
+    HeaderTable,
+    LimitsTable,
+    PathTable,
+    RateTable,
+    RouteTable,
+    TenantLimitsTable,
+    TenantRateTable,
+    TenantTable,
+)
+
+MS = 1_000_000
+SETTINGS = api.Settings(
+    (api.RequestClass("view-schedule", api.Effect.SAFE, 3.0, 200 * MS, 500 * MS),), copies_allowed=True
+)
+SIZES = ((1_000, 0), (10_000, 0), (110_000, 0), (0, 300_000), (110_000, 300_000))
+CHANGES = 200
+
+
+def routes(count: int) -> list[tuple[Key, bytes]]:
+    """The routes of files.many_routes as resources."""
+    limits = LimitsTable(in_flight=1000, rate=RateTable(per_second=100_000.0, burst=100_000, by="tenant"))
+    found = []
+    for n in range(count):
+        path = (
+            PathTable(exact=f"/view-schedule/halls/h{n}"),
+            PathTable(template=f"/view-schedule/v{n}/{{id}}/slots"),
+            PathTable(prefix=f"/view-schedule/p{n}/q"),
+        )[n % 3]
+        headers = [HeaderTable(name="X-Plan", exact="gold")] if n % 10 == 0 else []
+        table = RouteTable(name=f"r{n}", path=path, headers=headers, limits=limits)
+        found.append((Key(Kind.ROUTE, table.name), encode_table(table)))
+    return found
+
+
+def tenants(count: int) -> list[tuple[Key, bytes]]:
+    """Tenants, each with a rate and a number in flight."""
+    limits = TenantLimitsTable(in_flight=100, rate=TenantRateTable(per_second=50.0, burst=100))
+    body = encode_table(TenantTable(limits=limits))
+    return [(Key(Kind.TENANT, f"tenant-{n}"), bytes(bytearray(body))) for n in range(count)]
+
+
+def pss() -> int:
+    """Bytes of memory that this process holds, shared pages by their share."""
+    gc.collect()
+    with open("/proc/self/smaps_rollup", encoding="ascii") as rollup:
+        return next(int(line.split()[1]) << 10 for line in rollup if line.startswith("Pss:"))
+
+
+def changed(state: ResourceState, number: int, name: str) -> Change:
+    """A change of one limit of a route."""
+    there = state.resources[Key(Kind.ROUTE, name)]
+    old = decode_table(there.key, there.body, RouteTable)
+    table = RouteTable(
+        name=name,
+        path=old.path,
+        headers=old.headers,
+        limits=LimitsTable(in_flight=1 + number, rate=old.limits.rate),
+    )
+    operation = Upsert(Kind.ROUTE, name, there.version, encode_table(table))
+    return Change(b"%016d" % (number + 1), state.revision, "measured", "benchmark", (operation,))
+
+
+def measure(route_count: int, tenant_count: int) -> dict[str, float]:
+    """The figures of one size."""
+    before = pss()
+    wanted = routes(route_count) + tenants(tenant_count)
+    operations = tuple(Upsert(key.kind, key.name, 0, body) for key, body in wanted)
+    state = EMPTY.applied([Change(b"%016d" % 0, 0, "all", "benchmark", operations)], 1)
+    del wanted, operations
+    in_state = pss() - before
+    begun = time.process_time()
+    plan = plan_of_state(state, SETTINGS)
+    compiled = time.process_time() - begun
+    in_both = pss() - before
+    chance = random.Random(1)
+    took = []
+    for number in range(CHANGES if route_count else 0):
+        change = changed(state, number, f"r{chance.randrange(route_count)}")
+        begun_ns = time.process_time_ns()
+        after = state.applied([change], state.revision + 1)
+        plan = plan_after(plan, after, [change.operations[0].key], SETTINGS)
+        took.append((time.process_time_ns() - begun_ns) / MS)
+        state = after
+    return {
+        "routes": route_count,
+        "tenants": tenant_count,
+        "change_median_ms": round(statistics.median(took), 3) if took else 0.0,
+        "change_worst_ms": round(max(took), 3) if took else 0.0,
+        "plan_s": round(compiled, 2),
+        "state_mb": round(in_state / 1e6, 1),
+        "state_and_plan_mb": round(in_both / 1e6, 1),
+    }
+
+
+def main() -> None:
+    """Print the table, and a line of JSON for each size."""
+    for route_count, tenant_count in SIZES:
+        code = (
+            "import json; from benchmarks.route_changes import measure; "
+            f"print(json.dumps(measure({route_count}, {tenant_count})))"
+        )
+        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+        print(json.dumps(json.loads(done.stdout)))
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -142,6 +142,9 @@
         Resource(Kind.TENANT, "ab", 1, b"c"),
         Resource(Kind.ROUTE, "ab", 2, b"c"),
         Resource(Kind.ROUTE, "ab", 1, b"d"),
+        Resource(Kind.ROUTE, "ab", 1, b"1d"),
+        Resource(Kind.ROUTE, "ab", 11, b"d"),
+        Resource(Kind.ROUTE, "ab1", 1, b"d"),
     ]
     digests = {restored(2, [one], []).digest for one in resources}
     digests |= {restored(2, [], [(1, (b"x" * 16,))]).digest, restored(2, [], [(2, (b"x" * 16,))]).digest}
--- a/tests/test_routes_node.py
+++ b/tests/test_routes_node.py
@@ -47,11 +47,14 @@
 
 
 @asynccontextmanager
-async def routed(folder: Path, text: str, *backends: Backend) -> AsyncIterator[tuple[Running, Operator]]:
-    """A node under an operator's file."""
+async def routed(
+    folder: Path, text: str, *backends: Backend, **more: object
+) -> AsyncIterator[tuple[Running, Operator]]:
+    """A node under an operator's file; more: settings that are not the usual ones."""
     path = folder / "operator.toml"
     path.write_text(text)
-    async with running(folder / "c.json", Registry(), *backends, settings=settings(caps=CAPS)) as node:
+    known = settings(caps=CAPS, **more)
+    async with running(folder / "c.json", Registry(), *backends, settings=known) as node:
         operator = Operator(str(path), node.node.settings, 1, no_pause)
         node.clients.gate = operator.gate
         yield node, operator
@@ -335,6 +338,40 @@
     asyncio.run(play())
 
 
+def test_a_tenants_limits_hold_at_a_node_over_all_its_routes(tmp_path: Path) -> None:
+    name = "acme"
+    text = (
+        f"[tenant.{name}.limits]\nrate = {{ per_second = 0.5, burst = 2 }}\nin_flight = 5\n"
+        "[tenant.nobody.limits]\nrate = { per_second = 0.001, burst = 1 }\n"
+        "[[route]]\nname = 'a'\npath.prefix = '/view/a'\n"
+    )
+
+    async def play() -> None:
+        server = Backend("s-1")
+        tenants = [{"name": name, "share": 0.5}]
+        async with routed(tmp_path, text, server, tenants=tenants) as (node, operator):
+            reader, writer = await node.connect()
+
+            async def ask(path: bytes, account: str, rid: str) -> bytes:
+                writer.write(get(path, rid, b"X-Account: " + account.encode() + b"\r\n"))
+                head, _ = await read_message(reader)
+                return head
+
+            async with asyncio.timeout(LIMIT):
+                heads = [await ask(b"/view/a" if n % 2 else b"/view", name, f"r-{n}") for n in range(6)]
+                assert [status(head) for head in heads] == [200, 200, 429, 429, 429, 429]
+                assert all(b"retry-after: " in head.lower() for head in heads[2:])
+                # Who is not among the node's tenants counts under no tenant's limits, whatever it says.
+                others = [status(await ask(b"/view", "nobody", f"o-{n}")) for n in range(4)]
+            assert others == [200] * 4 and len(server.heads) == 6
+            assert operator.gate.turned_away == {f"tenant:{name}": 4}
+            assert [state.in_flight for state in operator.gate.states.values()] == [0]
+            await reloaded(operator, "")
+            assert operator.gate.states == {} and not operator.gate.tenanted
+
+    asyncio.run(play())
+
+
 def test_a_file_that_is_being_written_is_read_when_it_is_whole(tmp_path: Path) -> None:
     whole = "[class.view.limits]\nin_flight = 7\n[class.send.limits]\nin_flight = 8\n"
     path = tmp_path / "operator.toml"
@@ -394,7 +431,8 @@
         "    m.assemble(config)\n"
         "asyncio.run(play())\n"
         "print([n for n in sys.modules if n.split('.')[0] in "
-        "('routing', 'msgspec', 'click', 'rich', 'hollybay', 'standins') or n == 'elderscale.operator'])\n"
+        "('routing', 'resources', 'immutables', 'msgspec', 'click', 'rich', 'hollybay', 'standins') "
+        "or n == 'elderscale.operator'])\n"
         "sys.modules['msgspec'] = None\n"
         "try:\n"
         "    m.operator_of(load(os.environ), {'HOLLYBAY_OPERATOR': 'x.toml'})\n"
