--- a/routing/resource_plan.py
+++ b/routing/resource_plan.py
@@ -312,6 +312,8 @@
             if route is None and old is not None:
                 self.gone.append(name)
         for route in new:
+            if len(self.problems) > MAX_PROBLEMS:
+                return  # more would be told to nobody, and there can be as many as there are pairs
             overlapping = list(islice(self.matcher.undecided_with(route), MAX_PROBLEMS))
             self.problems += [overlap_problem(other, route) for other in overlapping]
             if not overlapping:
--- a/routing/resource_tables.py
+++ b/routing/resource_tables.py
@@ -117,10 +117,30 @@
 
     if len(body) > MAX_BODY_BYTES:
         raise refused("body", f"{len(body)} bytes, {MAX_BODY_BYTES} at most")
+    try:
+        table: T = _decoder(kind).decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        table = _read_slowly(key, body, kind)
+    if isinstance(table, RouteTable) and table.name != key.name:
+        raise refused("name", f"is {table.name!r}, and the resource's is {key.name!r}")
+    if encode_table(table) != body:
+        _read_slowly(key, body, kind)  # perhaps it tells the field, such as one that is nil
+        raise refused("body", "is not in canonical form")
+    return table
+
+
+@cache
+def _decoder(kind: type[T]) -> msgspec.msgpack.Decoder[T]:
+    """Reads a sound body at once; of one that is not it tells the first error alone."""
+    return msgspec.msgpack.Decoder(kind)
+
+
+def _read_slowly(key: Key, body: bytes, kind: type[T]) -> T:
+    """A table, field by field. ChangeRefused: all that does not hold is told."""
     try:
         data = msgspec.msgpack.decode(body)
     except (msgspec.DecodeError, RecursionError, TypeError, ValueError) as error:
-        raise refused("body", f"is no MessagePack: {error}") from None
+        raise ChangeRefused((Problem(str(key), "body", f"is no MessagePack: {error}"),)) from None
     table, problems = read_plain(kind, data)
     if problems or table is None:
         told = tuple(
@@ -128,10 +148,6 @@
             for one in problems[:MAX_PROBLEMS]
         )
         raise ChangeRefused(told)
-    if isinstance(table, RouteTable) and table.name != key.name:
-        raise refused("name", f"is {table.name!r}, and the resource's is {key.name!r}")
-    if encode_table(table) != body:
-        raise refused("body", "is not in canonical form")
     return table
 
 
--- a/tests/test_resource_plan.py
+++ b/tests/test_resource_plan.py
@@ -22,7 +22,7 @@
 from routing.narrow import Narrow
 from routing.plan import Denied, Plan, compile_plan
 from routing.problems import OperatorError
-from routing.resource_plan import ResourcePlan, Validator, plan_after, plan_of_state
+from routing.resource_plan import MAX_PROBLEMS, ResourcePlan, Validator, plan_after, plan_of_state
 from routing.resource_tables import DEFAULTS, PATHS, encode_table, tables_of
 from routing.schema import (
     ClassTable,
@@ -487,6 +487,15 @@
     assert validator.plan.scopes() == plan_of_state(found.state, SETTINGS).scopes()
 
 
+def test_a_change_that_is_wrong_all_over_is_refused_with_so_many_problems_and_no_more() -> None:
+    bad = [route(f"r{n}", path=PathTable(prefix="/view/a")) for n in range(3000)]
+    bad += [route(f"s{n}", path=PathTable(prefix=f"/else/{n}")) for n in range(300)]
+    with pytest.raises(ChangeRefused) as caught:
+        plan_of_state(state_of(*bad), SETTINGS)
+    assert len(caught.value.problems) == MAX_PROBLEMS + 1
+    assert "further problems" in caught.value.problems[-1].reason
+
+
 def test_routes_that_change_places_in_one_change_do_not_overlap() -> None:
     state = state_of(
         route("a", path=PathTable(prefix="/view/a")), route("b", path=PathTable(prefix="/view/b"))
