--- a/tests/test_routes_node.py
+++ b/tests/test_routes_node.py
@@ -244,7 +244,8 @@
             begun = loop.time()
             # The first attempt meets silence, the second an answer.
             assert b" 200 " in await node.ask(request(rid="r-1"))
-            assert 0.1 <= loop.time() - begun < 4.0 and asked == 2
+            # The loop counts in ms, and a difference of such times can be a last bit short.
+            assert 0.1 <= round(loop.time() - begun, 6) < 4.0 and asked == 2
             begun = loop.time()
             # It may have run: it fails, in time, and is not sent again.
             assert b" 502 " in await node.ask(request("send", "r-2", b"{}"))
