Group commit: a model check of queues, proposers and nodes, and 14 planted defects

Change: accord/batch_model.py walks through such orders from seeds, with the real queues, states and batches; the agreement on epochs is taken as given (model.py). accord/batch_planted.py holds 14 defects, each found by a noted seed.

--- a/accord/group_commit.py
+++ b/accord/group_commit.py
@@ -185,10 +185,12 @@
 def combined(outcomes: Iterable[Outcome]) -> Outcome:
     """What became of a change, from the outcomes at every keeper at which it was ever offered.
 
-    InForce from one of them is final. Refused is final only where each of them refused it: a keeper that
-    accepted it may still propose it, and one that started anew has forgotten what it accepted (Unknown),
-    while its last batch may still be decided. Whoever is told Unknown offers the change again, under the
-    same id.
+    Of each keeper what it said since the change was last offered to it: a change that was refused may fit
+    again (a resource that was in its way is deleted), and an offer whose answer was lost may have been
+    accepted. InForce from one of them is final. Refused is final only where each of them refused it: a
+    keeper that accepted it may still propose it, and one that started anew has forgotten what it accepted
+    (Unknown), while its last batch may still be decided. Whoever is told Unknown offers the change again,
+    under the same id.
     """
     found = list(outcomes)
     for kind in (InForce, UnderWay, Pending, Unknown):
--- /dev/null
+++ b/tests/test_batch_model.py
@@ -0,0 +1,69 @@
+"""The model check of group commit: the real parts pass it, and it finds each planted defect."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from accord.batch_model import WEIGHTS, Bounds, Parts, walk
+from accord.batch_planted import DEFECTS
+
+WALKS = 250
+# The seed by which each planted defect is found, and what is found.
+SEEDS = {
+    "one bad change drops its batch": (10, "refused with a bad one"),
+    "a batch is never divided": (68, "never answered"),
+    "a lost batch is not offered again": (0, "forgot change"),
+    "a proposer is told of another's outcome": (2, "told to be of revision"),
+    "in force before the decision": (0, "told to be in force and was not decided"),
+    "refused for its long wait": (99, "told to be refused and is in force"),
+    "a change is decided twice": (2, "decided twice"),
+    "a delta over a gap": (0, "another state"),
+    "a snapshot older than the state": (0, "went back"),
+    "a snapshot older than the delta's base": (2, "another state"),
+    "half of a delivery": (34, "took in half"),
+    "one refusal taken for all": (5, "told to be refused and is in force"),
+    "a keeper that forgot taken for a no": (14, "told to be refused and is in force"),
+    "an old refusal counted after a new offer": (13191, "told to be refused and is in force"),
+}
+
+
+def test_the_real_parts_pass_the_search_and_the_search_goes_everywhere() -> None:
+    kinds: Counter[str] = Counter()
+    answered = revisions = 0
+    for seed in range(WALKS):
+        found = walk(seed)
+        assert not found.wrong, (seed, found.wrong, found.steps)
+        kinds.update(step.partition(" ")[0] for step in found.steps)
+        answered += found.answered
+        revisions += found.revisions
+    assert set(WEIGHTS) <= set(kinds)
+    assert answered > 5 * WALKS and revisions > 2 * WALKS
+
+
+@pytest.mark.parametrize(
+    "bounds",
+    [Bounds(keepers=2), Bounds(bad=0.0), Bounds(bad=1.0), Bounds(changes=24, steps=300, crashes=0)],
+    ids=["two keepers", "none bad", "all bad", "many changes"],
+)
+def test_the_real_parts_pass_under_other_bounds(bounds: Bounds) -> None:
+    for seed in range(40):
+        found = walk(seed, bounds)
+        assert not found.wrong, (seed, found.wrong, found.steps)
+
+
+def test_a_seed_gives_the_same_walk_again() -> None:
+    assert walk(7) == walk(7)
+
+
+def test_each_planted_defect_has_a_seed() -> None:
+    assert set(SEEDS) == set(DEFECTS)
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_the_search_finds_a_planted_defect(name: str) -> None:
+    seed, text = SEEDS[name]
+    found = walk(seed, parts=DEFECTS[name])
+    assert text in found.wrong
+    assert not walk(seed, parts=Parts()).wrong  # it is the defect that breaks it
