Accord: each change of a batch is refused for its own reasons

Cause: where several changes of one batch could not be served, each of their proposers was told the problems of all of them: the ids of the changes were kept, and the reasons of the whole batch told to each.

--- a/accord/keeping.py
+++ b/accord/keeping.py
@@ -218,11 +218,10 @@
 
     def _blame(self, policy: str, words: Asking) -> None:
         """Note which changes of a batch a node names."""
-        reasons = [f"{words.name}: {reason}" for reason in words.reasons]
-        for change in words.culprits:
-            self.culprits.setdefault(policy, {}).setdefault(change, reasons)
+        for change, reasons in words.culprits.items():
+            self.culprits.setdefault(policy, {}).setdefault(change, _said_by(words.name, reasons))
         if words.whole:
-            self.whole.setdefault(policy, reasons)
+            self.whole.setdefault(policy, _said_by(words.name, words.reasons))
         for noted in (self.culprits, self.whole):
             while len(noted) > 16:
                 del noted[next(iter(noted))]
@@ -308,3 +307,8 @@
     def above(self) -> int:
         """The highest count of a ballot that it heeds."""
         return self.keeper.promised[0] if self.keeper is not None else NO_BALLOT[0]
+
+
+def _said_by(node: str, reasons: Iterable[str]) -> list[str]:
+    """Reasons, with the node that gave them."""
+    return [f"{node}: {reason}" for reason in reasons]
--- a/accord/service.py
+++ b/accord/service.py
@@ -12,7 +12,7 @@
 import base64
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from hashlib import blake2b
 from pathlib import Path
 from typing import Any, Protocol, TypeVar
@@ -159,10 +159,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _Unfit:
-    """Why this node cannot serve a policy. culprits: ids of changes; whole: whatever it holds."""
+    """Why this node cannot serve a policy. culprits: why, by ids of changes; whole: whatever it holds."""
 
     reasons: list[str]
-    culprits: tuple[str, ...] = ()
+    culprits: Mapping[str, list[str]] = field(default_factory=dict)
     whole: bool = False
 
 
@@ -336,19 +336,22 @@
             return known.reasons
         problems = await self.hands.compile(entry)
         if problems:
-            self._cannot(name, _Unfit(_shortened(problems), await self._culprits(entry)))
+            self._cannot(name, _Unfit(_shortened(problems), await self._culprits(entry, problems)))
         return _shortened(problems)
 
-    async def _culprits(self, entry: Entry) -> tuple[str, ...]:
-        """The changes of a batch by which it cannot be served; (): they are not known."""
+    async def _culprits(self, entry: Entry, problems: Sequence[str]) -> dict[str, list[str]]:
+        """The changes of a batch by which it cannot be served, each with its own reasons; none: they are not
+        known. problems: those of the whole batch.
+        """
         policy = await self._from_disk(entry.policy.name)
         base = self.log.entry(entry.policy.parent_name)
         if policy is None or policy.changes is None or base is None or base.state is None:
-            return ()
+            return {}
         if len(policy.changes) == 1:
-            return (policy.changes[0].id.hex(),)
+            return {policy.changes[0].id.hex(): _shortened(problems, w.MAX_CULPRIT_REASONS)}
         found = await self.hands.culprits(base, policy.changes)
-        return tuple(change.hex() for change in found)[: w.MAX_CULPRITS]
+        named_here = list(found.items())[: w.MAX_CULPRITS]
+        return {change.hex(): _shortened(texts, w.MAX_CULPRIT_REASONS) for change, texts in named_here}
 
     async def _from_disk(self, name: str) -> Policy | None:
         """A policy with its changes."""
@@ -413,7 +416,7 @@
             self.terms.lease,
             self.terms.late,
             why.reasons,
-            list(why.culprits),
+            dict(why.culprits),
             why.whole,
         )
         body = w.encode(asking)
@@ -1177,7 +1180,7 @@
         if problems:
             why = self.unfit[policy.name]
             self._forgive(policy.name)  # proposed again it is another one, or holds
-            reasons = {bytes.fromhex(change): _problems(why.reasons) for change in why.culprits}
+            reasons = {bytes.fromhex(change): _problems(texts) for change, texts in why.culprits.items()}
             self.queue.dropped(batch, reasons, self.clock(), _problems(problems))
             return True
         if keeping.keeper.decided != decided or self.pending is not None:
@@ -1622,9 +1625,9 @@
     return lines
 
 
-def _shortened(problems: Sequence[str]) -> list[str]:
-    """Problems as they are told."""
-    return [text[:400] for text in problems[: w.MOST_REASONS]]
+def _shortened(problems: Sequence[str], most: int = w.MOST_REASONS) -> list[str]:
+    """Problems as they are told, so many at the most."""
+    return [text[:400] for text in problems[:most]]
 
 
 def _problems(reasons: Sequence[str]) -> tuple[Problem, ...]:
