A stream of changes through faults on real processes, and a defect that it shows

12 nodes, 3 of them keepers, under load, one change a second and bursts of 8 and 16: sound ones, chains of create, replace and delete, two that create the same route, outdated ones, ones that no node or one node cannot serve, a quarter of them proposed twice at once under one id. Meanwhile the keeper that is asked first is killed with its queue, a node is killed and starts from its disk, one is stopped, a disk is full, and a third is cut off. Afterwards the logs on all disks are read beside the oracle over the merged ledger and the four rules.

One bad change that drops its batch, planted, is seen in a run of 5 nodes beside it.

--- /dev/null
+++ b/tests/test_change_stream.py
@@ -0,0 +1,85 @@
+"""Real processes under load and faults while a stream of changes goes through: each ends once and alike.
+
+12 nodes, 3 of them keepers, that agree by group commit. Beside the oracle over the merged ledger and the four
+rules the logs on the nodes' disks are read when all processes have ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from tier.change_stream import Burst, FullDisk, Sort, Stream, Told, check, play, proposals
+from tier.plan import compile_plan
+from tier.report import report_of
+from tier.rig import RigFailed
+
+from .test_accord_scenes import run_of
+from .test_tier_scenes import fault, group
+
+NODES = 12
+FAULTS = (
+    group("keeper", "nodes", 0.0, 1 / 12)
+    + group("killed", "nodes", 8 / 12, 9 / 12)
+    + group("stopped", "nodes", 9 / 12, 10 / 12)
+    + group("third", "nodes", 8 / 12, 12 / 12)
+    + group("rest", "nodes", 0.0, 8 / 12)
+    + fault("kill", "3s", "2s", on="keeper")
+    + fault("kill", "6s", "2s", on="killed")
+    + fault("stop", "9s", "2500ms", on="stopped")
+    + fault("cut", "15s", "2500ms", between=["third", "rest"])
+)
+STREAM = Stream(
+    begin=1.5,
+    end=18.0,
+    rate=1.0,
+    # One is in a keeper's queue when that is killed.
+    bursts=(Burst(2.98, 8), Burst(7.0, 16, 1), Burst(10.0, 8, 2), Burst(16.0, 8)),
+    full_disks=(FullDisk("n010", 12.2, 13.8),),
+)
+SHORT = Stream(begin=1.5, end=4.0, rate=1.0, bursts=(Burst(2.2, 8), Burst(3.2, 8, 1)))
+
+
+async def _played(text: str, stream: Stream, defect: str = "") -> Told:
+    """One run that the rig could carry; it is repeated once."""
+    why: object = None
+    for _ in range(2):
+        try:
+            told = await play(compile_plan(text, "stream", 1), stream, defect)
+        except RigFailed as error:
+            why = error
+            continue
+        if told.outcome.trust:
+            return told
+        why = told.outcome.trust.reasons
+    raise AssertionError(f"not to be trusted, twice: {why}")
+
+
+def test_a_stream_of_changes_through_faults_and_a_defect_that_it_shows() -> None:
+    async def both() -> list[Told]:
+        return await asyncio.gather(
+            _played(run_of(NODES, 22.0, servers=12, load=0.5) + FAULTS, STREAM),
+            _played(run_of(5, 7.0), SHORT, "bad-change-drops-batch"),
+        )
+
+    told, defective = asyncio.run(both())
+    wrong = check(told.tracked, told.states, STREAM)
+    assert not wrong, wrong
+    report = report_of(told.outcome)
+    assert not report.torn, report.torn
+    assert not any(report.rules.values()), (report.rules, report.faults)
+    assert sum(report.under.values()) > 500, report.under
+    in_force = [one for one in told.tracked if one.told[0].code == 0]
+    assert len(in_force) >= 25 and told.largest_batch > 1
+    assert {one.sort for one in in_force} == {Sort.SOUND, Sort.CHAINED, Sort.RIVAL}
+    # One bad change that takes its batch with it is seen.
+    assert any("sound change" in text and "is refused" in text for text in check(
+        defective.tracked, defective.states, SHORT
+    ))  # fmt: skip
+
+
+def test_a_stream_is_drawn_from_its_seed() -> None:
+    drawn = proposals(STREAM, 3)
+    assert drawn == proposals(STREAM, 3)
+    assert {one.sort for one in drawn} == set(Sort)
+    assert any(len(one.keepers) == 2 for one in drawn)
+    assert len({one.change.id for one in drawn}) == len(drawn)
--- a/tier/planted.py
+++ b/tier/planted.py
@@ -11,7 +11,9 @@
 from lynxrouter.records import Server
 from peers import Held
 
-__all__ = ["DEFECTS", "plant"]
+__all__ = ["DEFECTS", "FULL_DISK", "plant"]
+
+FULL_DISK = "disk-full"  # the mark in a node's folder that stands for a full disk
 
 
 def _same_numbers() -> None:
@@ -102,6 +104,63 @@
     core.Node.serves = serves  # type: ignore[method-assign]
 
 
+def _disk_full_by_mark() -> None:
+    """Not a defect but a fault: a node's log cannot be written while there is a mark in its folder."""
+    from accord.log import Entry, PolicyLog
+    from accord.policy import Policy
+    from accord.store import StoreFailed
+
+    put = PolicyLog.put
+
+    def putting(self: PolicyLog, policy: Policy) -> Entry:
+        if self.get(policy.name) is None and (self.folder.parent / FULL_DISK).exists():
+            raise StoreFailed("[Errno 28] No space left on device")
+        return put(self, policy)
+
+    PolicyLog.put = putting  # type: ignore[method-assign]
+
+
+def _unfit_by_name() -> None:
+    """Not a defect but a fault: a node cannot serve routes whose names begin with its own."""
+    from accord.log import Entry
+    from elderscale.accord import Accord
+    from resources.model import Change
+
+    compiles, culprits = Accord.compile, Accord.culprits
+
+    def is_unfit(self: Accord, name: str) -> bool:
+        return name.startswith(f"{self.terms.name}-")
+
+    async def compiling(self: Accord, entry: Entry) -> list[str]:
+        names = [key.name for key in entry.changed or () if is_unfit(self, key.name)]
+        return [f"route {name!r}: does not hold here" for name in names] or await compiles(self, entry)
+
+    async def naming(self: Accord, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
+        found = await culprits(self, base, changes)
+        for change in changes:
+            names = [one.name for one in change.operations if is_unfit(self, one.name)]
+            if names:
+                found[change.id] = [f"route {name!r}: does not hold here" for name in names]
+        return found
+
+    Accord.compile, Accord.culprits = compiling, naming  # type: ignore[method-assign]
+
+
+def _bad_change_drops_batch() -> None:
+    """All changes of a batch are refused where one of them is bad."""
+    from accord.group_commit import ProposalQueue
+
+    dropped = ProposalQueue.dropped
+
+    def drops(self: ProposalQueue, batch: Any, reasons: Any, now: int, problems: Any = ()) -> None:
+        all_of = dict.fromkeys(
+            (change.id for change in batch.changes), next(iter(reasons.values()), problems)
+        )
+        dropped(self, batch, all_of, now, problems)
+
+    ProposalQueue.dropped = drops  # type: ignore[method-assign]
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "same-numbers": _same_numbers,
     "least-loaded": _least_loaded,
@@ -111,9 +170,13 @@
     "few-for-all": _few_for_all,
     "lease-never-over": _lease_never_over,
     "narrow-skipped": _narrow_skipped,
+    "disk-full-by-mark": _disk_full_by_mark,
+    "unfit-by-name": _unfit_by_name,
+    "bad-change-drops-batch": _bad_change_drops_batch,
 }
 
 
 def plant(name: str) -> None:
-    """Change this process as a defect says. KeyError: there is none of that name."""
-    DEFECTS[name]()
+    """Change this process as a defect says, or several with + between. KeyError: there is none of a name."""
+    for one in name.split("+"):
+        DEFECTS[one]()
