--- a/benchmarks/capacity/control.py
+++ b/benchmarks/capacity/control.py
@@ -144,8 +144,8 @@
 
 async def _changed(running: Fleet, number: int) -> float:
     """One change; seconds from its proposal until the last node that lives serves under it alone."""
-    name, began = await running.change([f"s-{number:06d}"])
-    reports = await running.until(lambda report: len(report.in_force_ns) == report.nodes, name)
+    version, began = await running.change([f"s-{number:06d}"])
+    reports = await running.until(lambda report: len(report.in_force_ns) == report.nodes, version)
     return (max(at for report in reports for at in report.in_force_ns) - began) / SECOND
 
 
--- a/benchmarks/capacity/registry.py
+++ b/benchmarks/capacity/registry.py
@@ -4,7 +4,18 @@
 
 from hollow.meter import Limits
 
-from . import control, requests, resource_states, routes, servers, starts, streams, target, tenants
+from . import (
+    control,
+    requests,
+    resource_plans,
+    resource_states,
+    routes,
+    servers,
+    starts,
+    streams,
+    target,
+    tenants,
+)
 from .measurement import Measurement
 
 __all__ = ["MEASUREMENTS"]
@@ -78,7 +89,7 @@
     ),
     Measurement(
         "start-from-accord", "a process started, routes from its accord's folder", "routes",
-        {"cpu_s": "s"}, (100, 1_000, 3_000, 10_000), (10, 20), starts.from_accord_folder, target.ROUTES,
+        {"cpu_s": "s"}, (100, 1_000, 10_000, 110_000), (10, 20), starts.from_accord_folder, target.ROUTES,
     ),
     Measurement(
         "request-route", "the route of a request", "routes",
@@ -109,6 +120,23 @@
         "resources-snapshot-read", "a snapshot of routes as resources, read", "routes",
         {"cpu_s": "s"}, (1_000, 10_000, 110_000), (50, 100), resource_states.snapshot_read, target.ROUTES,
     ),
+    Measurement(
+        "route-changed-by-resource", "one changed route, taken in by the plan", "routes",
+        {"cpu_ms": "ms"}, (1_000, 10_000, 110_000), (50, 100), resource_plans.changed_route, target.ROUTES,
+    ),
+    Measurement(
+        "route-changed-worst", "the same, the dearest of 200 changes", "routes",
+        {"worst_cpu_ms": "ms"}, (1_000, 10_000, 110_000), (50, 100),
+        resource_plans.changed_route_worst, target.ROUTES,
+    ),
+    Measurement(
+        "routes-plan", "the plan of routes that are resources", "routes",
+        CPU_MEMORY, (1_000, 10_000, 110_000), (50, 100), resource_plans.memory, target.ROUTES,
+    ),
+    Measurement(
+        "start-from-snapshot", "a snapshot of routes read, and their plan made", "routes",
+        {"cpu_s": "s"}, (1_000, 10_000, 110_000), (50, 100), resource_plans.start, target.ROUTES,
+    ),
     Measurement(
         "renewals", "leases renewed, three keepers, hollow nodes", "nodes",
         {
@@ -125,7 +153,7 @@
     ),
     Measurement(
         "change-by-file", "a change beside routes in the file, ten nodes", "routes",
-        {"keeper_cpu_s": "s", "node_cpu_ms": "ms", "node_bytes": "B"}, (100, 300, 1_000, 3_000), (10,),
+        {"keeper_cpu_s": "s", "node_cpu_ms": "ms", "node_bytes": "B"}, (100, 1_000, 10_000, 30_000), (10,),
         control.change_by_file, target.ROUTES, limits=CPU_ONLY, processes=True,
     ),
     Measurement(
--- a/benchmarks/capacity/resource_states.py
+++ b/benchmarks/capacity/resource_states.py
@@ -1,6 +1,6 @@
 """Configuration as resources: the state in memory, one change, and the snapshot that a start reads.
 
-Routes here have the limits of samples.routes_file, tenants a rate; bodies are MessagePack of their tables.
+Routes have the limits of samples.routes_file, tenants a rate.
 """
 
 from __future__ import annotations
@@ -8,13 +8,12 @@
 import gc
 from collections.abc import Iterator
 
-import msgspec
-
 from hollow.meter import metered
 from resources.batch import assemble, follow
 from resources.model import Change, Kind, Resource, Upsert
 from resources.state import ResourceState, restored
 from resources.wire import WireError, decode_snapshot, encode_batch, encode_snapshot
+from routing.resource_tables import encode_table
 
 from . import samples
 from .measurement import Figures, RefusedSize
@@ -28,24 +27,23 @@
 
 def routes_in_memory(size: int) -> Figures:
     """A state of so many routes."""
-    return _in_memory(_routes(size))
+    return _in_memory(samples.route_resources(size))
 
 
 def tenants_in_memory(size: int) -> Figures:
     """A state of so many tenants."""
-    return _in_memory(_tenants(size))
+    return _in_memory(samples.tenant_resources(size))
 
 
 def changed(size: int) -> Figures:
     """One route changed beside so many: a batch of one change assembled, sent, and followed by a node."""
-    state = restored(1, _routes(size), ())
+    state = restored(1, samples.route_resources(size), ())
     gc.collect()
     sent = 0
     with metered() as spent:
         for number in range(CHANGES):
-            operation = Upsert(
-                Kind.ROUTE, f"r{number % size}", _version(state, number % size), _route(size + number)
-            )
+            body = encode_table(samples.route_table(number % size, burst=number + 1))
+            operation = Upsert(Kind.ROUTE, f"r{number % size}", _version(state, number % size), body)
             change = Change(number.to_bytes(16, "big"), state.revision, "capacity", "rig", (operation,))
             batch = assemble(state, (change,)).batch
             sent += len(encode_batch(batch))
@@ -55,7 +53,7 @@
 
 def snapshot_read(size: int) -> Figures:
     """A snapshot of so many routes, read and checked against its digest."""
-    state = restored(1, _routes(size), ())
+    state = restored(1, samples.route_resources(size), ())
     data = encode_snapshot(state)
     gc.collect()
     try:
@@ -77,27 +75,3 @@
 def _version(state: ResourceState, number: int) -> int:
     there = state.get(Kind.ROUTE, f"r{number}")
     return there.version if there is not None else 0
-
-
-def _routes(count: int) -> Iterator[Resource]:
-    return (Resource(Kind.ROUTE, f"r{n}", 1, _route(n)) for n in range(count))
-
-
-def _tenants(count: int) -> Iterator[Resource]:
-    return (Resource(Kind.TENANT, f"tenant-{n:06d}", 1, _tenant(n)) for n in range(count))
-
-
-def _route(number: int) -> bytes:
-    return msgspec.msgpack.encode(
-        {
-            "path": {"exact": f"/{samples.CLASS}/halls/h{number}"},
-            "limits": {
-                "in_flight": 1000,
-                "rate": {"per_second": 100_000, "burst": 100_000, "by": "tenant"},
-            },
-        }
-    )
-
-
-def _tenant(number: int) -> bytes:
-    return msgspec.msgpack.encode({"rate": {"per_second": 10 + number % 7, "burst": 10}})
--- a/benchmarks/capacity/samples.py
+++ b/benchmarks/capacity/samples.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from lynxrouter import interface as api
+from resources.model import Kind, Resource
+from routing.resource_tables import encode_table
+from routing.schema import (
+    HeaderTable,
+    LimitsTable,
+    PathTable,
+    RateTable,
+    RouteTable,
+    TenantLimitsTable,
+    TenantRateTable,
+    TenantTable,
+)
 
 from ..files import many_routes
 from . import target
 
-__all__ = ["CLASS", "routes_file", "server", "server_list", "settings", "short_routes_file", "tenants"]
+__all__ = [
+    "CLASS", "route_resources", "route_table", "routes_file", "server", "server_list", "settings",
+    "short_routes_file", "tenant_resources", "tenants",
+]  # fmt: skip
 
 MS = 1_000_000
 CLASS = "view-schedule"
@@ -51,6 +68,31 @@
     return api.ServerList(api.ListKind.FULL, tuple(server(n) for n in range(count)), version=1)
 
 
+def route_table(number: int, burst: int = 100_000, moved: int = 0) -> RouteTable:
+    """A route like those of routes_file. moved: other than 0: with another path."""
+    path = (
+        PathTable(exact=f"/{CLASS}/halls/h{number}m{moved}"),
+        PathTable(template=f"/{CLASS}/v{number}m{moved}/{{id}}/slots"),
+        PathTable(prefix=f"/{CLASS}/p{number}m{moved}/q"),
+    )[number % 3]
+    headers = [HeaderTable(name="X-Plan", exact="gold")] if number % 10 == 0 else []
+    limits = LimitsTable(in_flight=1000, rate=RateTable(per_second=100_000.0, burst=burst, by="tenant"))
+    return RouteTable(name=f"r{number}", path=path, headers=headers, limits=limits)
+
+
+def route_resources(count: int) -> Iterator[Resource]:
+    """So many routes as resources of the first revision."""
+    return (Resource(Kind.ROUTE, f"r{n}", 1, encode_table(route_table(n))) for n in range(count))
+
+
+def tenant_resources(count: int) -> Iterator[Resource]:
+    """So many tenants, each with a rate, as resources of the first revision."""
+    for number in range(count):
+        rate = TenantRateTable(per_second=10.0 + number % 7, burst=10)
+        table = TenantTable(limits=TenantLimitsTable(rate=rate))
+        yield Resource(Kind.TENANT, f"tenant-{number:06d}", 1, encode_table(table))
+
+
 def routes_file(count: int) -> str:
     """An operator file of so many routes, each with limits by tenant."""
     return many_routes(count, cls=CLASS)
--- a/benchmarks/capacity/streams.py
+++ b/benchmarks/capacity/streams.py
@@ -1,7 +1,7 @@
 """Changes at a rate, and bursts of them: from each proposal until its change is in force everywhere.
 
-A proposal that is refused because another change is under way is made again, on the state that there is then;
-its time goes on from when it was made first.
+Each change is one resource, and has a proposer of its own, who offers it again where the keeper is too busy;
+its time goes on from when it was due.
 """
 
 from __future__ import annotations
@@ -12,9 +12,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from accord.words import Outcome
 from elderscale.accord import clock
-from hollow.fleet import Fleet, FleetFailed, fleet
+from hollow.fleet import Fleet, FleetFailed, fleet, version_of
 from hollow.messages import Report
+from resources.model import CHANGE_ID_BYTES, Change, Kind, Upsert
 
 from . import control
 from .measurement import Figures
@@ -28,8 +30,10 @@
 RATE_A_SECOND = 0.9
 STREAM_S = 30.0
 BURST = 20
-# Between two tries of a proposal that must wait for another change.
+# Between two offers of a change for which a keeper is too busy.
 TRY_AGAIN_S = 0.05
+# Between two looks of a proposer for what became of its change.
+LOOK_S = 0.1
 # After the last proposal; what is not in force everywhere by then is counted as not finished.
 PATIENCE_S = 30.0
 
@@ -109,35 +113,39 @@
     """Seconds that each change took; not finite: it was not in force everywhere in time."""
     began = clock()
     end = began + int((due[-1] + PATIENCE_S) * SECOND)
-    names: list[str] = []
-    for number, at in enumerate(due):
-        await asyncio.sleep(max(0.0, at - (clock() - began) / SECOND))
-        name = await _accepted(running, number, end)
-        if not name:
-            break
-        names.append(name)
-    done = [await _in_force(running, name, end) for name in names]
-    done += [math.inf] * (len(due) - len(done))
-    return [(at_ns - began) / SECOND - at for at_ns, at in zip(done, due, strict=True)]
-
-
-async def _accepted(running: Fleet, number: int, end: int) -> str:
-    """The name of the change once a keeper has taken it; empty: none did in time."""
+    decided = await asyncio.gather(*(_decided(running, n, at, began, end) for n, at in enumerate(due)))
+    taken = []
+    for at, version in zip(due, decided, strict=True):
+        done = await _in_force(running, version, end) if version is not None else math.inf
+        taken.append((done - began) / SECOND - at)
+    return taken
+
+
+async def _decided(running: Fleet, number: int, at: float, began: int, end: int) -> int | None:
+    """Propose a change when it is due; the version that it is decided with. None: not in time."""
+    await asyncio.sleep(max(0.0, at - (clock() - began) / SECOND))
+    operation = Upsert(Kind.SERVER_OUT, f"s-{number:06d}", 0, b"")
+    change = Change((number + 1).to_bytes(CHANGE_ID_BYTES, "big"), 0, "capacity", "rig", (operation,))
+    while not await running.offer(change):
+        if clock() > end:
+            return None
+        await asyncio.sleep(TRY_AGAIN_S)
     while clock() < end:
-        try:
-            name, _ = await running.change([f"s-{number:06d}"])
-            return name
-        except FleetFailed:
-            await asyncio.sleep(TRY_AGAIN_S)
-    return ""
+        found = await running.became_of(change)
+        if found.outcome is Outcome.IN_FORCE:
+            return version_of(found.policy)
+        if found.outcome is Outcome.REFUSED:
+            raise FleetFailed(f"change {number} was refused: {found.problems}")
+        await asyncio.sleep(LOOK_S)
+    return None
 
 
-async def _in_force(running: Fleet, name: str, end: int) -> float:
+async def _in_force(running: Fleet, version: int, end: int) -> float:
     """When the last node that lives began to serve under it (ns)."""
     while True:
-        reports = await running.reports(name)
+        reports = await running.reports(version)
         if all(len(report.in_force_ns) == report.nodes for report in reports):
             return max(at for report in reports for at in report.in_force_ns)
         if clock() > end:
             return math.inf
-        await asyncio.sleep(TRY_AGAIN_S)
+        await asyncio.sleep(LOOK_S)
--- a/hollow/fleet.py
+++ b/hollow/fleet.py
@@ -14,13 +14,16 @@
 from accord.calls import Unreachable
 from accord.follow import Follow
 from elderscale.accord import call, clock
+from resources.model import Change
+from resources.wire import encode_change
 
-from .messages import Command, Listening, Report, ReportNow, Reset, Silence, Start
+from .messages import NO_VERSION, Command, Listening, Report, ReportNow, Reset, Silence, Start
 
-__all__ = ["Fleet", "FleetFailed", "Member", "fleet"]
+__all__ = ["Fleet", "FleetFailed", "Member", "fleet", "version_of"]
 
 ROOT = Path(__file__).resolve().parents[1]
 KEEPERS = 3
+TOO_BUSY = 503
 STARTED_AT_ONCE = 6
 LONGEST_LINE = 1 << 24  # of what a process reports (bytes)
 CALL_LIMIT_S = 10.0
@@ -53,9 +56,9 @@
         """Have a command carried out."""
         await self._asked(command)
 
-    async def report(self, policy: str = "") -> Report:
+    async def report(self, version: int = NO_VERSION) -> Report:
         """What it counted since it was reset."""
-        return msgspec.json.decode(await self._asked(ReportNow(policy)), type=Report)
+        return msgspec.json.decode(await self._asked(ReportNow(version)), type=Report)
 
     async def end(self) -> None:
         """End it, and wait until it is gone."""
@@ -120,16 +123,15 @@
         for keeper in self.keepers:
             await keeper.say(Start(self.keeper_addresses))
         first = self.keeper_addresses[0]
-        follow = Follow(lambda door, path, body: call(door, path, body, CALL_LIMIT_S), [first])
         try:
-            await follow.found(first, file)
+            await Follow(self._called, [first]).found(first, file)
         except Unreachable as error:
             raise FleetFailed(f"found: {error}") from None
 
     async def call(self, path: str, body: bytes | None) -> bytes:
         """Call the first keeper, as an operator does. FleetFailed: it says no, or nothing."""
         try:
-            return await call(self.keepers[0].addresses[0], path, body, CALL_LIMIT_S)
+            return await self._called(self.keeper_addresses[0], path, body)
         except Unreachable as error:
             raise FleetFailed(f"{path}: {error}") from None
 
@@ -138,11 +140,11 @@
         await asyncio.gather(*(member.say(Start(self.keeper_addresses)) for member in self.nodes))
         await self.until(lambda report: report.serving == report.nodes)
 
-    async def until(self, holds: Callable[[Report], bool], policy: str = "") -> list[Report]:
+    async def until(self, holds: Callable[[Report], bool], version: int = NO_VERSION) -> list[Report]:
         """Ask all processes again and again until this holds for each report. FleetFailed: too late."""
         end = asyncio.get_running_loop().time() + READY_LIMIT_S
         while True:
-            reports = await self.reports(policy)
+            reports = await self.reports(version)
             if all(holds(report) for report in reports):
                 return reports
             if asyncio.get_running_loop().time() > end:
@@ -152,9 +154,9 @@
                 )
             await asyncio.sleep(LOOK_S)
 
-    async def reports(self, policy: str = "") -> list[Report]:
+    async def reports(self, version: int = NO_VERSION) -> list[Report]:
         """The reports of all processes, those of the keepers first."""
-        return list(await asyncio.gather(*(one.report(policy) for one in [*self.keepers, *self.nodes])))
+        return list(await asyncio.gather(*(one.report(version) for one in [*self.keepers, *self.nodes])))
 
     async def reset(self) -> None:
         """Let all processes count from now on."""
@@ -167,19 +169,45 @@
             await member.say(Silence(count))
         return sum(counts)
 
-    async def change(self, out: list[str], reason: str = "capacity") -> tuple[str, int]:
-        """Propose that these servers are out; the change's name, and when it was proposed (ns)."""
+    async def change(self, out: list[str], reason: str = "capacity") -> tuple[int, int]:
+        """Propose that these servers are out, alone in a batch; the version, and when that was (ns)."""
         status = msgspec.json.decode(await self.call("", None))
         body = w.encode(w.Proposing(None, status["keeper"]["digest"], reason, "rig", out))
         began = clock()
         changed = w.decode(await self.call("propose", body), w.Changed)
-        return changed.change, began
+        return version_of(changed.change), began
+
+    async def offer(self, change: Change) -> bool:
+        """Propose a change of resources; whether the keeper took it: else it is to be offered again later.
+
+        FleetFailed: it is refused for good.
+        """
+        body = w.encode(w.Changing(base64.b64encode(encode_change(change)).decode()))
+        try:
+            await self._called(self.keeper_addresses[0], "change", body)
+        except Unreachable as error:
+            if error.status in (0, TOO_BUSY):
+                return False
+            raise FleetFailed(f"change: {error}") from None
+        return True
+
+    async def became_of(self, change: Change) -> w.BecameOf:
+        """What the first keeper knows of a change."""
+        return w.decode(await self.call(f"change/{change.id.hex()}", None), w.BecameOf)
+
+    async def _called(self, address: str, path: str, body: bytes | None) -> bytes:
+        return await call(address, path, body, CALL_LIMIT_S)
 
     async def end(self) -> None:
         """End all processes."""
         await asyncio.gather(*(member.end() for member in [*self.keepers, *self.nodes]))
 
 
+def version_of(policy: str) -> int:
+    """The version in a policy's name."""
+    return int(policy.split("-")[0])
+
+
 @asynccontextmanager
 async def fleet(
     folder: Path, nodes: int, lease_ms: int, nodes_of_a_process: int = 50, file: bytes = b""
--- a/hollow/messages.py
+++ b/hollow/messages.py
@@ -4,7 +4,21 @@
 
 import msgspec
 
-__all__ = ["Command", "Listening", "Report", "ReportNow", "Reset", "Silence", "Start", "decode_command"]
+__all__ = [
+    "NO_VERSION",
+    "Command",
+    "Listening",
+    "Report",
+    "ReportNow",
+    "Reset",
+    "Silence",
+    "Start",
+    "decode_command",
+]
+
+
+# Of a policy that no node ever serves under.
+NO_VERSION = 1 << 62
 
 
 class Start(msgspec.Struct, frozen=True, tag="start"):
@@ -18,9 +32,9 @@
 
 
 class ReportNow(msgspec.Struct, frozen=True, tag="report"):
-    """Report what was counted. policy: when each node began to serve under it alone."""
+    """Report what was counted. version: when each node began to serve under it, or a later one, alone."""
 
-    policy: str = ""
+    version: int = NO_VERSION
 
 
 class Silence(msgspec.Struct, frozen=True, tag="silence"):
--- a/hollow/node.py
+++ b/hollow/node.py
@@ -30,7 +30,8 @@
 class HollowNode:
     """See above. settings: a policy is compiled for these, as a real node does; None: it is taken as it is.
 
-    in_force: by policy, when the node began to serve under it alone (ns of elderscale.accord.clock).
+    in_force: by version of the policy, when the node began to serve under it alone (ns of
+    elderscale.accord.clock).
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         self.lease_ns = lease_ns
         self.plans = PolicyPlans(settings, self._in_use) if settings is not None else None
         self.address = ""
-        self.in_force: dict[str, int] = {}
+        self.in_force: dict[int, int] = {}
         self.problems: list[str] = []
         self.service: Service | None = None
         self._random = random.Random(f"{seed}/{name}")
@@ -76,6 +77,10 @@
     def _in_use(self) -> tuple[str, ...]:
         return self.service.under if self.service is not None else ()
 
+    def in_force_since(self, version: int) -> int | None:
+        """When it began to serve under this version or a later one alone (ns); None: it did not yet."""
+        return min((at for one, at in self.in_force.items() if one >= version), default=None)
+
     # What a service asks of its node
 
     async def compile(self, entry: Entry) -> list[str]:
@@ -93,7 +98,7 @@
     def put(self, entries: tuple[Entry, ...]) -> None:
         """Note since when a policy is in force alone."""
         if len(entries) == 1:
-            self.in_force.setdefault(entries[0].policy.name, clock())
+            self.in_force.setdefault(entries[0].policy.version, clock())
 
     def say(self, event: str, **words: object) -> None:
         """Keep what went wrong."""
--- a/hollow/process.py
+++ b/hollow/process.py
@@ -66,7 +66,7 @@
             node.close()
         self.nodes = self.nodes[count:]
 
-    def report(self, policy: str) -> Report:
+    def report(self, version: int) -> Report:
         """What was counted since the reset."""
         spent = self.meter.read(Spent())
         calls_in, calls_out = self._calls()
@@ -87,7 +87,7 @@
             segments_each=wire.segments / wire.segment_connections if wire.segment_connections else 0.0,
             calls_in=calls_in - self._calls_in,
             calls_out=calls_out - self._calls_out,
-            in_force_ns=[node.in_force[policy] for node in self.nodes if policy in node.in_force],
+            in_force_ns=[at for node in self.nodes if (at := node.in_force_since(version)) is not None],
             problems=[problem for node in self.nodes for problem in node.problems][:MOST_PROBLEMS],
         )
 
@@ -113,7 +113,7 @@
         elif isinstance(command, Silence):
             process.silence(command.nodes)
         elif isinstance(command, ReportNow):
-            _tell(process.report(command.policy))
+            _tell(process.report(command.version))
             continue
         _tell(True)
 
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -241,8 +241,8 @@
         async with fleet(tmp_path, 12, LEASE_MS, nodes_of_a_process=6) as running:
             assert len({one for member in running.nodes for one in member.addresses}) == 12
             await running.reset()
-            name, began = await running.change(["s-1"])
-            reports = await running.until(lambda one: len(one.in_force_ns) == one.nodes, name)
+            version, began = await running.change(["s-1"])
+            reports = await running.until(lambda one: len(one.in_force_ns) == one.nodes, version)
             assert [one.nodes for one in reports] == [1, 1, 1, 6, 6]
             assert all(at > began for one in reports for at in one.in_force_ns)
             assert all(one.cpu_s > 0 and one.bytes_sent > 0 and not one.problems for one in reports), reports
@@ -252,8 +252,8 @@
             assert all(one.calls_in >= 12 * 6 for one in keepers), keepers
             assert all(4 < one.segments_each < 40 for one in nodes), nodes
             assert await running.silence(0.5) == 6
-            name, _ = await running.change(["s-2"])
-            reports = await running.until(lambda one: len(one.in_force_ns) == one.nodes, name)
+            version, _ = await running.change(["s-2"])
+            reports = await running.until(lambda one: len(one.in_force_ns) == one.nodes, version)
             assert [one.nodes for one in reports] == [1, 1, 1, 3, 3]
 
     played(play)
@@ -271,7 +271,7 @@
 
 def test_commands_that_are_none_end_a_process_of_hollow_nodes(tmp_path: Path) -> None:
     assert isinstance(decode_command(b'{"type": "reset"}'), Reset)
-    assert decode_command(b'{"type": "report", "policy": "p"}') == ReportNow("p")
+    assert decode_command(b'{"type": "report", "version": 7}') == ReportNow(7)
     for line in (b"{}", b"[", b'{"type": "nothing"}', b'{"type": "silence", "nodes": "all"}'):
         with pytest.raises(msgspec.DecodeError):
             decode_command(line)
