--- a/benchmarks/capacity/budgets.py
+++ b/benchmarks/capacity/budgets.py
@@ -23,6 +23,8 @@
 # How often `hollybay policy` looks while it follows a change (accord.follow.LOOK).
 LOOKS_A_SECOND = 20
 ZONES = 17
+# The aim for one changed route in a node.
+LONGEST_CHANGE_MS = 10.0
 
 CHANGES_A_SECOND = target.CHANGES_A_DAY / target.DAY_S
 SERVER_LINES_A_SECOND = LINES_OF_A_REPLACED_SERVER * target.REPLACED_SERVERS_A_DAY / target.DAY_S
@@ -94,6 +96,9 @@
 ROUTE_MEMORY = _of("routes-compiled", "memory_kb", MB)
 TENANT_MEMORY = _of("tenants-named", "memory_kb", MB)
 BUCKET_MEMORY = _of("tenant-buckets", "memory_kb", MB)
+PLAN_MEMORY = _of("routes-plan", "memory_kb", MB)
+ROUTE_STATE_MEMORY = _of("resources-routes", "memory_kb", MB)
+TENANT_STATE_MEMORY = _of("resources-tenants", "memory_kb", MB)
 CHANGE_RATE = f"{CHANGES_A_SECOND:.2f} changes/s"
 LINE_RATE = f"{SERVER_LINES_A_SECOND:.2f} lines/s"
 
@@ -209,24 +214,40 @@
         "change-silent-tenth", _of("change-silent-tenth", "in_force_s"),
     ),
     Row(
-        "resources", "memory: routes", "MB", target.CONTROL_MEMORY_MB, "resources-routes",
-        _of("resources-routes", "memory_kb", MB),
+        "resources", "memory: the plan of the routes", "MB", target.CONTROL_MEMORY_MB, "routes-plan",
+        PLAN_MEMORY,
     ),
     Row(
-        "resources", "memory: tenants", "MB", target.CONTROL_MEMORY_MB, "resources-tenants",
-        _of("resources-tenants", "memory_kb", MB),
+        "resources", "memory: the state, routes", "MB", target.CONTROL_MEMORY_MB, "resources-routes",
+        ROUTE_STATE_MEMORY,
     ),
     Row(
-        "resources", "processor: one changed route in the state", "% of a core", CORE_PERCENT,
-        f"resource-changed x {CHANGE_RATE}", _of("resource-changed", "cpu_us", 1e-4 * CHANGES_A_SECOND),
+        "resources", "memory: the state, tenants", "MB", target.CONTROL_MEMORY_MB, "resources-tenants",
+        TENANT_STATE_MEMORY,
+    ),
+    Row(
+        "resources", "memory: plan and state", "MB", target.CONTROL_MEMORY_MB, "sum",
+        _sum(PLAN_MEMORY, ROUTE_STATE_MEMORY, TENANT_STATE_MEMORY),
+    ),
+    Row(
+        "resources", "processor: one changed route, state and plan", "% of a core", CORE_PERCENT,
+        f"(resource-changed + route-changed-by-resource) x {CHANGE_RATE}",
+        _sum(
+            _of("resource-changed", "cpu_us", 1e-4 * CHANGES_A_SECOND),
+            _of("route-changed-by-resource", "cpu_ms", 0.1 * CHANGES_A_SECOND),
+        ),
+    ),
+    Row(
+        "resources", "the dearest changed route", "ms", LONGEST_CHANGE_MS, "route-changed-worst",
+        _of("route-changed-worst", "worst_cpu_ms"),
     ),
     Row(
         "resources", "bytes: batches", "B/s", target.CONTROL_BYTES_A_SECOND,
         f"resource-changed x {CHANGE_RATE}", _of("resource-changed", "batch_bytes", CHANGES_A_SECOND),
     ),
     Row(
-        "resources", "start: the snapshot of all routes, read", "s of processor", target.START_LIMIT_S,
-        "resources-snapshot-read", _of("resources-snapshot-read", "cpu_s"),
+        "resources", "start: a snapshot read and its plan made", "s of processor", target.START_LIMIT_S,
+        "start-from-snapshot", _of("start-from-snapshot", "cpu_s"),
     ),
 )  # fmt: skip
 
