--- a/hollow/fleet.py
+++ b/hollow/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
