Tests: counts of routes that went, with requests in flight under them

Found by planted defects that the property had missed (a scope with requests in flight dropped at a change; scopes outside of every plan not looked at): its gates begin with routes that requests meet now, and a test says the order.

--- a/tests/test_resource_plan.py
+++ b/tests/test_resource_plan.py
@@ -4,7 +4,7 @@
 
 import copy
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
 import msgspec
@@ -347,9 +347,20 @@
             state, plan = after, new
 
 
+# Where the gates begin: routes at which requests meet, so that they are in flight when these go.
+FIRST = [
+    ("r0", PathTable(prefix="/view")),
+    ("r1", PathTable(template="/view/{id}")),
+    ("r2", PathTable(exact="/view/a")),
+    ("r3", PathTable(prefix="/book")),
+]
+drops = st.sampled_from([Key(Kind.ROUTE, name) for name, _ in FIRST] + [Key(Kind.TENANT, "t0")]).map(
+    lambda key: {key: None}
+)
 moves = st.lists(
     st.one_of(
         edits(),
+        drops,
         st.tuples(st.just("narrow"), edits()),
         st.tuples(st.just("begin"), asks.map(lambda found: found[0]), st.sampled_from([-1, 0, 1])),
         st.tuples(st.just("begin"), asks.map(lambda found: found[0]), st.sampled_from([-1, 0, 1])),
@@ -385,7 +396,10 @@
 @given(moves)
 def test_the_gate_counts_as_under_whole_compiles(steps: list[object]) -> None:
     """Two gates, one under plans that take changes in and one under whole compiles, count the same."""
-    state, plan = EMPTY, plan_of_state(EMPTY, SETTINGS)
+    limits = LimitsTable(in_flight=2, rate=RateTable(per_second=1.0, burst=4))
+    tenant = (Key(Kind.TENANT, "t0"), TenantTable(limits=TenantLimitsTable(in_flight=3)))
+    state = state_of(tenant, *(route(name, path=path, limits=limits) for name, path in FIRST))
+    plan = plan_of_state(state, SETTINGS)
     whole = compile_plan(tables_of(state), SETTINGS)
     one, other = Gate(plan, 1, SECOND), Gate(whole, 1, SECOND)
     held: list[Held] = []
@@ -393,7 +407,7 @@
     for number, step in enumerate(steps):
         now += 100 * MS
         if isinstance(step, dict) or step[0] == "narrow":  # type: ignore[index]
-            made = change(state, number, step if isinstance(step, dict) else step[1])  # type: ignore[index]
+            made = change(state, number + 1, step if isinstance(step, dict) else step[1])  # type: ignore[index]
             if made is None:
                 continue
             after = state.applied([made], state.revision + 1)
@@ -553,6 +567,36 @@
     assert list(after.gone_since(plan) or ()) == [] and plan.gone_since(after) is None
 
 
+def test_counts_of_a_route_that_went_end_with_its_last_request() -> None:
+    limits = LimitsTable(in_flight=2, rate=RateTable(per_second=1.0, burst=4))
+    state = state_of(route("r", path=PathTable(prefix="/view/r"), limits=limits))
+    plan = plan_of_state(state, SETTINGS)
+    gate = Gate(plan, 1, 0)
+    begun = plan.apply(b"GET", b"/view/r", {})
+    assert isinstance(begun, Effective) and gate.admit(begun, 0, {}, SECOND) is None
+    gone = change(state, 1, {Key(Kind.ROUTE, "r"): None})
+    assert gone is not None
+    state = state.applied([gone], 2)
+    without = plan_after(plan, state, [Key(Kind.ROUTE, "r")], SETTINGS)
+    gate.take_over(without)
+    assert gate.states["r"].in_flight == 1
+    gate.done(begun)
+    assert not gate.states
+    # One whose head came before the change, and whose body came after it, counts until it is over, and what
+    # it leaves goes with the next change.
+    assert gate.admit(begun, 0, {}, SECOND) is None and gate.states["r"].in_flight == 1
+    other = change(state, 2, {Key(Kind.TENANT, "t"): encode_table(TenantTable())})
+    assert other is not None
+    later = plan_after(without, state.applied([other], 3), [Key(Kind.TENANT, "t")], SETTINGS)
+    gate.take_over(later)
+    gate.done(begun)
+    assert not gate.states
+    rate_only = replace(begun, in_flight=0)
+    assert gate.admit(rate_only, 0, {}, SECOND) is None and list(gate.states) == ["r"]
+    gate.take_over(plan_after(later, state.applied([other], 3), [], SETTINGS))
+    assert not gate.states and not gate.strays
+
+
 def test_a_plan_knows_what_went_away_since_the_last_ones() -> None:
     state = state_of(*(route(f"r{n}", path=PathTable(exact=f"/view/{n}")) for n in range(70)))
     plans = [plan_of_state(state, SETTINGS)]
