Accord: each refused change hears of its own reasons; proposals and what others fetch are modules of their own

A node that could not serve a batch named changes, and each of them was told the reasons of the whole batch.

--- a/accord/keeping.py
+++ b/accord/keeping.py
@@ -218,10 +218,12 @@
 
     def _blame(self, policy: str, words: Asking) -> None:
         """Note which changes of a batch a node names."""
-        for change, reasons in words.culprits.items():
-            self.culprits.setdefault(policy, {}).setdefault(change, _said_by(words.name, reasons))
+        reasons = [f"{words.name}: {reason}" for reason in words.reasons]
+        for change, texts in words.culprits.items():
+            its_own = [f"{words.name}: {text}" for text in texts]
+            self.culprits.setdefault(policy, {}).setdefault(change, its_own)
         if words.whole:
-            self.whole.setdefault(policy, _said_by(words.name, words.reasons))
+            self.whole.setdefault(policy, reasons)
         for noted in (self.culprits, self.whole):
             while len(noted) > 16:
                 del noted[next(iter(noted))]
@@ -307,8 +309,3 @@
     def above(self) -> int:
         """The highest count of a ballot that it heeds."""
         return self.keeper.promised[0] if self.keeper is not None else NO_BALLOT[0]
-
-
-def _said_by(node: str, reasons: Iterable[str]) -> list[str]:
-    """Reasons, with the node that gave them."""
-    return [f"{node}: {reason}" for reason in reasons]
--- a/accord/service.py
+++ b/accord/service.py
@@ -19,8 +19,7 @@
 
 import msgspec
 
-from resources.batch import Batch
-from resources.model import CHANGE_ID_BYTES, Change, ChangeRefused, Operation, Problem, Upsert
+from resources.model import CHANGE_ID_BYTES, Change, ChangeRefused, Operation, Upsert
 from resources.state import EMPTY, ResourceState
 from resources.wire import encode_change
 
@@ -37,13 +36,14 @@
     shown_operations,
 )
 from .fetch import NOT_REACHED, Brought, Fetcher
-from .group_commit import Busy, InForce, Pending, ProposalQueue, Queued, RefusedNow, UnderWay
-from .group_commit import Refused as RefusedHere
+from .group_commit import Busy, Queued, RefusedNow
 from .keeping import Disk, Keeping
 from .log import Entry, NotReached, PolicyLog, is_name
 from .policy import Policy, Refused, first, successor
+from .proposals import Proposals
+from .serving import Serving
 from .store import Store, StoreFailed
-from .transfer import Uploads, piece_of
+from .transfer import Uploads
 from .words import number_of
 
 __all__ = ["Answer", "BadFile", "FileRead", "Hands", "Service", "Terms"]
@@ -64,8 +64,6 @@
 IDLE = 0.25  # seconds between two looks for a change that hangs
 # Seconds for which whoever drives lets others begin, where two of them want to at once.
 GIVE_WAY = (0.01, 0.05)
-# Seconds for which an answer that is longer than a call is kept for its further pieces, and how many are.
-TRANSFER_KEPT, MAX_TRANSFERS = 10.0, 2
 # Seconds that a keeper may take to fetch the first policy, which may be long, and to begin.
 FOUND_CALL_LIMIT = 5.0
 # Seconds after which what takes long is answered by a time to come again (s), and how many calls may take so
@@ -74,9 +72,6 @@
 # Bytes of a change that an answer holds, and of lines for people beside it.
 MAX_DRAFT_BYTES = 64 << 10
 MAX_LINES_BYTES = 128 << 10
-# ns for which no change is taken by a keeper whose disk took none.
-FULL_FOR = 2 * SECOND
-GIVEN_UP = (Problem("change", "", "given up by an operator"),)
 
 _T = TypeVar("_T")
 
@@ -148,18 +143,9 @@
     epoch: int
 
 
-@dataclass(slots=True)
-class _UnderWay:
-    """The batch of the queue that this keeper wants to be next. began: whether an epoch names it."""
-
-    policy: str
-    batch: Batch
-    began: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class _Unfit:
-    """Why this node cannot serve a policy. culprits: why, by ids of changes; whole: whatever it holds."""
+    """Why this node cannot serve a policy. culprits: by the ids of changes; whole: whatever it holds."""
 
     reasons: list[str]
     culprits: Mapping[str, list[str]] = field(default_factory=dict)
@@ -213,12 +199,10 @@
         self.known_doors: set[str] = set(terms.keepers)
         self.keeping: Keeping | None = None
         self.pending: _Change | None = None
-        self.queue = ProposalQueue()
-        self.batch: _UnderWay | None = None
+        self.proposals = Proposals(self.log, clock)
         self.long: dict[bytes, asyncio.Task[Answer]] = {}  # what takes long, by the digest of its call
-        self.full_until = 0  # until when no change is taken, as the disk took none
         self.uploads = Uploads()
-        self.transfers: dict[str, tuple[str, bytes]] = {}
+        self.serving = Serving(self.log, disk)
         self.dropping: set[str] = set()
         self.driving = ""
         self.waits: list[w.Waiting] = []
@@ -336,22 +320,21 @@
             return known.reasons
         problems = await self.hands.compile(entry)
         if problems:
-            self._cannot(name, _Unfit(_shortened(problems), await self._culprits(entry, problems)))
-        return _shortened(problems)
+            problems = _shortened(problems)
+            self._cannot(name, _Unfit(problems, await self._culprits(entry, problems)))
+        return problems
 
-    async def _culprits(self, entry: Entry, problems: Sequence[str]) -> dict[str, list[str]]:
-        """The changes of a batch by which it cannot be served, each with its own reasons; none: they are not
-        known. problems: those of the whole batch.
-        """
+    async def _culprits(self, entry: Entry, problems: list[str]) -> dict[str, list[str]]:
+        """The changes of a batch by which it cannot be served, and why; none: they are not known."""
         policy = await self._from_disk(entry.policy.name)
         base = self.log.entry(entry.policy.parent_name)
         if policy is None or policy.changes is None or base is None or base.state is None:
             return {}
         if len(policy.changes) == 1:
-            return {policy.changes[0].id.hex(): _shortened(problems, w.MAX_CULPRIT_REASONS)}
+            return {policy.changes[0].id.hex(): problems[: w.MAX_CULPRIT_REASONS]}
         found = await self.hands.culprits(base, policy.changes)
-        named_here = list(found.items())[: w.MAX_CULPRITS]
-        return {change.hex(): _shortened(texts, w.MAX_CULPRIT_REASONS) for change, texts in named_here}
+        named_changes = list(found.items())[: w.MAX_CULPRITS]
+        return {change.hex(): _shortened(texts)[: w.MAX_CULPRIT_REASONS] for change, texts in named_changes}
 
     async def _from_disk(self, name: str) -> Policy | None:
         """A policy with its changes."""
@@ -590,64 +573,18 @@
         if new and state.stage is Stage.SETTLED:
             self._settled(keeping, state)
         elif new:
-            self._begun(state)
+            self.proposals.begun(state)
         if new:
             keeping.heard = self.clock()
             self.work.set()
         return new
 
-    def _begun(self, state: State) -> None:
-        """An epoch names a change: the batch of the queue, or another one that came before it."""
-        under_way = self.batch
-        if under_way is None:
-            return
-        if state.new == under_way.policy:
-            under_way.began = True
-            return
-        self.batch = None
-        self._lost(under_way, state)
-
-    def _lost(self, under_way: _UnderWay, state: State) -> None:
-        """Another change was decided, or began: the batch waits again."""
-        after = self.log.state(state.policy)
-        self.queue.lost(under_way.batch, after if after is not None else EMPTY, self.clock())
-
     def _settled(self, keeping: Keeping, state: State) -> None:
-        """A batch of the queue that was under way has come to its end, one way or another."""
+        """A change has come to its end, one way or another."""
         given_up = set(self.dropping)
         self.dropping.clear()
         self._spawn(self._pruned({state.policy, *self.under}))
-        under_way = self.batch
-        if under_way is None:
-            return
-        self.batch = None
-        batch = under_way.batch
-        if state.policy == under_way.policy:
-            self.queue.decided(batch, self.clock())
-        elif not under_way.began or _version_of(state.policy) >= batch.revision:
-            self._lost(under_way, state)
-        elif under_way.policy in given_up:
-            self.queue.dropped(batch, {change.id: GIVEN_UP for change in batch.changes}, self.clock())
-        else:
-            self._dropped(keeping, under_way.policy, batch)
-
-    def _is_batch(self, name: str) -> bool:
-        """Whether this is the policy of the batch that is under way."""
-        return self.batch is not None and self.batch.policy == name
-
-    def _dropped(self, keeping: Keeping, name: str, batch: Batch) -> None:
-        """Nodes could not serve a batch: only the changes that they named are refused, if they named any."""
-        whole = keeping.whole.get(name)
-        named_by_nodes = {
-            bytes.fromhex(change): _problems(reasons)
-            for change, reasons in keeping.culprits.get(name, {}).items()
-        }
-        if whole is not None:
-            named_by_nodes = {change.id: _problems(whole) for change in batch.changes}
-        reasons = [
-            f"{node}: {reason}" for node, texts in keeping.refusals.get(name, {}).items() for reason in texts
-        ]
-        self.queue.dropped(batch, named_by_nodes, self.clock(), _problems(reasons))
+        self.proposals.settled(keeping, state, given_up)
 
     async def _pruned(self, needed: set[str]) -> None:
         try:
@@ -747,63 +684,18 @@
                 return Answer(200, w.packed(policy).encode())
             return _told(404, f"no policy {name} here")
         if kind == "change":
-            return Answer(200, w.encode(self.became_of(name)))
+            return Answer(200, w.encode(self.proposals.became_of(name, self._keeper())))
         if kind == "diff":
             return await self._difference(name)
-        if kind == "draft":
-            draft, _, offset = name.partition("/")
-            kept = self.transfers.get(f"draft/{draft}")
-            if kept is None or not _is_number(offset or "0"):
-                return _told(404, "no such draft here any more")
-            return Answer(200, w.encode(piece_of(*kept, int(offset or "0"))))
-        if kind in ("since", "snapshot"):
-            return await self._transferred(kind, name)
+        if kind in ("since", "snapshot", "draft"):
+            try:
+                piece = await self.serving.piece(path)
+            except NotReached as error:
+                return _told(NOT_REACHED, str(error))
+            if piece is not None:
+                return Answer(200, w.encode(piece))
         return _told(404, "no such call")
 
-    async def _transferred(self, kind: str, rest: str) -> Answer:
-        """One piece of a delta (since/VERSION/NAME[/OFFSET]) or of a snapshot (snapshot/NAME[/OFFSET])."""
-        parts = rest.split("/")
-        places = 2 if kind == "since" else 1
-        numbers = [*parts[: places - 1], *parts[places:]]
-        if not places <= len(parts) <= places + 1 or not is_name(parts[places - 1]):
-            return _told(404, "no such call")
-        if not all(_is_number(number) for number in numbers):
-            return _told(404, "no such call")
-        key = f"{kind}/{'/'.join(parts[:places])}"
-        offset = int(parts[places]) if len(parts) > places else 0
-        try:
-            name, whole = await self._transfer(key, kind, parts[:places])
-        except NotReached as error:
-            return _told(NOT_REACHED, str(error))
-        return Answer(200, w.encode(piece_of(name, whole, offset)))
-
-    async def _transfer(self, key: str, kind: str, parts: list[str]) -> tuple[str, bytes]:
-        """The whole of a delta or snapshot; kept for a while if it is longer than one piece."""
-        kept = self.transfers.get(key)
-        if kept is not None:
-            return kept
-        found: list[tuple[str, bytes]] = []
-
-        def work() -> None:
-            if kind == "since":
-                found.append((parts[1], self.log.since(int(parts[0]), parts[1])))
-            else:
-                found.append(self.log.snapshot(parts[0]))
-
-        await self.disk(work)
-        name, whole = found[0]
-        if len(whole) > w.PIECE_BYTES:
-            # The further pieces of a snapshot are asked for by its own name.
-            self._hold(f"snapshot/{name}" if kind == "snapshot" else key, found[0])
-        return found[0]
-
-    def _hold(self, key: str, transfer: tuple[str, bytes]) -> None:
-        """Keep what is longer than one piece for a while."""
-        while len(self.transfers) >= MAX_TRANSFERS:
-            del self.transfers[next(iter(self.transfers))]
-        self.transfers[key] = transfer
-        self.loop.call_later(TRANSFER_KEPT, self.transfers.pop, key, None)
-
     async def _difference(self, names: str) -> Answer:
         """What differs between two policies (diff/NAME/NAME), as lines for people."""
         one, _, other = names.partition("/")
@@ -1067,7 +959,7 @@
             text = base64.b64encode(data).decode()
             return Answer(200, w.encode(w.Drafted(name, text, len(operations), _bounded(lines))))
         draft = change.id.hex()
-        self._hold(f"draft/{draft}", (draft, data))
+        self.serving.keep(f"draft/{draft}", draft, data)
         return Answer(200, w.encode(w.Drafted(name, "", len(operations), _bounded(lines), draft)))
 
     async def change(self, words: w.Changing) -> Answer:
@@ -1075,7 +967,7 @@
         keeping = self._keeper()
         if keeping.keeper is None:
             return _busy("this keeper knows nothing yet", IDLE)
-        if self.clock() < self.full_until:
+        if self.proposals.full:
             raise StoreFailed("the disk took no entry a moment ago")
         change = w.change_from(words.change) if not words.upload else await self._uploaded(words.upload)
         state = self._base(keeping.keeper.decided).state
@@ -1086,7 +978,7 @@
             assert state is not None
             if change.made_on > state.revision:
                 return _busy(f"made on {change.made_on}, and this keeper knows of {state.revision}", IDLE)
-        offered = self.queue.offer(change, state, self.clock())
+        offered = self.proposals.offer(change, state)
         self.uploads.done(words.upload)
         change_id = change.id.hex()
         if isinstance(offered, Busy):
@@ -1097,7 +989,7 @@
         if isinstance(offered, Queued):
             self.hands.say("queued", change=change_id, reason=change.reason, author=change.author)
             self.work.set()
-        return Answer(202, w.encode(self.became_of(change_id)))
+        return Answer(202, w.encode(self.proposals.became_of(change_id, keeping)))
 
     async def _uploaded(self, upload: str) -> Change:
         """A change that was uploaded."""
@@ -1106,89 +998,37 @@
         await self.disk(lambda: found.append(w.change_from_bytes(whole)))
         return found[0]
 
-    def became_of(self, change: str) -> w.BecameOf:
-        """What became of one change, as far as this keeper knows. Refused: it is no id."""
-        try:
-            change_id = bytes.fromhex(change)
-        except ValueError:
-            raise Refused(f"change: {change[:40]!r} is no id") from None
-        keeping = self._keeper()
-        if len(change_id) != CHANGE_ID_BYTES or keeping.keeper is None:
-            raise Refused(f"change: {change[:40]!r} is no id, or this keeper knows nothing yet")
-        state = keeping.keeper.decided
-        # What is decided says it, whatever this keeper had to do with it.
-        for name in named(state):
-            resources = self.log.state(name)
-            revision = resources.revision_of(change_id) if resources is not None else None
-            if revision is None:
-                continue
-            if name == state.new:
-                return w.BecameOf(change, w.Outcome.UNDER_WAY, name, state.epoch)
-            return self._is_in_force(keeping, change, revision)
-        outcome = self.queue.outcome(change_id, self.clock())
-        if isinstance(outcome, InForce):
-            return self._is_in_force(keeping, change, outcome.revision)
-        if isinstance(outcome, RefusedHere):
-            return w.BecameOf(change, w.Outcome.REFUSED, problems=list(outcome.problems))
-        if isinstance(outcome, Pending):
-            return w.BecameOf(change, w.Outcome.QUEUED, wait_ms=outcome.wait_ns // 1_000_000)
-        if isinstance(outcome, UnderWay):
-            return w.BecameOf(change, w.Outcome.QUEUED)  # no keeper has voted for it yet, as far as is known
-        return w.BecameOf(change, w.Outcome.UNKNOWN)
-
-    def _at_version(self, name: str, version: int) -> str:
-        """The name of the entry of a version, on the chain that ends with a policy; empty: it is let go."""
-        policy = self.log.get(name)
-        while policy is not None and policy.version > version:
-            policy = self.log.get(policy.parent_name)
-        return policy.name if policy is not None and policy.version == version else ""
-
-    def _is_in_force(self, keeping: Keeping, change: str, revision: int) -> w.BecameOf:
-        """A change that was decided with a revision, and an epoch in which that is in force alone, at the
-        latest.
-        """
-        assert keeping.keeper is not None
-        decided = keeping.keeper.decided
-        since = [one.state.epoch for one in keeping.history if _version_of(one.state.policy) >= revision]
-        name = self._at_version(decided.policy, revision)
-        return w.BecameOf(change, w.Outcome.IN_FORCE, name, min(since, default=decided.epoch))
-
     async def _propose_next(self) -> bool:
         """Make the next policy of the changes that wait, where the tier is settled; whether there was
         anything.
         """
         keeping = self.keeping
-        if keeping is None or keeping.keeper is None or self.batch is not None:
+        if keeping is None or keeping.keeper is None or self.proposals.busy:
             return False
         decided = keeping.keeper.decided
         base = self.log.entry(decided.policy)
         if decided.stage is not Stage.SETTLED or base is None or base.state is None:
             return False
-        assembled = self.queue.take(base.state, self.clock())
-        if assembled is None:
+        batch = self.proposals.take(base.state)
+        if batch is None:
             return False
-        batch = assembled.batch
         policy, _ = successor(base.policy, base.state, batch.changes)
         try:
             entry = await self._stored(policy)
         except StoreFailed:
-            # Other keepers may have room: who asks hears that nothing is known of its change here.
-            self.queue = ProposalQueue()
-            self.full_until = self.clock() + FULL_FOR
+            self.proposals.cannot_store()
             raise
         problems = await self._compiled(entry)
         if problems:
             why = self.unfit[policy.name]
             self._forgive(policy.name)  # proposed again it is another one, or holds
-            reasons = {bytes.fromhex(change): _problems(texts) for change, texts in why.culprits.items()}
-            self.queue.dropped(batch, reasons, self.clock(), _problems(problems))
+            self.proposals.refuse(batch, why.culprits, problems)
             return True
         if keeping.keeper.decided != decided or self.pending is not None:
-            after = self.log.state(keeping.keeper.decided.policy) or base.state
-            self.queue.lost(batch, after, self.clock())
+            self.proposals.lost(batch, keeping.keeper.decided.policy)
             return True
         self.pending = _Change(entry.policy, decided.epoch + 1)
-        self.batch = _UnderWay(policy.name, batch)
+        self.proposals.propose(policy.name, batch)
         self.dropping.discard(policy.name)
         self.hands.say("proposed", change=policy.name, reason=policy.reason, author=policy.author)
         return True
@@ -1268,7 +1108,7 @@
             "out": sorted(entry.out) if entry is not None else [],
             "resources": len(resources.resources) if resources is not None else 0,
             "resources_digest": resources.digest.hex() if resources is not None else "",
-            "queued": len(self.queue),
+            "queued": len(self.proposals),
             "parent": policy.parent.hex() if policy is not None else "",
             "board": list(policy.keepers) if policy is not None else [],
             "older": [msgspec.to_builtins(one) for one in keeping.older(now)],
@@ -1329,7 +1169,7 @@
             self.driving = ""
             self.waits = []
             idle = IDLE * self.chance.uniform(0.8, 1.2)
-            linger = self.queue.next_take_ns(self.clock()) if self._may_propose() else None
+            linger = self.proposals.next_take_ns() if self._may_propose() else None
             await _waited(self.work, idle if linger is None else min(idle, max(0.001, linger / SECOND)))
 
     def _may_propose(self) -> bool:
@@ -1339,7 +1179,7 @@
             keeping is not None
             and keeping.keeper is not None
             and keeping.keeper.decided.stage is Stage.SETTLED
-            and self.batch is None
+            and not self.proposals.busy
         )
 
     def _mine(self) -> bool:
@@ -1353,7 +1193,7 @@
             if pending is not None and pending.epoch != state.epoch + 1:
                 # Another change was decided first, or this one was and is over.
                 self.pending = None
-                if pending.policy.name != state.policy and not self._is_batch(pending.policy.name):
+                if pending.policy.name != state.policy and not self.proposals.holds(pending.policy.name):
                     self.refused.setdefault(
                         pending.policy.name, "another change came first, or it was dropped"
                     )
@@ -1592,15 +1432,6 @@
         pass
 
 
-def _is_number(text: str) -> bool:
-    """Whether a part of a path is a number, of a size that may be one."""
-    return text.isascii() and text.isdecimal() and len(text) <= 12
-
-
-def _version_of(name: str) -> int:
-    return int(name.partition("-")[0])
-
-
 def _board(policy: Policy) -> frozenset[int]:
     """The numbers of a policy's keepers."""
     return frozenset(number_of(door) for door in policy.keepers)
@@ -1625,14 +1456,9 @@
     return lines
 
 
-def _shortened(problems: Sequence[str], most: int = w.MOST_REASONS) -> list[str]:
-    """Problems as they are told, so many at the most."""
-    return [text[:400] for text in problems[:most]]
-
-
-def _problems(reasons: Sequence[str]) -> tuple[Problem, ...]:
-    """Reasons of nodes as problems of a change."""
-    return tuple(Problem("change", "", reason) for reason in reasons[: w.MOST_REASONS])
+def _shortened(problems: Sequence[str]) -> list[str]:
+    """Problems as they are told."""
+    return [text[:400] for text in problems[: w.MOST_REASONS]]
 
 
 def _from_base64(text: str) -> bytes:
--- a/accord/words.py
+++ b/accord/words.py
@@ -22,9 +22,9 @@
 __all__ = [
     "FORM", "MAX_CULPRITS", "MAX_CULPRIT_REASONS", "MOST_CALL", "PIECE_BYTES", "Accepting", "Asking",
     "BecameOf", "Changed", "Changing", "Drafted", "Drafting", "Dropping", "Entry", "Founding", "Granting",
-    "Knowing", "Outcome",
-    "Piece", "Preparing", "Promising", "Proposing", "Telling", "Uploading", "Voting", "Waiting",
-    "change_from", "change_from_bytes", "change_text", "decode", "encode", "number_of", "packed", "unpacked",
+    "Knowing", "Outcome", "Piece", "Preparing", "Promising", "Proposing", "Telling", "Uploading", "Voting",
+    "Waiting", "change_from", "change_from_bytes", "change_text", "decode", "encode", "number_of", "packed",
+    "unpacked",
 ]  # fmt: skip
 
 FORM = 2  # of these words; who speaks another one is told so
@@ -35,17 +35,17 @@
 MOST_CALL = 4 * PIECE_BYTES // 3 + (64 << 10)
 MOST_REASONS = 20
 MAX_CULPRITS = 64  # changes that a node names in one call
-MAX_CULPRIT_REASONS = 2  # of each of them
+MAX_CULPRIT_REASONS = 3  # why it cannot serve each of them
 MOST_OUT = 2000  # servers that one call names
 
 Text = Annotated[str, msgspec.Meta(max_length=400)]
 Nanoseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000_000_000)]
 Door = Annotated[str, msgspec.Meta(max_length=100, pattern=r"^(\[[0-9a-fA-F:.]+\]|[^:\[\]\s]+):[0-9]{1,5}$")]
 Digest = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{0,64}$")]
-Reasons = Annotated[list[Text], msgspec.Meta(max_length=MAX_CULPRIT_REASONS)]
 ChangeId = Annotated[str, msgspec.Meta(pattern=rf"^[0-9a-f]{{{2 * CHANGE_ID_BYTES}}}$")]
 UploadId = Annotated[str, msgspec.Meta(pattern=r"^([0-9a-f]{32})?$")]
 Name = Annotated[str, msgspec.Meta(pattern=r"^([0-9]{1,12}-[0-9a-f]{12})?$")]
+CulpritReasons = Annotated[list[Text], msgspec.Meta(max_length=MAX_CULPRIT_REASONS)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
 
 
@@ -56,8 +56,8 @@
 class Asking(_Words, frozen=True):
     """A node asks a keeper. lease, late: ns that it counts with; reasons: why it is not able.
 
-    culprits: the changes of the batch that it cannot serve, as far as it knows, each with why; whole: it
-    could serve none now.
+    culprits: the changes of the batch that it cannot serve, as far as it knows; whole: it could serve none
+    now.
     """
 
     form: int
@@ -67,7 +67,7 @@
     lease: Nanoseconds
     late: Nanoseconds
     reasons: Annotated[list[Text], msgspec.Meta(max_length=MOST_REASONS)] = []
-    culprits: Annotated[dict[ChangeId, Reasons], msgspec.Meta(max_length=MAX_CULPRITS)] = {}
+    culprits: Annotated[dict[ChangeId, CulpritReasons], msgspec.Meta(max_length=MAX_CULPRITS)] = {}
     whole: bool = False
 
 
--- a/tests/test_accord_node.py
+++ b/tests/test_accord_node.py
@@ -299,16 +299,23 @@
             many = [route_change(f"r{n}") for n in range(20)]
             # One that no node can serve among them, one on a version that never was, one that comes twice.
             odd = replaced(route_change("odd"), {"name": "odd", "class": "nobody"})
+            rare = replaced(route_change("rare"), {"name": "rare", "class": "somebody"})
             stale = route_change("stale", base=7)
             answers = await asyncio.gather(
-                *(raw(accord, "POST /-/policy/change", changing(one)) for one in (*many, odd, stale, many[0]))
+                *(
+                    raw(accord, "POST /-/policy/change", changing(one))
+                    for one in (*many, odd, stale, many[0], rare)
+                )
             )
-            assert [status for status, _ in answers] == [202] * 21 + [409, 202]
+            assert [status for status, _ in answers] == [202] * 21 + [409, 202, 202]
             assert "was made on version 7" in answers[21][1].decode()
-            told = {one.id: await ended(accord, one) for one in (*many, odd)}
+            told = {one.id: await ended(accord, one) for one in (*many, odd, rare)}
             assert {told[one.id].outcome for one in many} == {w.Outcome.IN_FORCE}
-            assert told[odd.id].outcome is w.Outcome.REFUSED
-            assert any("nobody" in str(problem) for problem in told[odd.id].problems)
+            # Each of the two that cannot be served hears of its own reason, and of no other.
+            for one, own, other in ((odd, "nobody", "somebody"), (rare, "somebody", "nobody")):
+                assert told[one.id].outcome is w.Outcome.REFUSED
+                reasons = " ".join(str(problem) for problem in told[one.id].problems)
+                assert own in reasons and other not in reasons.replace(own, "")
             keeping = accord.service.keeping
             assert keeping is not None and keeping.keeper is not None
             state = accord.service.log.state(keeping.keeper.decided.policy)
