Group commit: a change that only does not fit beside another of its batch waits for that

Cause: when a batch was made, a change that did not fit the changes before it in the same batch was refused at once.

Change: such a change keeps its place and is looked at again when the batch has come to its end; only what does not fit the decided state is refused. What waits again is put back by its place, also between such changes.

--- a/accord/batch_model.py
+++ b/accord/batch_model.py
@@ -24,7 +24,17 @@
 
 from resources.batch import Batch, BatchMismatch, follow
 from resources.log import BatchLog
-from resources.model import CHANGE_ID_BYTES, Change, Delete, Key, Kind, Operation, Problem, Upsert
+from resources.model import (
+    CHANGE_ID_BYTES,
+    Change,
+    ChangeRefused,
+    Delete,
+    Key,
+    Kind,
+    Operation,
+    Problem,
+    Upsert,
+)
 from resources.state import EMPTY, ResourceState
 
 from .group_commit import (
@@ -326,9 +336,25 @@
         return settled and keeper.wish is None and keeper.queue.next_take_ns(self.now) == 0
 
     def _take(self, keeper: Keeper) -> None:
+        before = self._refused_at(keeper)
         assembled = keeper.queue.take(self._seen(keeper.state), self.now)
         if assembled is not None:
             keeper.wish = assembled.batch
+        for change_id in self._refused_at(keeper) - before:
+            self._check_refusal(keeper, self.proposer_of(change_id).change)
+
+    def _refused_at(self, keeper: Keeper) -> set[bytes]:
+        """The changes that a keeper accepted and refused."""
+        outcomes = {change_id: keeper.queue.outcome(change_id, self.now) for change_id in keeper.accepted}
+        return {change_id for change_id, outcome in outcomes.items() if isinstance(outcome, Refused)}
+
+    def _check_refusal(self, keeper: Keeper, change: Change) -> None:
+        """A change that was refused when a batch was made does not fit what is decided."""
+        try:
+            keeper.state.check(change)
+        except ChangeRefused:
+            return
+        require(False, f"change {int.from_bytes(change.id, 'big')} is refused, and fits what is decided")
 
     def _propose(self, keeper: Keeper) -> None:
         """The keeper has its batch proposed, if it knows the last epoch; else another one was first."""
--- a/accord/batch_planted.py
+++ b/accord/batch_planted.py
@@ -48,6 +48,13 @@
         super()._divide(split=False)
 
 
+class _RefusesTooEarly(ProposalQueue):
+    """It refuses what does not fit beside a change of the same batch, though that may never be decided."""
+
+    def _lasting_refusal(self, change: Change, error: ChangeRefused, state: ResourceState) -> ChangeRefused:
+        return error
+
+
 class _LosesBatches(ProposalQueue):
     """It does not propose again what lost to another keeper's batch."""
 
@@ -148,6 +155,7 @@
 DEFECTS: dict[str, Parts] = {
     "one bad change drops its batch": Parts(queue=_RefusesWholeBatch),
     "a batch is never divided": Parts(queue=_NeverDivides),
+    "refused for a batch that is not decided": Parts(queue=_RefusesTooEarly),
     "a lost batch is not offered again": Parts(queue=_LosesBatches),
     "a proposer is told of another's outcome": Parts(queue=_TellsOfAnother),
     "in force before the decision": Parts(queue=_TellsTooEarly),
--- a/accord/group_commit.py
+++ b/accord/group_commit.py
@@ -24,7 +24,8 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from itertools import takewhile
 
 from resources.batch import MAX_BATCH_CHANGES, Assembled, Batch, assemble
 from resources.model import Change, ChangeRefused, Problem
@@ -316,7 +317,9 @@
         """The next batch, on the newest state; None: there is none now, see `next_take_ns`.
 
         Changes that do not fit the state any more are refused, each with its problems, or found to be in
-        force. At most max_batch_changes are looked at; `take` may be called again at once.
+        force. One that fits the state, and only not what the changes before it in the batch would make of
+        it, waits until that batch has come to its end, as it may be dropped or lost. At most
+        max_batch_changes are looked at; `take` may be called again at once.
         """
         self._forget(now)
         if self.next_take_ns(now) != 0:
@@ -328,8 +331,12 @@
                 self._end(waiting.change.id, InForce(revision), now)
                 candidates.remove(waiting)
         assembled = assemble(state, (waiting.change for waiting in candidates))
+        refused: list[tuple[Change, ChangeRefused]] = []
         for change, error in assembled.refused:
-            self._end(change.id, Refused(error.problems), now)
+            lasting = self._lasting_refusal(change, error, state)
+            if lasting is not None:
+                refused.append((change, lasting))
+                self._end(change.id, Refused(lasting.problems), now)
         if not assembled.batch.changes:
             return None
         for change in assembled.batch.changes:
@@ -337,7 +344,20 @@
             self._under_way[change.id] = waiting
             self._under_way_bytes += waiting.size
         self._taken = _Taken(assembled.batch, now)
-        return assembled
+        return replace(assembled, refused=tuple(refused))
+
+    def _lasting_refusal(
+        self, change: Change, error: ChangeRefused, state: ResourceState
+    ) -> ChangeRefused | None:
+        """Why a change that does not fit its batch does not fit the state either; None: it does.
+
+        error: why it does not fit the batch.
+        """
+        try:
+            state.check(change)
+        except ChangeRefused as lasting:
+            return lasting
+        return None
 
     def _candidates(self) -> list[_Waiting]:
         """The first changes of the queue that make one batch by count, bytes and group."""
@@ -391,8 +411,6 @@
         if own:
             # What was suspected before is explained by this batch: of the rest nothing is known.
             for waiting in self._waiting.values():
-                if not waiting.group:
-                    break  # groups stand at the front
                 waiting.group = 0
             self._divide(split=not named)
         self._put_back()
@@ -420,10 +438,15 @@
             waiting.group = self._groups - (place < half) if split else 0
 
     def _put_back(self) -> None:
-        """What is under way waits again, before all that came later."""
-        for change_id, waiting in reversed(self._under_way.items()):
-            self._waiting[change_id] = waiting
-            self._waiting.move_to_end(change_id, last=False)
+        """What is under way waits again, in its place: before all that came later."""
+        if self._under_way:
+            last = next(reversed(self._under_way.values())).sequence
+            # Some that came between did not fit beside them, and wait.
+            between = takewhile(lambda waiting: waiting.sequence < last, self._waiting.values())
+            first = sorted((*self._under_way.values(), *between), key=lambda waiting: waiting.sequence)
+            for waiting in reversed(first):
+                self._waiting[waiting.change.id] = waiting
+                self._waiting.move_to_end(waiting.change.id, last=False)
         self._under_way.clear()
         self._under_way_bytes = 0
         self._taken = None
