Accord: a node names the changes that do not hold by themselves, not those that collide in a batch

Change: a change is named if it does not hold after those before it, nor alone on what is decided. Where none is named the queue divides the batch: the first is decided, and the second then refused for what is in force.

tests/test_batch_culprits.py fails without it.

--- a/elderscale/policy_plans.py
+++ b/elderscale/policy_plans.py
@@ -68,19 +68,23 @@
         return plan_after(before, entry.state, entry.changed, self.settings)
 
     async def culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
-        """Which changes of a batch do not hold, each on those before it that do; by their ids."""
+        """Which changes of a batch do not hold, by their ids; by themselves, and not only beside another one.
+
+        One that holds alone may be refused for the others only once these are decided. Where there are only
+        such, none is named, and the batch is divided.
+        """
         found: dict[bytes, list[str]] = {}
         await _in_thread(lambda: found.update(self._culprits(base, changes)))
         return found
 
     def _culprits(self, base: Entry, changes: tuple[Change, ...]) -> dict[bytes, list[str]]:
         assert base.state is not None
-        plan = self.by_name.get(base.policy.name)
-        sound = Validator(plan if plan is not None else self._made(base), self.settings)
-        return {
-            change.id: [str(problem) for problem in error.problems]
-            for change, error in assemble(base.state, changes, sound).refused
-        }
+        plan = self.by_name.get(base.policy.name) or self._made(base)
+        found: dict[bytes, list[str]] = {}
+        for change, error in assemble(base.state, changes, Validator(plan, self.settings)).refused:
+            if assemble(base.state, (change,), Validator(plan, self.settings)).refused:
+                found[change.id] = [str(problem) for problem in error.problems]
+        return found
 
 
 async def read_file(file: bytes, state: ResourceState) -> FileRead:
