--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 # The core of a change of policy, searched through: some minutes.
 check-model: $(READY)
 	$(VENV)/bin/python -m accord.model
+	$(VENV)/bin/python -m accord.batch_model
 
 setup: $(READY)
 
