--- a/benchmarks/change_stream.py
+++ b/benchmarks/change_stream.py
@@ -101,7 +101,7 @@
     parser.add_argument("--seconds", type=float, default=60.0)
     words = parser.parse_args()
     print(
-        "nodes stopped   in force of  p50 s  p99 s  worst s  largest batch  refused %  node %  keeper %  wrong"
+        "nodes stopped   in force of  p50 s  p99 s  worst s  largest batch  refused %  node %  keeper % wrong"
     )
     for nodes in map(int, words.nodes.split(",")):
         for label, stopped in (("none", False), ("a tenth", True)):
