One stream of changes on the tier, not two; a disk that stays full is a scene of it

Two were written side by side: [stream] in plans (tests/test_accord_scenes.py) and tier/change_stream.py. The second one holds all that the first did under the same faults (keeper killed with its queue, node killed and started from its disk, node stopped, a third cut off), and reads the disks, bad, rival and chained changes beside.

--- a/tests/test_accord_scenes.py
+++ b/tests/test_accord_scenes.py
@@ -195,57 +195,6 @@
     assert codes(found["even"]) == [1] and "keepers: 2" in found["even"].changes[0][2]
 
 
-def stream(begin: str, end: str, every: str = "250ms") -> str:
-    return f'[stream]\nbegin = "{begin}"\nend = "{end}"\nevery = "{every}"\n'
-
-
-def told_what_is_so(label: str, report: Report) -> None:
-    """Each proposer of the stream was told what became of its own change, by what keepers say at the end."""
-    for code, change_id, text, _, outcomes in report.streamed:
-        if code == 0:
-            assert "in force" in outcomes and "refused" not in outcomes, (label, change_id, text, outcomes)
-        elif code == 1:
-            assert "in force" not in outcomes and "under way" not in outcomes, (
-                label,
-                change_id,
-                text,
-                outcomes,
-            )
-
-
-def test_a_stream_of_changes_runs_through_faults() -> None:
-    """A keeper killed, a node killed and started from its disk, a node stopped, a third cut off and back."""
-    keeper, node = group("keeper", "nodes", 0.08, 0.17), group("node", "nodes", 0.91, 1.0)
-    third = group("third", "nodes", 0.66, 1.0) + group("rest", "nodes", 0.0, 0.66)
-    held_back = group("held", "nodes", 0.5, 0.59)
-    faults = fault("kill", "2s", "2s", on="keeper") + fault("kill", "4s", "2s", on="node")
-    faults += fault("stop", "5s", "2s", on="held") + fault("cut", "8s", "2500ms", between=["third", "rest"])
-    found = played(
-        faults=run_of(12, 16.0, servers=12)
-        + keeper
-        + node
-        + third
-        + held_back
-        + faults
-        + stream("1s", "13s"),
-        full=run_of(5, 7.0, full=[4]) + stream("1s", "3s", "500ms"),
-    )
-    for label, report in found.items():
-        held(label, report)
-        told_what_is_so(label, report)
-        assert len(at_the_end(report)) == 1, (label, at_the_end(report))
-    faulty, full = found["faults"], found["full"]
-    digests = {
-        one["keeper"]["resources_digest"] for one in faulty.status.values() if one.get("keeper") is not None
-    }
-    assert len(faulty.streamed) == 48 and len(digests) == 1, (faulty.streamed, digests)
-    assert sum(code == 0 for code, *_ in faulty.streamed) >= 40, faulty.streamed
-    # Each change is refused with the reason of the node whose disk is full, and none is in force.
-    assert len(full.streamed) == 4
-    for code, _, text, _, _ in full.streamed:
-        assert code == 1 and "No space left" in text, full.streamed
-
-
 @pytest.mark.parametrize("nodes", [100])
 def test_a_hundred_nodes_of_which_a_third_is_down_stopped_or_cut_off(nodes: int) -> None:
     down = group("down", "nodes", 0.66, 0.77) + group("held", "nodes", 0.77, 0.88)
--- a/tests/test_change_stream.py
+++ b/tests/test_change_stream.py
@@ -77,6 +77,18 @@
     ))  # fmt: skip
 
 
+def test_while_a_disk_stays_full_each_change_is_refused_with_its_reason() -> None:
+    stream = Stream(begin=1.5, end=4.0, rate=2.0, full_disks=(FullDisk("n004", 0.5, 6.5),), unfit="n003")
+    told = asyncio.run(_played(run_of(5, 7.0), stream))
+    wrong = check(told.tracked, told.states, stream)
+    assert not wrong, wrong
+    sound = [one for one in told.tracked if one.sort is Sort.SOUND]
+    assert sound
+    for one in sound:
+        assert [verdict.code for verdict in one.told] == [1] * len(one.told), one
+        assert all("No space left" in str(verdict.reasons) for verdict in one.told), one
+
+
 def test_a_stream_is_drawn_from_its_seed() -> None:
     drawn = proposals(STREAM, 3)
     assert drawn == proposals(STREAM, 3)
--- a/tier/plan.py
+++ b/tier/plan.py
@@ -132,18 +132,6 @@
     limit: Duration = 20 * SECOND  # followed so long
 
 
-class StreamTable(Table, frozen=True):
-    """Changes of single routes that operators propose one after another, each followed to its end."""
-
-    all_or_nothing = True
-
-    begin: Moment
-    end: Moment
-    every: Duration = SECOND // 4
-    routes: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 40  # that they are about, in turn
-    limit: Duration = 20 * SECOND  # each is followed so long
-
-
 class DeathTable(Table, frozen=True):
     """A process that ends itself, without a word, when it comes to a step of a change."""
 
@@ -164,7 +152,6 @@
     faults: list[FaultTable] = msgspec.field(default_factory=list, name="fault")
     changes: list[ChangeTable] = msgspec.field(default_factory=list, name="change")
     deaths: list[DeathTable] = msgspec.field(default_factory=list, name="death")
-    stream: StreamTable | None = None
     most: dict[str, float] = msgspec.field(default_factory=dict)
 
 
@@ -201,7 +188,6 @@
     most: dict[str, float]
     changes: tuple[ChangeTable, ...] = ()
     deaths: tuple[DeathTable, ...] = ()
-    stream: StreamTable | None = None
 
     @property
     def sides(self) -> dict[str, int]:
@@ -298,7 +284,7 @@
         raise OperatorError(file, problems)
     return Plan(
         Path(file).stem, seed, run, tables.rig, names["nodes"], names["servers"], tuple(faults), tables.most,
-        tuple(tables.changes), tuple(tables.deaths), tables.stream,
+        tuple(tables.changes), tuple(tables.deaths),
     )  # fmt: skip
 
 
@@ -381,12 +367,7 @@
         problems.append(Problem("run", "keepers", run.keepers, "an odd number of the nodes, 5 at most"))
     if run.keepers and not run.door:
         problems.append(Problem("run", "keepers", run.keepers, "nodes have no door: [run] door = true"))
-    stream = tables.stream
-    if stream is not None and not stream.begin < stream.end <= run.seconds:
-        problems.append(
-            Problem("stream", "end", stream.end / SECOND, "is not after its begin, or after the run")
-        )
-    if not run.keepers and (tables.changes or tables.deaths or stream is not None):
+    if not run.keepers and (tables.changes or tables.deaths):
         problems.append(Problem("run", "keepers", 0, "there is no accord to change a policy by"))
     for key, numbers in (("unfit", run.unfit), ("full", run.full)):
         if any(not 0 <= number < run.nodes for number in numbers):
--- a/tier/report.py
+++ b/tier/report.py
@@ -68,8 +68,6 @@
     torn: tuple[str, ...] = ()  # where a policy was not everywhere or nowhere
     status: dict[str, Any] = field(default_factory=dict)  # what nodes said of themselves at the end
     reasons_by_node: tuple[dict[str, list[str]], ...] = ()  # of each change, why nodes could not serve it
-    # Of each change of the stream: code, id, what was said, seconds, what keepers say of it at the end.
-    streamed: tuple[tuple[int, str, str, float, tuple[str, ...]], ...] = ()
 
     @property
     def exit_status(self) -> int:
@@ -168,7 +166,6 @@
         _torn(books),
         outcome.status,
         tuple(one[3] for one in outcome.changed if one),
-        tuple((one[0], one[1], one[2], one[3], tuple(one[4])) for one in outcome.streamed),
     )
 
 
--- a/tier/rig.py
+++ b/tier/rig.py
@@ -79,8 +79,6 @@
     keeper_cpu: float = 0.0  # s of a core for each second that a keeper takes beyond other nodes, mean
     changed: list[list[Any]] = field(default_factory=list)  # of each change: code, name, text, reasons, s
     status: dict[str, Any] = field(default_factory=dict)  # of each node at the end, where there is an accord
-    # Of each change of the stream: code, id, what was said, s, what keepers say of it at the end.
-    streamed: list[list[Any]] = field(default_factory=list)
 
 
 def _stat(pid: int) -> tuple[float, float, float]:
@@ -197,7 +195,6 @@
         self.called: list[str] = []  # and where other nodes call it for a policy
         self.deaths = {plan.nodes[death.node]: death for death in plan.deaths}
         self.changed: list[list[Any]] = []  # what came of each change of the plan
-        self.streamed: list[list[Any]] = []  # and of each of its stream
         self.status: dict[str, Any] = {}  # what nodes said of themselves at the end
         self.workers = [
             "registry",
@@ -331,17 +328,6 @@
         found = await self.far("governors").call("change", limit, doors=doors, to=change.to, change=words)
         self.changed[n] = found
 
-    async def _stream(self) -> None:
-        """The plan's stream of changes."""
-        stream = self.plan.stream
-        if stream is None:
-            return
-        await self._at(stream.begin)
-        limit = (stream.end - stream.begin + stream.limit) / SECOND + 60.0
-        doors = self.called[: self.run.keepers]
-        words = msgspec.to_builtins(stream)
-        self.streamed = await self.far("governors").call("stream", limit, doors=doors, stream=words)
-
     def rate(self) -> float:
         """Requests a second of the plan's load."""
         return self.run.load * sum(kind.capacity for kind in self._kinds()) / MEAN_WORK
@@ -682,7 +668,6 @@
         faults = [self.loop.create_task(self._bring(fault)) for fault in self.plan.faults]
         self.changed = [[] for _ in self.plan.changes]
         faults += [self.loop.create_task(self._change(n)) for n in range(len(self.plan.changes))]
-        faults.append(self.loop.create_task(self._stream()))
         await self._at(run.warm)
         pids = dict(self.zygote.pids)
         first = {name: _stat(pid) for name, pid in pids.items()}
@@ -782,7 +767,6 @@
             beyond,
             self.changed,
             self.status,
-            self.streamed,
         )
 
 
--- a/tier/roles.py
+++ b/tier/roles.py
@@ -827,58 +827,6 @@
         self.books.write(Said(now, verdict.change, verdict.code, verdict.text, began))
         return [verdict.code, verdict.change, verdict.text, verdict.reasons, (now - began) / SECOND]
 
-    async def do_stream(self, doors: list[str], stream: dict[str, Any]) -> Any:
-        """Propose changes of single routes as `hollybay policy change` does, and follow each; what came of
-        them.
-        """
-        began = self.loop.time()
-        tasks = []
-        for number in range((stream["end"] - stream["begin"]) // stream["every"]):
-            await asyncio.sleep(began + number * stream["every"] / SECOND - self.loop.time())
-            tasks.append(self.loop.create_task(self._streamed(doors, number, stream)))
-        found = await asyncio.gather(*tasks)
-        return [[*one, await self._became(doors, one[1])] for one in found]
-
-    async def _streamed(self, doors: list[str], number: int, stream: dict[str, Any]) -> list[Any]:
-        """One change of the stream: its code, id, what was said, and seconds."""
-        from accord.calls import Unreachable
-        from accord.follow import BadInput, Follow, Verdict, Wish
-
-        began = time.monotonic_ns()
-        limit = stream["limit"] / SECOND
-        follow = Follow(self.call, doors)
-        name = f"s{number % stream['routes']}"
-        file = f'[[route]]\nname = "{name}"\npath = {{ prefix = "/view-schedule/{name}/{number}" }}\n'
-        change_id = ""
-        verdict = Verdict(3, text="no change was made")
-        while time.monotonic_ns() - began < stream["limit"]:
-            try:
-                _, change = await follow.draft(f"change {number}", "rig", Wish(file.encode(), partial=True))
-            except (BadInput, Unreachable):
-                await asyncio.sleep(0.1)
-                continue
-            assert change is not None
-            change_id = change.id.hex()
-            verdict = await follow.change(change, limit)
-            break
-        now = time.monotonic_ns()
-        if not verdict.code:
-            self.books.write(Said(now, verdict.change, verdict.code, verdict.text, began))
-        reasons = [reason for texts in verdict.reasons.values() for reason in texts]
-        return [verdict.code, change_id, "; ".join([verdict.text, *reasons]), (now - began) / SECOND]
-
-    async def _became(self, doors: list[str], change_id: str) -> list[str]:
-        """What these keepers say of a change."""
-        found = []
-        for door in doors:
-            try:
-                found.append(
-                    msgspec.json.decode(await self.call(door, f"change/{change_id}", None))["outcome"]
-                )
-            except Exception as error:  # told as it is
-                found.append(str(error))
-        return found
-
     async def do_status(self, doors: list[str]) -> Any:
         """What all these processes say of themselves, by door."""
 
