--- a/resources/model.py
+++ b/resources/model.py
@@ -43,9 +43,6 @@
     ROUTE = "route"
     SERVER_OUT = "server-out"  # a server that operators have taken out of service; its body is empty
 
-    # That of Enum is written in Python, and each look-up of a resource comes through here.
-    __hash__ = str.__hash__  # type: ignore[assignment]
-
 
 SINGLETONS = frozenset((Kind.DEFAULTS, Kind.PATHS))
 
