accord/contracts.py: the types that the service shares with its callers leave service.py

FileRead, BadFile, Hands, Terms and Answer are in accord/contracts.py, unchanged; importers name it, and service.py gives none of these names any more.

--- a/accord/service.py
+++ b/accord/service.py
@@ -11,11 +11,10 @@
 import asyncio
 import base64
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from pathlib import Path
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -25,6 +24,7 @@
 
 from . import words as w
 from .calls import Unreachable, Way
+from .contracts import Answer, BadFile, FileRead, Hands, Terms
 from .core import Accept, Boards, Driver, Know, Node, Stage, State, enough, named, served
 from .drafts import (
     deletions,
@@ -46,7 +46,7 @@
 from .transfer import Uploads
 from .words import number_of
 
-__all__ = ["Answer", "BadFile", "FileRead", "Hands", "Service", "Terms"]
+__all__ = ["Service"]
 
 SECOND = 1_000_000_000
 # Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
@@ -76,65 +76,6 @@
 _T = TypeVar("_T")
 
 
-@dataclass(frozen=True, slots=True)
-class FileRead:
-    """What an operator file says: how the resources differ from it, and the keepers; None: it names none."""
-
-    operations: tuple[Operation, ...]
-    keepers: list[str] | None
-
-
-class BadFile(Refused):
-    """An operator file does not hold; problems: all that was found."""
-
-    def __init__(self, problems: Sequence[str]) -> None:
-        super().__init__("file: " + "; ".join(problems))
-        self.problems = list(problems)
-
-
-class Hands(Protocol):
-    """What an accord does to its node."""
-
-    def compile(self, entry: Entry) -> Awaitable[list[str]]:
-        """Make a policy ready to be in force; why it cannot be: nothing if it can."""
-        ...
-
-    def culprits(self, base: Entry, changes: tuple[Change, ...]) -> Awaitable[Mapping[bytes, list[str]]]:
-        """Which changes of a batch on a policy do not hold, one after another, and why; by their ids."""
-        ...
-
-    def read(self, file: bytes, state: ResourceState) -> Awaitable[FileRead]:
-        """What an operator file says. BadFile: it does not hold."""
-        ...
-
-    def put(self, entries: tuple[Entry, ...]) -> None:
-        """From now on requests begin under the narrower of these; of none: none may begin."""
-        ...
-
-    def say(self, event: str, **words: object) -> None:
-        """Write down a transition."""
-        ...
-
-
-@dataclass(frozen=True, slots=True)
-class Terms:
-    """What an operator sets up. door: where this process is called; keepers: whom it asks first; ns."""
-
-    name: str
-    door: str
-    keepers: tuple[str, ...]
-    lease: int
-    late: int  # 0: it leaves when its lease is over
-    folder: Path
-
-
-class Answer(msgspec.Struct, frozen=True):
-    """The answer to a call: a status of HTTP, and JSON, or bytes as they are."""
-
-    status: int
-    body: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class _Change:
     """A policy that this keeper wants to be next, from which epoch on."""
--- a/benchmarks/accord.py
+++ b/benchmarks/accord.py
@@ -16,9 +16,10 @@
 import timeit
 from pathlib import Path
 
+from accord.contracts import FileRead, Terms
 from accord.core import Node, Stage, State
 from accord.log import Entry
-from accord.service import FileRead, Service, Terms
+from accord.service import Service
 from resources.model import Change
 from resources.state import ResourceState
 from tier.plan import compile_plan
--- a/elderscale/accord.py
+++ b/elderscale/accord.py
@@ -21,9 +21,10 @@
 import structlog
 
 from accord.calls import Unreachable
+from accord.contracts import FileRead, Terms
 from accord.log import Entry
 from accord.policy import Refused
-from accord.service import FileRead, Service, Terms
+from accord.service import Service
 from accord.store import StoreFailed
 from accord.words import MOST_CALL
 from operations.calls import Call
--- a/elderscale/policy_plans.py
+++ b/elderscale/policy_plans.py
@@ -10,8 +10,8 @@
 import sys
 from collections.abc import Callable
 
+from accord.contracts import BadFile, FileRead
 from accord.log import Entry
-from accord.service import BadFile, FileRead
 from lynxrouter import interface as api
 from resources.batch import assemble
 from resources.model import Change, ChangeRefused
--- a/hollow/node.py
+++ b/hollow/node.py
@@ -11,8 +11,9 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from accord.contracts import FileRead, Terms
 from accord.log import Entry
-from accord.service import FileRead, Service, Terms
+from accord.service import Service
 from accord.words import MOST_CALL
 from elderscale.accord import BACKLOG, MOST_CALLERS, call, clock
 from elderscale.door import Door, Reply
--- a/simulation/accord_rehearsal.py
+++ b/simulation/accord_rehearsal.py
@@ -27,10 +27,11 @@
 
 from accord import words as w
 from accord.calls import Unreachable
+from accord.contracts import FileRead, Terms
 from accord.follow import Follow, Verdict
 from accord.log import Entry
 from accord.oracle import Begun, Fault, Outcome, Said, check
-from accord.service import FileRead, Service, Terms
+from accord.service import Service
 from resources.model import Change, Delete, Key, Kind, Operation, Upsert
 from resources.state import EMPTY, ResourceState
 from standins.scratch import in_memory
--- a/tests/test_accord_node.py
+++ b/tests/test_accord_node.py
@@ -23,10 +23,10 @@
 from click.testing import CliRunner, Result
 
 from accord import words as w
+from accord.contracts import Terms
 from accord.core import Ask, Prepare, Stage, State
 from accord.log import PolicyLog
 from accord.policy import first
-from accord.service import Terms
 from elderscale.accord import Accord, call, join
 from elderscale.config import ConfigError
 from elderscale.desk import Desk
