accord/outgoing.py: calls to other processes are a class of their own, owned by the service

The service made its calls itself, between leases, driving and answers. OutgoingCalls has them now: call, reaches, all_answers and answers, given the process's address, the transport and what answers a call to this process.

--- a/accord/service.py
+++ b/accord/service.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Coroutine, Mapping, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from typing import Any, TypeVar
+from typing import Any
 
 import msgspec
 
@@ -39,6 +39,7 @@
 from .group_commit import Busy, Queued, RefusedNow
 from .keeping import Disk, Keeping
 from .log import Entry, NotReached, PolicyLog, is_name
+from .outgoing import CALL_LIMIT, OutgoingCalls
 from .policy import Policy, Refused, first, successor
 from .proposals import Proposals
 from .serving import Serving
@@ -49,8 +50,8 @@
 __all__ = ["Service"]
 
 SECOND = 1_000_000_000
-# Seconds that a call may take, and how long whoever drives waits for more promises once it has enough.
-CALL_LIMIT, MORE_PROMISES = 1.0, 0.03
+# Seconds for which whoever drives waits for more promises once it has enough.
+MORE_PROMISES = 0.03
 # Seconds between two asks for votes that must wait for leases: soon, then seldom.
 VOTE_AGAIN, VOTE_SELDOM = 0.02, 0.1
 # Seconds after which a keeper takes over a change that nobody brings further; each place on the board more.
@@ -73,8 +74,6 @@
 MAX_DRAFT_BYTES = 64 << 10
 MAX_LINES_BYTES = 128 << 10
 
-_T = TypeVar("_T")
-
 
 @dataclass(frozen=True, slots=True)
 class _Change:
@@ -119,7 +118,6 @@
         keeps: Callable[[], bool] = lambda: True,
     ) -> None:
         self.terms = terms
-        self.way = way
         self.hands = hands
         self.clock = clock
         self.wall = wall
@@ -154,15 +152,16 @@
         self.keeper_lock = asyncio.Lock()
         self.learning = asyncio.Lock()
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.outgoing = OutgoingCalls(terms.door, way, self.answer)
         self.fetcher = Fetcher(
-            self.log, lambda door, path: self._call(door, path, None), self.disk, self._spawn
+            self.log, lambda door, path: self.outgoing.call(door, path, None), self.disk, self._spawn
         )
         self._kept: State | None = None  # what it left to the process after it, and until when that counts
         self._kept_late = 0
         self._ballot = 0  # the highest count of a ballot that it has seen
         self.beaten = False
         self.lost = 0  # rounds of ballots that came to nothing, one after another
-        self.calls_out = self.calls_in = 0
+        self.calls_in = 0
 
     # Start and end
 
@@ -359,7 +358,7 @@
 
     async def _ask(self, door: str, body: bytes, limit: float) -> None:
         try:
-            answer = w.decode(await self._call(door, "ask", body, limit), w.Granting)
+            answer = w.decode(await self.outgoing.call(door, "ask", body, limit), w.Granting)
         except (Unreachable, Refused):
             return
         if answer.grant is not None:
@@ -460,7 +459,7 @@
         if keeping is None or keeping.keeper is not None:
             return
         doors = sorted(self.known_doors - {self.terms.door})
-        told = dict(await self._all(doors, "tell", None, w.Telling))
+        told = dict(await self.outgoing.all_answers(doors, "tell", None, w.Telling))
         heard = {door: one for door, one in told.items() if one.founded and one.state is not None}
         if not heard:
             return
@@ -671,7 +670,7 @@
             return await self._found_by(keeping, founding)
         doors = sorted(self.terms.keepers)
         others = [door for door in doors if door != self.terms.door]
-        told = dict(await self._all(others, "tell", None, w.Telling))
+        told = dict(await self.outgoing.all_answers(others, "tell", None, w.Telling))
         mine = keeping.tell()
         # Only what this very keeper began, and nobody has gone on with, may be brought to its end.
         begun = [
@@ -699,7 +698,9 @@
         # A keeper that is not reached learns from the others, and has no vote on the first change.
         left = others
         for _ in range(FOUND_TRIES):
-            reached = await asyncio.gather(*(self._reaches(door, "found", body, limit) for door in left))
+            reached = await asyncio.gather(
+                *(self.outgoing.reaches(door, "found", body, limit) for door in left)
+            )
             left = [door for door, heard in zip(left, reached, strict=True) if not heard]
         answers = [door for door in others if door not in left]
         self.uploads.done(founding.upload)
@@ -769,13 +770,6 @@
             raise Refused("it does not hear a majority of the keepers")
         return Answer(200, b"{}")
 
-    async def _reaches(self, door: str, path: str, body: bytes, limit: float = CALL_LIMIT) -> bool:
-        try:
-            await self._call(door, path, body, limit)
-        except Unreachable:
-            return False
-        return True
-
     async def propose(self, words: w.Proposing) -> Answer:
         """A change, checked here; from now on the keepers bring it to its end."""
         keeping = self._keeper()
@@ -808,7 +802,7 @@
             raise Refused(f"keepers: {', '.join(missing)} is no node that holds a lease here")
         for door in strangers:
             try:
-                await self._call(door, "join", self._knowing(state))
+                await self.outgoing.call(door, "join", self._knowing(state))
             except Unreachable as error:
                 raise Refused(f"keepers: {door}: {error}") from None
         problems = await self._compiled(await self._stored(policy))
@@ -979,7 +973,7 @@
         keeping = self._keeper()
         assert keeping.keeper is not None
         doors = self._others(keeping.keeper.decided)
-        for door, one in await self._all(doors, "tell", None, w.Telling, most=0.3):
+        for door, one in await self.outgoing.all_answers(doors, "tell", None, w.Telling, limit=0.3):
             if one.state is not None:
                 await self._learn_keeper(one.state, door)
 
@@ -1004,7 +998,9 @@
         which may be the one that drives, this one drives; were all of them to, each would take back what the
         others were promised."""
         body = w.encode(w.Dropping(change, True))
-        reached = await asyncio.gather(*(self._reaches(door, "drop", body) for door in self._others(state)))
+        reached = await asyncio.gather(
+            *(self.outgoing.reaches(door, "drop", body) for door in self._others(state))
+        )
         if not all(reached) and change in self.dropping:
             self.driving = change
             self.work.set()
@@ -1029,7 +1025,7 @@
             "unfit": {name: why.reasons for name, why in self.unfit.items()},
             "refused_fetches": self.fetcher.reasons,
             "calls_in": self.calls_in,
-            "calls_out": self.calls_out,
+            "calls_out": self.outgoing.calls,
         }
         if keeping is None or keeping.keeper is None:
             found["keeper"] = None
@@ -1204,7 +1200,7 @@
         self._ballot = call.ballot[0]
         found: list[tuple[str, w.Promising]] = []
         body = w.encode(w.Preparing(w.FORM, call))
-        async for door, answer in self._each(
+        async for door, answer in self.outgoing.answers(
             doors, "prepare", body, w.Promising, MORE_PROMISES, boards=driver.boards
         ):
             self._ballot = max(self._ballot, answer.above)
@@ -1213,7 +1209,7 @@
                 await self.learn(answer.know, door)
                 return driver, None
             if answer.epoch < state.epoch:
-                self._spawn(self._reaches(door, "know", self._knowing(state)))
+                self._spawn(self.outgoing.reaches(door, "know", self._knowing(state)))
             found.append((door, answer))
         found.sort(key=lambda one: one[1].promise is None or one[1].promise.accepted is not None)
         asked: Accept | None = None
@@ -1239,7 +1235,7 @@
             waits: dict[int, w.Waiting] = {}
             heard = False
             left = [door for door in doors if door not in voted]
-            async for door, answer in self._each(
+            async for door, answer in self.outgoing.answers(
                 left, "accept", body, w.Voting, MORE_PROMISES, driver.boards
             ):
                 heard = True
@@ -1258,7 +1254,7 @@
                     self.beaten = True
                     return False
                 elif answer.epoch < state.epoch:
-                    self._spawn(self._reaches(door, "know", self._knowing(state)))
+                    self._spawn(self.outgoing.reaches(door, "know", self._knowing(state)))
                 for one in answer.waits:
                     waits[one.process] = one
             self.waits = sorted(waits.values(), key=lambda one: one.name)
@@ -1304,65 +1300,12 @@
 
         async def tell() -> None:
             for door in waiting:
-                await self._reaches(door, "know", body)
+                await self.outgoing.reaches(door, "know", body)
 
         self._spawn(self._heard(state, self.terms.door))
         for _ in range(min(TOLD_AT_ONCE, len(found))):
             self._spawn(tell())
 
-    # Calls that go out
-
-    async def _call(self, door: str, path: str, body: bytes | None, limit: float = CALL_LIMIT) -> bytes:
-        """Call a process at its door; this one directly. Unreachable: no answer, or a no."""
-        if door == self.terms.door:
-            answer = await self.answer(path, body)
-            if answer.status >= 400:
-                raise Unreachable(answer.body.decode("utf-8", "replace"), answer.status)
-            return answer.body
-        self.calls_out += 1
-        return await self.way(door, path, body, limit)
-
-    async def _decoded(self, door: str, path: str, body: bytes | None, kind: type[_T]) -> tuple[str, _T]:
-        return door, w.decode(await self._call(door, path, body), kind)
-
-    async def _all(
-        self, doors: list[str], path: str, body: bytes | None, kind: type[_T], most: float = CALL_LIMIT
-    ) -> list[tuple[str, _T]]:
-        """All answers that come in time."""
-        return [one async for one in self._each(doors, path, body, kind, most)]
-
-    async def _each(
-        self,
-        doors: list[str],
-        path: str,
-        body: bytes | None,
-        kind: type[_T],
-        more: float,
-        boards: Boards = (),
-    ) -> Any:
-        """Answers as they come; boards: once a majority of them has answered, those of `more` seconds yet."""
-        waiting = {self.loop.create_task(self._decoded(door, path, body, kind)) for door in doors}
-        heard: set[int] = set()
-        end: float | None = None if boards else self.loop.time() + more
-        try:
-            while waiting:
-                left = None if end is None else max(0.0, end - self.loop.time())
-                done, waiting = await asyncio.wait(waiting, timeout=left, return_when=asyncio.FIRST_COMPLETED)
-                if not done:
-                    return
-                for task in done:
-                    try:
-                        door, answer = task.result()
-                    except (Unreachable, Refused):
-                        continue
-                    heard.add(number_of(door))
-                    yield door, answer
-                if end is None and enough(boards, heard):
-                    end = self.loop.time() + more
-        finally:
-            for task in waiting:
-                task.cancel()
-
 
 async def _waited(event: asyncio.Event, seconds: float) -> None:
     """Wait for an event, so long at the most."""
--- a/hollow/process.py
+++ b/hollow/process.py
@@ -99,7 +99,7 @@
 
     def _calls(self) -> tuple[int, int]:
         services = [node.service for node in self.nodes if node.service is not None]
-        return sum(one.calls_in for one in services), sum(one.calls_out for one in services)
+        return sum(one.calls_in for one in services), sum(one.outgoing.calls for one in services)
 
 
 async def lead(process: Process, reader: asyncio.StreamReader) -> None:
