accord/status.py: what a process tells people of itself is functions over what they read

status() and _members() were 80 lines of the service that read its fields at will. node_status, keeper_status and members read what they are given; ChangeProgress says how changes fare at a keeper. Same keys, same order. The whole suite, the scenes and test_hollow were not run.

--- a/accord/service.py
+++ b/accord/service.py
@@ -43,6 +43,7 @@
 from .policy import Policy, Refused, first, successor
 from .proposals import Proposals
 from .serving import Serving
+from .status import ChangeProgress, keeper_status, node_status
 from .store import Store, StoreFailed
 from .transfer import Uploads
 from .words import number_of
@@ -1008,82 +1009,28 @@
     def status(self) -> dict[str, object]:
         """What this process knows, for people and for `hollybay policy`."""
         now = self.clock()
-        node = self.node
-        at = node.at
-        keeping = self.keeping
-        strict = now < node.until
-        found: dict[str, object] = {
-            "name": self.terms.name,
-            "door": self.terms.door,
-            "process": self.process,
-            "keepers": self.doors_of(node.want),
-            "serves": list(node.serves(now)),
-            "epoch": at.epoch if at is not None else -1,
-            "stage": at.stage.name if at is not None else "",
-            "late": not strict and bool(node.serves(now)),
-            "left_s": round(max(0, (node.until if strict else node.late) - now) / SECOND, 3),
-            "unfit": {name: why.reasons for name, why in self.unfit.items()},
-            "refused_fetches": self.fetcher.reasons,
-            "calls_in": self.calls_in,
-            "calls_out": self.outgoing.calls,
-        }
-        if keeping is None or keeping.keeper is None:
-            found["keeper"] = None
-            if keeping is not None:
-                found["keeper_waits"] = keeping.failed or "it knows nothing yet"
-            return found
-        keeper = keeping.keeper
-        state = keeper.decided
-        entry = self.log.entry(state.policy)
-        policy = entry.policy if entry is not None else None
-        resources = entry.state if entry is not None else None
-        found["keeper"] = {
-            "epoch": state.epoch,
-            "stage": state.stage.name,
-            "policy": state.policy,
-            "digest": policy.digest.hex() if policy is not None else "",
-            "out": sorted(entry.out) if entry is not None else [],
-            "resources": len(resources.resources) if resources is not None else 0,
-            "resources_digest": resources.digest.hex() if resources is not None else "",
-            "queued": len(self.proposals),
-            "parent": policy.parent.hex() if policy is not None else "",
-            "board": list(policy.keepers) if policy is not None else [],
-            "older": [msgspec.to_builtins(one) for one in keeping.older(now)],
-            "new": state.new,
-            "pending": self.pending.policy.name if self.pending is not None else "",
-            "refused": self.refused,
-            "reasons": keeping.refusals,
-            "driving": self.driving,
-            "waits": [msgspec.to_builtins(one) for one in self.waits],
-            "quiet_s": round(max(0, keeper.quiet - now) / SECOND, 3),
-            "late_s": self.terms.late / SECOND,
-            "mute": keeper.mute,
-            "failed": keeping.failed,
-            "members": self._members(now),
-        }
-        return found
-
-    def _members(self, now: int) -> list[dict[str, object]]:
-        keeping = self._keeper()
-        assert keeping.keeper is not None
-        until: dict[int, int] = {}
-        for one in keeping.keeper.leases:
-            until[one.node] = max(until.get(one.node, 0), one.until)
-        names = [member.name for member in keeping.members.values()]
-        return [
-            {
-                "name": member.name,
-                "door": member.door,
-                "process": process,
-                "epoch": member.serving,
-                "able": member.able,
-                "left_s": round(max(0, until.get(process, 0) - now) / SECOND, 3),
-                "heard_s": round((now - member.heard) / SECOND, 3),
-                # Two processes of one name: an upgrade, or a number that two claim.
-                "twice": names.count(member.name) > 1 and until.get(process, 0) > now,
-            }
-            for process, member in sorted(keeping.members.items(), key=lambda item: item[1].name)
-        ]
+        found = node_status(
+            self.terms,
+            self.node,
+            now,
+            process=self.process,
+            keepers=self.doors_of(self.node.want),
+            unfit={name: why.reasons for name, why in self.unfit.items()},
+            refused_fetches=self.fetcher.reasons,
+            calls_in=self.calls_in,
+            calls_out=self.outgoing.calls,
+        )
+        return found | keeper_status(self.keeping, self.log, self._progress(), self.terms.late, now)
+
+    def _progress(self) -> ChangeProgress:
+        """How changes fare here."""
+        return ChangeProgress(
+            queued=len(self.proposals),
+            pending=self.pending.policy.name if self.pending is not None else "",
+            refused=self.refused,
+            driving=self.driving,
+            waits=self.waits,
+        )
 
     # Driving
 
