accord/driving.py: the driver of a change is a class of its own, with the state that only it uses

ChangeDriver has the rounds (promises, votes, who is told, who takes over) and their state: pending, dropping, driving, waits, refused, ballots. The whole suite, the scenes and test_hollow were not run on this.

--- a/accord/service.py
+++ b/accord/service.py
@@ -25,7 +25,7 @@
 from . import words as w
 from .calls import Unreachable, Way
 from .contracts import Answer, BadFile, FileRead, Hands, Terms
-from .core import Accept, Boards, Driver, Know, Node, Stage, State, enough, named, served
+from .core import Boards, Know, Node, Stage, State, enough, named
 from .drafts import (
     deletions,
     founding_change,
@@ -35,6 +35,7 @@
     servers_out,
     shown_operations,
 )
+from .driving import IDLE, ChangeDriver, announcement
 from .fetch import NOT_REACHED, Brought, Fetcher
 from .group_commit import Busy, Queued, RefusedNow
 from .keeping import Disk, Keeping
@@ -43,29 +44,17 @@
 from .policy import Policy, Refused, first, successor
 from .proposals import Proposals
 from .serving import Serving
-from .status import ChangeProgress, keeper_status, node_status
+from .status import keeper_status, node_status
 from .store import Store, StoreFailed
 from .transfer import Uploads
+from .waiting import wait_at_most
 from .words import number_of
 
 __all__ = ["Service"]
 
 SECOND = 1_000_000_000
-# Seconds for which whoever drives waits for more promises once it has enough.
-MORE_PROMISES = 0.03
-# Seconds between two asks for votes that must wait for leases: soon, then seldom.
-VOTE_AGAIN, VOTE_SELDOM = 0.02, 0.1
-# Seconds after which a keeper takes over a change that nobody brings further; each place on the board more.
-TAKE_OVER, TAKE_OVER_EACH = 1.0, 0.4
-# Seconds after which those are told again who have not moved on.
-TELL_AGAIN = 0.5
-# Nodes that are told of an epoch at once, at most.
-TOLD_AT_ONCE = 32
 # Calls to each keeper that an accord begins with, until it answers.
 FOUND_TRIES = 4
-IDLE = 0.25  # seconds between two looks for a change that hangs
-# Seconds for which whoever drives lets others begin, where two of them want to at once.
-GIVE_WAY = (0.01, 0.05)
 # Seconds that a keeper may take to fetch the first policy, which may be long, and to begin.
 FOUND_CALL_LIMIT = 5.0
 # Seconds after which what takes long is answered by a time to come again (s), and how many calls may take so
@@ -76,14 +65,6 @@
 MAX_LINES_BYTES = 128 << 10
 
 
-@dataclass(frozen=True, slots=True)
-class _Change:
-    """A policy that this keeper wants to be next, from which epoch on."""
-
-    policy: Policy
-    epoch: int
-
-
 @dataclass(frozen=True, slots=True)
 class _Unfit:
     """Why this node cannot serve a policy. culprits: by the ids of changes; whole: whatever it holds."""
@@ -138,30 +119,32 @@
         self.until = 0  # requests may begin under it until then without another look
         self.known_doors: set[str] = set(terms.keepers)
         self.keeping: Keeping | None = None
-        self.pending: _Change | None = None
         self.proposals = Proposals(self.log, clock)
         self.long: dict[bytes, asyncio.Task[Answer]] = {}  # what takes long, by the digest of its call
         self.uploads = Uploads()
         self.serving = Serving(self.log, disk)
-        self.dropping: set[str] = set()
-        self.driving = ""
-        self.waits: list[w.Waiting] = []
-        self.refused: dict[str, str] = {}  # changes that never began: why
         self.loop = asyncio.get_running_loop()
         self.poked = asyncio.Event()
-        self.work = asyncio.Event()
         self.keeper_lock = asyncio.Lock()
         self.learning = asyncio.Lock()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.outgoing = OutgoingCalls(terms.door, way, self.answer)
+        self.driver = ChangeDriver(
+            self,
+            terms,
+            self.process,
+            hands,
+            self.proposals,
+            self.outgoing,
+            clock,
+            chance,
+            self._spawn,
+        )
         self.fetcher = Fetcher(
             self.log, lambda door, path: self.outgoing.call(door, path, None), self.disk, self._spawn
         )
         self._kept: State | None = None  # what it left to the process after it, and until when that counts
         self._kept_late = 0
-        self._ballot = 0  # the highest count of a ballot that it has seen
-        self.beaten = False
-        self.lost = 0  # rounds of ballots that came to nothing, one after another
         self.calls_in = 0
 
     # Start and end
@@ -181,10 +164,10 @@
                 self._inherit(found)
         except StoreFailed as error:
             self.hands.say("memory", error=str(error))
-        self._maybe_keeper()
+        self.become_keeper()
         self._apply()
         self._spawn(self._renew())
-        self._spawn(self._drive())
+        self._spawn(self.driver.run())
 
     def close(self) -> None:
         """End all that is under way."""
@@ -311,7 +294,7 @@
                 # While the lease lasts there is time for a few.
                 wait = period / 5 * self.chance.uniform(0.5, 1.0)
             wait -= (self.clock() - self.node.asked) / SECOND
-            await _waited(self.poked, max(0.02, wait))
+            await wait_at_most(self.poked, max(0.02, wait))
 
     def doors_of(self, state: State | None) -> list[str]:
         """The keepers whose leases it needs for an epoch; of what it does not know, all that it knows of."""
@@ -397,7 +380,7 @@
                     self._cannot(name, _Unfit(_shortened([brought.problem]), whole=True))
             self.node = self.node.hear_know(Know(state), tuple(boards))
             self.hands.say("hears", epoch=state.epoch, stage=state.stage.name, policies=list(named(state)))
-            self._maybe_keeper()
+            self.become_keeper()
             if state.stage is Stage.SETTLED and self.keeping is None:
                 self._spawn(self._pruned({state.policy, *self.under}))
         self.poked.set()
@@ -430,7 +413,7 @@
 
     # The keeper
 
-    def _maybe_keeper(self) -> None:
+    def become_keeper(self) -> None:
         """Be a keeper, if a board that it knows of names its door."""
         if self.keeping is not None or not self.opened or self.terms.door not in self.known_doors:
             return
@@ -454,7 +437,7 @@
         knows = keeping.keeper
         self.hands.say("keeper", epoch=knows.decided.epoch if knows is not None else -1)
 
-    async def _learn_all(self) -> None:
+    async def learn_all(self) -> None:
         """A keeper that knows nothing asks all others what they know."""
         keeping = self.keeping
         if keeping is None or keeping.keeper is not None:
@@ -469,7 +452,7 @@
         try:
             if not await self._on_disk(latest, by):
                 return
-            boards = self._boards(latest)
+            boards = self.boards(latest)
             self.known_doors |= set(self.doors_of(latest))
             if not enough(boards, (number_of(door) for door in heard)):
                 return
@@ -495,12 +478,12 @@
                 return False
         return True
 
-    def _boards(self, state: State) -> Boards:
+    def boards(self, state: State) -> Boards:
         """The boards of the policies that an epoch names, as far as these are here."""
         policies = [self.log.get(name) for name in named(state)]
         return tuple(_board(policy) for policy in policies if policy is not None)
 
-    async def _learn_keeper(self, state: State, by: str) -> bool:
+    async def learn_keeper(self, state: State, by: str) -> bool:
         """What is decided reaches the keeper here, once it has the policies; whether that was news."""
         keeping = self.keeping
         if keeping is None or keeping.keeper is None or state.epoch <= keeping.keeper.decided.epoch:
@@ -517,13 +500,12 @@
             self.proposals.begun(state)
         if new:
             keeping.heard = self.clock()
-            self.work.set()
+            self.driver.wake()
         return new
 
     def _settled(self, keeping: Keeping, state: State) -> None:
         """A change has come to its end, one way or another."""
-        given_up = set(self.dropping)
-        self.dropping.clear()
+        given_up = self.driver.end_drops()
         self._spawn(self._pruned({state.policy, *self.under}))
         self.proposals.settled(keeping, state, given_up)
 
@@ -561,7 +543,7 @@
             return await self._got(path)
         if path == "know":
             knowing = w.decode(body, w.Knowing)
-            self._spawn(self._heard(knowing.state, knowing.by))
+            self._spawn(self.heard(knowing.state, knowing.by))
             return Answer(200, b"{}")
         if path == "propose":
             return await self.propose(w.decode(body, w.Proposing))
@@ -586,7 +568,7 @@
         if path == "ask":
             asking = w.decode(body, w.Asking)
             if asking.ask.state is not None:
-                await self._learn_keeper(asking.ask.state, asking.door)
+                await self.learn_keeper(asking.ask.state, asking.door)
             async with self.keeper_lock:
                 return Answer(200, w.encode(keeping.ask(asking)))
         if path == "prepare":
@@ -603,9 +585,9 @@
             raise Refused("no keeper here")
         return self.keeping
 
-    async def _heard(self, state: State, by: str) -> None:
+    async def heard(self, state: State, by: str) -> None:
         try:
-            await self._learn_keeper(state, by)
+            await self.learn_keeper(state, by)
         except StoreFailed as error:
             self.hands.say("keeper", error=str(error))
         await self.learn(state, by)
@@ -765,8 +747,8 @@
             if brought.policy is not None:
                 self.known_doors |= set(brought.policy.keepers)
         self.known_doors.add(self.terms.door)
-        self._maybe_keeper()
-        await self._learn_all()
+        self.become_keeper()
+        await self.learn_all()
         if self.keeping is None or self.keeping.keeper is None:
             raise Refused("it does not hear a majority of the keepers")
         return Answer(200, b"{}")
@@ -794,8 +776,9 @@
             if state.new == policy.name:  # asked for again, by one who does not know what came of it
                 return Answer(202, w.encode(w.Changed(policy.name, state.epoch)))
             raise Refused(f"{state.new} is under way; `status` ends it, `drop` gives it up")
-        if self.pending is not None and self.pending.policy.name != policy.name:
-            raise Refused(f"{self.pending.policy.name} is about to begin")
+        other = self.driver.other_pending(policy.name)
+        if other:
+            raise Refused(f"{other} is about to begin")
         strangers = [door for door in policy.keepers if door not in old.keepers]
         doors = {member.door for member in keeping.members.values()}
         missing = [door for door in strangers if door not in doors]
@@ -803,7 +786,7 @@
             raise Refused(f"keepers: {', '.join(missing)} is no node that holds a lease here")
         for door in strangers:
             try:
-                await self.outgoing.call(door, "join", self._knowing(state))
+                await self.outgoing.call(door, "join", announcement(state, self.terms.door))
             except Unreachable as error:
                 raise Refused(f"keepers: {door}: {error}") from None
         problems = await self._compiled(await self._stored(policy))
@@ -811,15 +794,12 @@
             return Answer(
                 422, w.encode({"refused": f"{policy.name} does not hold here", "problems": problems})
             )
-        if keeping.keeper.decided != state or (
-            self.pending is not None and self.pending.policy.name != policy.name
-        ):
+        if keeping.keeper.decided != state or self.driver.other_pending(policy.name):
             raise Refused("another change came first")
-        self.pending = _Change(policy, state.epoch + 1)
-        self.dropping.discard(policy.name)
-        self.refused.pop(policy.name, None)
+        self.driver.begin(policy, state.epoch + 1)
+        self.driver.refused.pop(policy.name, None)
         self.hands.say("proposed", change=policy.name, reason=policy.reason, author=policy.author)
-        self.work.set()
+        self.driver.wake()
         return Answer(202, w.encode(w.Changed(policy.name, state.epoch + 1)))
 
     def _base(self, state: State) -> Entry:
@@ -924,7 +904,7 @@
             return Answer(409, w.encode(refused))
         if isinstance(offered, Queued):
             self.hands.say("queued", change=change_id, reason=change.reason, author=change.author)
-            self.work.set()
+            self.driver.wake()
         return Answer(202, w.encode(self.proposals.became_of(change_id, keeping)))
 
     async def _uploaded(self, upload: str) -> Change:
@@ -934,7 +914,7 @@
         await self.disk(lambda: found.append(w.change_from_bytes(whole)))
         return found[0]
 
-    async def _propose_next(self) -> bool:
+    async def propose_next(self) -> bool:
         """Make the next policy of the changes that wait, where the tier is settled; whether there was
         anything.
         """
@@ -960,12 +940,11 @@
             self._forgive(policy.name)  # proposed again it is another one, or holds
             self.proposals.refuse(batch, why.culprits, problems)
             return True
-        if keeping.keeper.decided != decided or self.pending is not None:
+        if keeping.keeper.decided != decided or self.driver.pending is not None:
             self.proposals.lost(batch, keeping.keeper.decided.policy)
             return True
-        self.pending = _Change(entry.policy, decided.epoch + 1)
+        self.driver.begin(entry.policy, decided.epoch + 1)
         self.proposals.propose(policy.name, batch)
-        self.dropping.discard(policy.name)
         self.hands.say("proposed", change=policy.name, reason=policy.reason, author=policy.author)
         return True
 
@@ -976,7 +955,7 @@
         doors = self._others(keeping.keeper.decided)
         for door, one in await self.outgoing.all_answers(doors, "tell", None, w.Telling, limit=0.3):
             if one.state is not None:
-                await self._learn_keeper(one.state, door)
+                await self.learn_keeper(one.state, door)
 
     async def drop(self, words: w.Dropping) -> Answer:
         """Give a change up, unless it is decided already."""
@@ -984,14 +963,14 @@
         if keeping.keeper is None:
             raise Refused("this keeper knows nothing yet")
         # One that is about to begin does, and is then dropped: so all keepers know what became of it.
-        about = self.pending is not None and self.pending.policy.name == words.change
+        about = self.driver.is_pending(words.change)
         state = keeping.keeper.decided
         if state.new != words.change and not about and not words.passed:
             raise Refused(f"{words.change or 'nothing'} is not under way; {state.policy} is in force")
-        self.dropping.add(words.change)
+        self.driver.dropping.add(words.change)
         if not words.passed:
             self._spawn(self._passed(words.change, state))
-        self.work.set()
+        self.driver.wake()
         return Answer(202, b"{}")
 
     async def _passed(self, change: str, state: State) -> None:
@@ -1002,9 +981,8 @@
         reached = await asyncio.gather(
             *(self.outgoing.reaches(door, "drop", body) for door in self._others(state))
         )
-        if not all(reached) and change in self.dropping:
-            self.driving = change
-            self.work.set()
+        if not all(reached) and change in self.driver.dropping:
+            self.driver.take_over(change)
 
     def status(self) -> dict[str, object]:
         """What this process knows, for people and for `hollybay policy`."""
@@ -1020,247 +998,7 @@
             calls_in=self.calls_in,
             calls_out=self.outgoing.calls,
         )
-        return found | keeper_status(self.keeping, self.log, self._progress(), self.terms.late, now)
-
-    def _progress(self) -> ChangeProgress:
-        """How changes fare here."""
-        return ChangeProgress(
-            queued=len(self.proposals),
-            pending=self.pending.policy.name if self.pending is not None else "",
-            refused=self.refused,
-            driving=self.driving,
-            waits=self.waits,
-        )
-
-    # Driving
-
-    async def _drive(self) -> None:
-        """Bring changes to their end: one that was asked for here, or one that nobody brings further."""
-        while True:
-            self.work.clear()
-            self._maybe_keeper()
-            try:
-                if self.keeping is not None and self.keeping.keeper is None:
-                    await self._learn_all()
-                elif self._mine():
-                    await self._advance()
-                    continue
-                elif await self._propose_next():
-                    continue
-            except StoreFailed as error:
-                self.hands.say("keeper", error=str(error))
-                await asyncio.sleep(IDLE)
-            self.driving = ""
-            self.waits = []
-            idle = IDLE * self.chance.uniform(0.8, 1.2)
-            linger = self.proposals.next_take_ns() if self._may_propose() else None
-            await _waited(self.work, idle if linger is None else min(idle, max(0.001, linger / SECOND)))
-
-    def _may_propose(self) -> bool:
-        """Whether the next batch may be made here as soon as there is one."""
-        keeping = self.keeping
-        return (
-            keeping is not None
-            and keeping.keeper is not None
-            and keeping.keeper.decided.stage is Stage.SETTLED
-            and not self.proposals.busy
-        )
-
-    def _mine(self) -> bool:
-        """Whether there is something to drive here, now."""
-        keeping = self.keeping
-        if keeping is None or keeping.keeper is None:
-            return False
-        state = keeping.keeper.decided
-        if state.stage is Stage.SETTLED:
-            pending = self.pending
-            if pending is not None and pending.epoch != state.epoch + 1:
-                # Another change was decided first, or this one was and is over.
-                self.pending = None
-                if pending.policy.name != state.policy and not self.proposals.holds(pending.policy.name):
-                    self.refused.setdefault(
-                        pending.policy.name, "another change came first, or it was dropped"
-                    )
-            return self.pending is not None
-        if self.pending is not None:
-            if self.pending.policy.name != state.new:
-                self.refused[self.pending.policy.name] = f"{state.new} came first"
-            else:
-                self.driving = state.new
-            self.pending = None
-        if self.driving == state.new:
-            return True
-        board = self.doors_of(state)
-        place = board.index(self.terms.door) if self.terms.door in board else len(board)
-        patience = TAKE_OVER + TAKE_OVER_EACH * place
-        return self.clock() - keeping.heard > patience * SECOND
-
-    def _wish(self, state: State) -> State:
-        """What should come after an epoch."""
-        epoch = state.epoch + 1
-        if state.stage is Stage.SETTLED:
-            assert self.pending is not None
-            return State(epoch, Stage.PREPARE, state.policy, self.pending.policy.name)
-        keeping = self._keeper()
-        no = any(one.no for one in self.waits) or bool(keeping.refusals.get(state.new))
-        if state.new in self.dropping or (state.stage is Stage.PREPARE and no):
-            return State(epoch, Stage.SETTLED, state.policy)
-        if state.stage is Stage.PREPARE:
-            return State(epoch, Stage.NARROW, state.policy, state.new)
-        return State(epoch, Stage.SETTLED, state.new)
-
-    async def _advance(self) -> None:
-        """One epoch further, if the keepers will."""
-        keeping = self._keeper()
-        assert keeping.keeper is not None
-        keeping.heard = self.clock()
-        state = keeping.keeper.decided
-        wish = self._wish(state)
-        self.driving = wish.new or state.new
-        doors = self.doors_of(state)
-        boards = self._boards(state)
-        if len(boards) < len(named(state)):
-            await asyncio.sleep(IDLE)
-            return
-        if state.stage is not Stage.SETTLED:
-            self._tell_all(state)  # whoever has not heard of it holds it up
-        self.hands.say("drives", epoch=wish.epoch, stage=wish.stage.name, change=wish.new or wish.policy)
-        driver = Driver(self.process, boards, wish)
-        driver, asked = await self._promised(driver, state, doors)
-        if asked is not None and await self._votes(driver, asked, state, doors):
-            self.lost = 0
-        elif self.beaten:
-            # Another one drives: two that went on would only take each other's promises back.
-            self.beaten = False
-            self.driving = ""
-            keeping.heard = self.clock()
-            await asyncio.sleep(self.chance.uniform(*GIVE_WAY))
-        else:
-            self.lost = min(self.lost + 1, 5)
-            await asyncio.sleep(self.chance.uniform(0.02, 0.05) * 2**self.lost)
-
-    async def _promised(self, driver: Driver, state: State, doors: list[str]) -> tuple[Driver, Accept | None]:
-        """Ask for promises; those of keepers that voted for nothing count first, so that the wish is free
-        where it may be."""
-        keeping = self._keeper()
-        driver, call = driver.begin(max(keeping.above(), self._ballot))
-        self._ballot = call.ballot[0]
-        found: list[tuple[str, w.Promising]] = []
-        body = w.encode(w.Preparing(w.FORM, call))
-        async for door, answer in self.outgoing.answers(
-            doors, "prepare", body, w.Promising, MORE_PROMISES, boards=driver.boards
-        ):
-            self._ballot = max(self._ballot, answer.above)
-            if answer.know is not None:
-                await self._learn_keeper(answer.know, door)
-                await self.learn(answer.know, door)
-                return driver, None
-            if answer.epoch < state.epoch:
-                self._spawn(self.outgoing.reaches(door, "know", self._knowing(state)))
-            found.append((door, answer))
-        found.sort(key=lambda one: one[1].promise is None or one[1].promise.accepted is not None)
-        asked: Accept | None = None
-        for door, answer in found:
-            if answer.promise is not None:
-                driver, accept = driver.hear_promise(answer.promise._replace(keeper=number_of(door)))
-                asked = asked or accept
-        return driver, asked
-
-    async def _votes(self, driver: Driver, asked: Accept, state: State, doors: list[str]) -> bool:
-        """Ask for votes until a majority has voted; False: it must begin anew."""
-        keeping = self._keeper()
-        body = w.encode(w.Accepting(w.FORM, asked, self.terms.door))
-        voted: set[str] = set()
-        again = VOTE_AGAIN
-        silent = 0
-        told = self.loop.time()
-        while True:
-            keeping.heard = self.clock()
-            if self.loop.time() - told > TELL_AGAIN and state.stage is not Stage.SETTLED:
-                told = self.loop.time()
-                self._tell_all(state)  # whoever has not heard of it holds it up
-            waits: dict[int, w.Waiting] = {}
-            heard = False
-            left = [door for door in doors if door not in voted]
-            async for door, answer in self.outgoing.answers(
-                left, "accept", body, w.Voting, MORE_PROMISES, driver.boards
-            ):
-                heard = True
-                if answer.vote is not None:
-                    voted.add(door)
-                    driver, know = driver.hear_accepted(answer.vote._replace(keeper=number_of(door)))
-                    if know is not None:
-                        await self._decided(know.state, doors)
-                        return True
-                elif answer.know is not None:
-                    await self._learn_keeper(answer.know, door)
-                    await self.learn(answer.know, door)
-                    return False
-                elif answer.above > asked.ballot[0]:
-                    self._ballot = max(self._ballot, answer.above)
-                    self.beaten = True
-                    return False
-                elif answer.epoch < state.epoch:
-                    self._spawn(self.outgoing.reaches(door, "know", self._knowing(state)))
-                for one in answer.waits:
-                    waits[one.process] = one
-            self.waits = sorted(waits.values(), key=lambda one: one.name)
-            silent = 0 if heard else silent + 1
-            if silent > 3 or asked.state != self._wish_now(state):
-                # One vote among those that promised made it ask for this; another majority may leave it free.
-                return False
-            await asyncio.sleep(again)
-            again = min(VOTE_SELDOM, again * 1.3)
-
-    def _wish_now(self, state: State) -> State | None:
-        if state.stage is Stage.SETTLED and self.pending is None:
-            return None
-        return self._wish(state)
-
-    async def _decided(self, state: State, doors: list[str]) -> None:
-        """An epoch is decided: all may know."""
-        self.waits = []
-        self.hands.say(
-            "decided",
-            epoch=state.epoch,
-            stage=state.stage.name,
-            policies=list(served(state)),
-            change=state.new,
-        )
-        await self._learn_keeper(state, self.terms.door)
-        self._tell_all(state, doors)
-
-    def _knowing(self, state: State) -> bytes:
-        """The words by which others hear of an epoch."""
-        return w.encode(w.Knowing(w.FORM, state, self.terms.door))
-
-    def _tell_all(self, state: State, doors: list[str] | None = None) -> None:
-        """Tell keepers and nodes of an epoch, those first that this keeper heard last."""
-        keeping = self._keeper()
-        members = sorted(keeping.members.values(), key=lambda one: -one.heard)
-        recent = self.clock() - 3 * (self.terms.lease + self.terms.late)
-        found = dict.fromkeys([*(doors or self.doors_of(state))])
-        found |= dict.fromkeys(m.door for m in members if m.heard > recent and m.serving < state.epoch)
-        found.pop(self.terms.door, None)
-        body = self._knowing(state)
-        waiting = iter(found)
-
-        async def tell() -> None:
-            for door in waiting:
-                await self.outgoing.reaches(door, "know", body)
-
-        self._spawn(self._heard(state, self.terms.door))
-        for _ in range(min(TOLD_AT_ONCE, len(found))):
-            self._spawn(tell())
-
-
-async def _waited(event: asyncio.Event, seconds: float) -> None:
-    """Wait for an event, so long at the most."""
-    try:
-        async with asyncio.timeout(seconds):
-            await event.wait()
-    except TimeoutError:
-        pass
+        return found | keeper_status(self.keeping, self.log, self.driver.progress(), self.terms.late, now)
 
 
 def _board(policy: Policy) -> frozenset[int]:
