Tests: the meter's memory is measured on memory of its own; the full disk plays beside the other streams

Failed: test_the_meter_counts_processor_time_and_memory_of_the_process, as 200,000 strings found room that earlier tests had left in the heap, and the process grew by 4 MB; it fills 32 MB of a mapping of its own now, and the bounds are narrower (30 to 40 MB, 8 to 64 before).

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,7 @@
 import random
 import time
 from concurrent.futures import ThreadPoolExecutor
+from mmap import mmap
 from pathlib import Path
 from threading import Lock
 from typing import Any
@@ -132,11 +133,14 @@
 
 
 def test_the_meter_counts_processor_time_and_memory_of_the_process() -> None:
-    with metered(memory=True) as spent:
-        kept = [str(n) for n in range(200_000)]
-    assert len(kept) == 200_000
+    # Memory of its own: objects may find room that earlier tests of the process left in the heap.
+    size = 32 << 20
+    with mmap(-1, size) as kept:
+        with metered(memory=True) as spent:
+            kept.write(b"x" * size)
+        assert kept.tell() == size
     assert spent.cpu_s > 0.0
-    assert 8 << 20 < spent.memory < 64 << 20
+    assert size - (2 << 20) < spent.memory < size + (8 << 20)
     with metered() as idle:
         time.sleep(0.05)
     assert idle.cpu_s < 0.04 < idle.wall_s
--- a/tests/test_change_stream.py
+++ b/tests/test_change_stream.py
@@ -36,6 +36,8 @@
     bursts=(Burst(2.98, 8), Burst(7.0, 16, 1), Burst(10.0, 8, 2), Burst(16.0, 8)),
     full_disks=(FullDisk("n010", 12.2, 13.8),),
 )
+# A disk that stays full.
+NO_ROOM = Stream(begin=1.5, end=4.0, rate=2.0, full_disks=(FullDisk("n004", 0.5, 6.5),), unfit="n003")
 SHORT = Stream(begin=1.5, end=4.0, rate=1.0, bursts=(Burst(2.2, 8), Burst(3.2, 8, 1)))
 
 
@@ -55,13 +57,14 @@
 
 
 def test_a_stream_of_changes_through_faults_and_a_defect_that_it_shows() -> None:
-    async def both() -> list[Told]:
+    async def all_three() -> list[Told]:
         return await asyncio.gather(
             _played(run_of(NODES, 22.0, servers=12, load=0.5) + FAULTS, STREAM),
             _played(run_of(5, 7.0), SHORT, "bad-change-drops-batch"),
+            _played(run_of(5, 7.0), NO_ROOM),
         )
 
-    told, defective = asyncio.run(both())
+    told, defective, full = asyncio.run(all_three())
     wrong = check(told.tracked, told.states, STREAM)
     assert not wrong, wrong
     report = report_of(told.outcome)
@@ -76,11 +79,12 @@
         defective.tracked, defective.states, SHORT
     ))  # fmt: skip
 
+    _refused_for_want_of_space(full)
 
-def test_while_a_disk_stays_full_each_change_is_refused_with_its_reason() -> None:
-    stream = Stream(begin=1.5, end=4.0, rate=2.0, full_disks=(FullDisk("n004", 0.5, 6.5),), unfit="n003")
-    told = asyncio.run(_played(run_of(5, 7.0), stream))
-    wrong = check(told.tracked, told.states, stream)
+
+def _refused_for_want_of_space(told: Told) -> None:
+    """While a disk stays full each sound change is refused with its reason."""
+    wrong = check(told.tracked, told.states, NO_ROOM)
     assert not wrong, wrong
     sound = [one for one in told.tracked if one.sort is Sort.SOUND]
     assert sound
