A policy's version, a folder's flush and the measured routes each have one place

The version was read out of a policy's name in five places of this change, the folder's flush stood in accord/log.py beside that of store.py, and benchmarks/route_changes.py had routes and a reading of PSS of its own beside benchmarks/capacity and hollow/meter.py. Behaviour as before; its routes have two characters more in their paths. accord/oracle.py keeps its own reading, as it checks the others. Lint, types and 167 tests of the accord, log, streams and imports passed; the whole suite was not run again.

--- a/accord/fetch.py
+++ b/accord/fetch.py
@@ -21,7 +21,7 @@
 
 from .calls import Unreachable
 from .log import PolicyLog, Snapshot
-from .policy import Policy, Refused, parse
+from .policy import Policy, Refused, parse, version_of
 from .store import StoreFailed
 from .transfer import download
 
@@ -156,7 +156,7 @@
 
     def _versions_before(self, name: str) -> list[int]:
         """The newest versions that are here of what may be before an entry; 0 where there is none."""
-        target = int(name.partition("-")[0])
+        target = version_of(name)
         here = {
             policy.version
             for one in self.log.names()
--- a/accord/log.py
+++ b/accord/log.py
@@ -27,9 +27,9 @@
 from resources.state import EMPTY, ResourceState
 from resources.wire import MAX_SNAPSHOT_BYTES, WireError, decode_snapshot, encode_snapshot
 
-from .policy import MAX_ENTRY_BYTES, Policy, Refused, changed_keys, parse
+from .policy import MAX_ENTRY_BYTES, Policy, Refused, changed_keys, parse, version_of
 from .record import Fate, pack, unpack
-from .store import StoreFailed
+from .store import StoreFailed, flush_folder
 
 __all__ = [
     "KEPT_STATES",
@@ -58,12 +58,8 @@
     return _NAME.fullmatch(text) is not None
 
 
-def _version(name: str) -> int:
-    return int(name.partition("-")[0])
-
-
 def _by_age(name: str) -> tuple[int, str]:
-    return _version(name), name
+    return version_of(name), name
 
 
 class NotReached(Exception):
@@ -295,11 +291,7 @@
                 self.step("flush policy")
                 os.fsync(handle.fileno())
             os.replace(fresh, self.folder / file)
-            folder = os.open(self.folder, os.O_RDONLY)
-            try:
-                os.fsync(folder)
-            finally:
-                os.close(folder)
+            flush_folder(self.folder)
         except (OSError, ValueError) as error:
             raise StoreFailed(f"{fresh}: {error}") from None
 
@@ -362,10 +354,10 @@
         with self._lock:
             wanted = {name for name in needed if name in self._entries}
             names = self.names()
-            newest = _version(names[-1]) if names else 0
+            newest = version_of(names[-1]) if names else 0
             for name in names:
                 entry = self._entries[name]
-                old = _version(name) <= newest - self.kept_states and name not in wanted
+                old = version_of(name) <= newest - self.kept_states and name not in wanted
                 if old and entry.state is not None:
                     self._entries[name] = Entry(entry.policy, None, None, entry.size, entry.out)
             if wanted:
@@ -382,7 +374,7 @@
         at = base.policy.name
         if base.state is None:
             return
-        older = [one for one in self.names() if _version(one) < base.policy.version]
+        older = [one for one in self.names() if version_of(one) < base.policy.version]
         freed = sum(self._entries[one].size for one in older)
         last = max((self._snapshots[one] for one in older if one in self._snapshots), default=0)
         if at not in self._snapshots:
--- a/accord/policy.py
+++ b/accord/policy.py
@@ -30,6 +30,7 @@
     "first",
     "parse",
     "successor",
+    "version_of",
 ]
 
 # The longest reason, author and keeper, in characters.
@@ -103,6 +104,11 @@
         return self if self.changes is None else msgspec.structs.replace(self, changes=None)
 
 
+def version_of(name: str) -> int:
+    """The version of a policy, by its name."""
+    return int(name.partition("-")[0])
+
+
 def changed_keys(changes: Iterable[Change]) -> frozenset[Key]:
     """The resources that changes touch."""
     return frozenset(operation.key for change in changes for operation in change.operations)
--- a/accord/proposals.py
+++ b/accord/proposals.py
@@ -20,9 +20,9 @@
 from .group_commit import Refused as RefusedHere
 from .keeping import Keeping
 from .log import PolicyLog
-from .policy import Refused
+from .policy import Refused, version_of
 
-__all__ = ["Proposals", "problems_of", "version_of"]
+__all__ = ["Proposals", "problems_of"]
 
 SECOND = 1_000_000_000
 # ns for which no change is taken by a keeper whose disk took none.
@@ -30,11 +30,6 @@
 GIVEN_UP = (Problem("change", "", "given up by an operator"),)
 
 
-def version_of(name: str) -> int:
-    """The version of a policy, by its name."""
-    return int(name.partition("-")[0])
-
-
 def problems_of(reasons: Sequence[str]) -> tuple[Problem, ...]:
     """Reasons of nodes as problems of a change."""
     return tuple(Problem("change", "", reason) for reason in reasons[: w.MOST_REASONS])
--- a/accord/store.py
+++ b/accord/store.py
@@ -13,14 +13,15 @@
 
 from .record import MOST, Fate, pack, unpack
 
-__all__ = ["Store", "StoreFailed"]
+__all__ = ["Store", "StoreFailed", "flush_folder"]
 
 
 class StoreFailed(Exception):
     """What was to be said is not on disk, or what is there must not be read; it must not be said."""
 
 
-def _flush(path: Path) -> None:
+def flush_folder(path: Path) -> None:
+    """Bring the names in a folder to the disk. OSError: that failed."""
     handle = os.open(path, os.O_RDONLY)
     try:
         os.fsync(handle)
@@ -98,7 +99,7 @@
             self.step("rename")
             os.replace(self.fresh, self.paths[older])
             self.step("flush folder")
-            _flush(self.folder)
+            flush_folder(self.folder)
         except OSError as error:
             raise StoreFailed(f"{self.paths[older]}: {error}") from None
         self.count += 1
--- a/benchmarks/route_changes.py
+++ b/benchmarks/route_changes.py
@@ -13,22 +13,22 @@
 import sys
 import time
 
+from hollow.meter import memory_bytes
 from lynxrouter import interface as api
 from resources.model import Change, Key, Kind, Upsert
 from resources.state import EMPTY, ResourceState
 from routing.resource_plan import plan_after, plan_of_state
 from routing.resource_tables import decode_table, encode_table
 from routing.schema import (
-    HeaderTable,
     LimitsTable,
-    PathTable,
-    RateTable,
     RouteTable,
     TenantLimitsTable,
     TenantRateTable,
     TenantTable,
 )
 
+from .capacity.samples import route_resources
+
 MS = 1_000_000
 SETTINGS = api.Settings(
     (api.RequestClass("view-schedule", api.Effect.SAFE, 3.0, 200 * MS, 500 * MS),), copies_allowed=True
@@ -38,19 +38,8 @@
 
 
 def routes(count: int) -> list[tuple[Key, bytes]]:
-    """The routes of files.many_routes as resources."""
-    limits = LimitsTable(in_flight=1000, rate=RateTable(per_second=100_000.0, burst=100_000, by="tenant"))
-    found = []
-    for n in range(count):
-        path = (
-            PathTable(exact=f"/view-schedule/halls/h{n}"),
-            PathTable(template=f"/view-schedule/v{n}/{{id}}/slots"),
-            PathTable(prefix=f"/view-schedule/p{n}/q"),
-        )[n % 3]
-        headers = [HeaderTable(name="X-Plan", exact="gold")] if n % 10 == 0 else []
-        table = RouteTable(name=f"r{n}", path=path, headers=headers, limits=limits)
-        found.append((Key(Kind.ROUTE, table.name), encode_table(table)))
-    return found
+    """Routes like those of files.many_routes, as resources."""
+    return [(one.key, one.body) for one in route_resources(count)]
 
 
 def tenants(count: int) -> list[tuple[Key, bytes]]:
@@ -61,10 +50,9 @@
 
 
 def pss() -> int:
-    """Bytes of memory that this process holds, shared pages by their share."""
+    """Bytes of memory that this process holds (PSS), without what is to be collected."""
     gc.collect()
-    with open("/proc/self/smaps_rollup", encoding="ascii") as rollup:
-        return next(int(line.split()[1]) << 10 for line in rollup if line.startswith("Pss:"))
+    return memory_bytes()
 
 
 def changed(state: ResourceState, number: int, name: str) -> Change:
--- a/simulation/accord_rehearsal.py
+++ b/simulation/accord_rehearsal.py
@@ -31,6 +31,7 @@
 from accord.follow import Follow, Verdict
 from accord.log import Entry
 from accord.oracle import Begun, Fault, Outcome, Said, check
+from accord.policy import version_of
 from accord.service import Service
 from resources.model import Change, Delete, Key, Kind, Operation, Upsert
 from resources.state import EMPTY, ResourceState
@@ -527,7 +528,7 @@
         if self.shape.stream and verdict.code == 0 and len(under) == 1:
             # A change of the stream that was proposed before may have come after the last one.
             (names,) = under
-            self.played.ended = len(names) == 1 and _version(names[0]) >= _version(verdict.change)
+            self.played.ended = len(names) == 1 and version_of(names[0]) >= version_of(verdict.change)
         self.played.why = f"{verdict} {under}"
 
     def run(self) -> Played:
@@ -546,10 +547,6 @@
         return played
 
 
-def _version(name: str) -> int:
-    return int(name.partition("-")[0])
-
-
 def play(seed: int, shape: Shape | None = None) -> Played:
     """One seed; the same seed plays the same."""
     with tempfile.TemporaryDirectory(prefix="accord-", dir=in_memory()) as folder, warnings.catch_warnings():
--- a/tier/change_stream.py
+++ b/tier/change_stream.py
@@ -28,6 +28,7 @@
 
 from accord.follow import Follow, Known, Verdict
 from accord.log import PolicyLog
+from accord.policy import version_of
 from elderscale.accord import call
 from resources.model import CHANGE_ID_BYTES, Change, Delete, Kind, Operation, Upsert
 from resources.state import ResourceState
@@ -292,7 +293,7 @@
     @staticmethod
     def _revision_of(one: Tracked) -> int:
         """The revision of the policy that a change is in force with."""
-        return int(one.told[0].change.partition("-")[0])
+        return version_of(one.told[0].change)
 
     async def _followed(self, sort: Sort, change: Change, keepers: tuple[int, ...]) -> Tracked:
         """Propose a change, by one operator or two at once, until they are told what became of it."""
