--- a/accord/follow.py
+++ b/accord/follow.py
@@ -384,16 +384,19 @@
         board = known.latest["board"] if known.latest is not None else []
         return sorted(known.keepers, key=lambda door: (door not in board, door))
 
-    async def change(self, change: Change, limit: float) -> Verdict:
+    async def change(self, change: Change, limit: float, proposed_at: Iterable[str] = ()) -> Verdict:
         """Propose a change of resources, and follow what becomes of it, and of it alone, for so many seconds.
 
-        It may be proposed at several keepers, under its one id, where some do not answer; it is said to be
-        refused only once all of these have refused it.
+        proposed_at: keepers at which its proposer may have proposed it before. It may be proposed at several
+        keepers, under its one id, where some do not answer; it is said to be refused only once all of these
+        have refused it.
         """
         loop = asyncio.get_running_loop()
         end = loop.time() + limit
-        proposed = _Proposed(change)
+        proposed = _Proposed(change, set(proposed_at))
         while True:
+            while loop.time() < end and await self._is_waiting(proposed):
+                await asyncio.sleep(LOOK)
             known = await self.look()
             verdict = await self._became(known, proposed)
             if verdict is not None and (verdict.code != 3 or loop.time() >= end):
@@ -405,6 +408,19 @@
             await asyncio.sleep(max(LOOK, min(proposed.wait, end - loop.time())))
             proposed.wait = 0.0
 
+    async def _is_waiting(self, proposed: _Proposed) -> bool:
+        """Whether a keeper says that a change waits there, or is under way; one short call as long as it
+        does.
+        """
+        for door in sorted(proposed.doors - proposed.refused.keys()):
+            try:
+                one = w.decode(await self.call(door, f"change/{proposed.id}", None), w.BecameOf)
+            except (Unreachable, Refused):
+                continue
+            if one.outcome in (w.Outcome.QUEUED, w.Outcome.UNDER_WAY):
+                return True
+        return False
+
     async def _became(self, known: Known, proposed: _Proposed) -> Verdict | None:
         """What became of a change by what keepers say; None: it is to be proposed, again or for the first
         time.
@@ -452,15 +468,18 @@
                 verdict = Verdict(3, proposed.id, text=f"{door}: {error}")
             except Unreachable as error:
                 wait = _retry_after(error)
+                if error.status:
+                    proposed.doors.discard(door)  # it has said that it did not take it
                 if error.status in (0, 507) or wait is not None:
                     proposed.wait = wait or 0.0
                     verdict = Verdict(3, proposed.id, text=f"{door}: {error}")
                     continue
                 if error.status != 409:
-                    proposed.doors.discard(door)
                     return _bad_input(error).verdict()
+                proposed.doors.add(door)
                 proposed.refused[door] = _problems_of(error)
-                return proposed.verdict() or Verdict(3, proposed.id, text=f"{door}: {error}")
+                # The others are asked before anything is said: it may have come to one of them.
+                return Verdict(3, proposed.id, text="refused by a keeper")
         return verdict
 
     async def _offered(self, door: str, proposed: _Proposed) -> None:
--- a/accord/log.py
+++ b/accord/log.py
@@ -150,10 +150,10 @@
         try:
             policy, state = Snapshot.parse(data)
         except Refused as error:
-            self._set_aside(f"{name}{_SNAPSHOT}", Fate.TORN, str(error))
+            self._set_aside(f"{name}{_SNAPSHOT}", Fate.TORN.value, str(error))
             return
         if policy.name != name:
-            self._set_aside(f"{name}{_SNAPSHOT}", Fate.FOREIGN, f"it is {policy.name}")
+            self._set_aside(f"{name}{_SNAPSHOT}", Fate.FOREIGN.value, f"it is {policy.name}")
             return
         self._snapshots[name] = len(data)
         self._entries[name] = Entry(policy, state, None, 0, _servers_out(state))
@@ -167,7 +167,7 @@
             if policy.name != name:
                 raise Refused(f"it is {policy.name}")
         except Refused as error:
-            self._set_aside(name, Fate.TORN, str(error))
+            self._set_aside(name, Fate.TORN.value, str(error))
             return
         known = self._entries.get(name)
         if known is not None:  # there is a snapshot of it
@@ -175,8 +175,10 @@
             return
         try:
             state = self._follow(policy)
-        except Refused:
-            return  # what it follows is not here: it is of no use, and fetched anew if it is wanted
+        except Refused as error:
+            # What it follows is not here: it is of no use, and fetched anew if it is wanted.
+            self._set_aside(name, "orphan", str(error))
+            return
         self._entries[name] = self._made(policy, state, len(data))
 
     def _record(self, file: str, most: int) -> bytes | None:
@@ -185,11 +187,11 @@
             found = unpack(handle.read(most + _RECORD_OVERHEAD))
         if found.fate is Fate.SOUND:
             return found.data
-        self._set_aside(file, found.fate, f"the record is {found.fate.value}")
+        self._set_aside(file, found.fate.value, f"the record is {found.fate.value}")
         return None
 
-    def _set_aside(self, file: str, fate: Fate, reason: str) -> None:
-        os.replace(self.folder / file, self.folder / f"{file}.{fate.value}")
+    def _set_aside(self, file: str, what: str, reason: str) -> None:
+        os.replace(self.folder / file, self.folder / f"{file}.{what}")
         self.aside[file] = reason
 
     # What is here
--- a/accord/service.py
+++ b/accord/service.py
@@ -74,6 +74,8 @@
 # Bytes of a change that an answer holds, and of lines for people beside it.
 MAX_DRAFT_BYTES = 64 << 10
 MAX_LINES_BYTES = 128 << 10
+# ns for which no change is taken by a keeper whose disk took none.
+FULL_FOR = 2 * SECOND
 GIVEN_UP = (Problem("change", "", "given up by an operator"),)
 
 _T = TypeVar("_T")
@@ -214,6 +216,7 @@
         self.queue = ProposalQueue()
         self.batch: _UnderWay | None = None
         self.long: dict[bytes, asyncio.Task[Answer]] = {}  # what takes long, by the digest of its call
+        self.full_until = 0  # until when no change is taken, as the disk took none
         self.uploads = Uploads()
         self.transfers: dict[str, tuple[str, bytes]] = {}
         self.dropping: set[str] = set()
@@ -468,6 +471,8 @@
             self.node = self.node.hear_know(Know(state), tuple(boards))
             self.hands.say("hears", epoch=state.epoch, stage=state.stage.name, policies=list(named(state)))
             self._maybe_keeper()
+            if state.stage is Stage.SETTLED and self.keeping is None:
+                self._spawn(self._pruned({state.policy, *self.under}))
         self.poked.set()
 
     async def _fetched(self, name: str, by: str) -> Brought:
@@ -1067,6 +1072,8 @@
         keeping = self._keeper()
         if keeping.keeper is None:
             return _busy("this keeper knows nothing yet", IDLE)
+        if self.clock() < self.full_until:
+            raise StoreFailed("the disk took no entry a moment ago")
         change = w.change_from(words.change) if not words.upload else await self._uploaded(words.upload)
         state = self._base(keeping.keeper.decided).state
         assert state is not None
@@ -1162,7 +1169,9 @@
         try:
             entry = await self._stored(policy)
         except StoreFailed:
-            self.queue.lost(batch, base.state, self.clock())
+            # Other keepers may have room: who asks hears that nothing is known of its change here.
+            self.queue = ProposalQueue()
+            self.full_until = self.clock() + FULL_FOR
             raise
         problems = await self._compiled(entry)
         if problems:
