A server that is gone stays until all attempts there have ended, uploads too

What callers saw: 503 from a node whose servers are idle. After 40 uploads whose servers were each removed from the list while the body was coming, 80 of 100 requests were refused, and that for the rest of the node's life.

Cause: an attempt whose body is still coming is not counted at its server, and a server that is gone was deleted once nothing was counted there. The last byte then counted the attempt at the deleted server and in the queueing delay, and its end found no server and left it counted. The deleted server also kept a position in an idle list of before; leaving it moved another server's.

Both tests fail on (20 == 0; an attempt at a deleted server).

Mend: a server counts its open attempts, and is deleted when there is none; the end of an attempt is recorded at its own server.

--- a/hollybay/balancing/attempt_tracking.py
+++ b/hollybay/balancing/attempt_tracking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .decision_context import DecisionContext
-from .interface import AttemptFinished, RequestCompleted, ResponseStarted, Send, ServerState
+from .interface import AttemptFinished, RequestCompleted, ResponseStarted, Send
 from .server_pool import remove_from_idle
 from .slow_start import SlowStart
 from .state import TrackedAttempt, TrackedRequest, TrackedServer
@@ -36,6 +36,7 @@
         attempt = TrackedAttempt(server, now)
         request.attempts.append(attempt)
         request.in_flight_attempts += 1
+        server.open_attempts += 1
         self.estimates.traffic_share.record_attempt()
         if not request.body_pending:
             self._count(attempt)
@@ -69,13 +70,12 @@
         """Record a result, learn from it, and take its server for idle again, eject it or forget it."""
         attempt.result = event.result
         request.in_flight_attempts -= 1
-        server = self.endpoints.servers.get(event.server)
-        if server is None:
-            return
+        server = attempt.server
+        server.open_attempts -= 1
         self._discount(attempt)
         if self.estimates.observe(server, request, event, self.context.now, self.endpoints.stale):
             self.selector.eject(server)
-        if server.state == ServerState.GONE and not server.in_flight:
+        if server.is_removable:
             del self.endpoints.servers[server.id]
         else:
             self.selector.schedule_idle(server)
--- a/hollybay/balancing/endpoints.py
+++ b/hollybay/balancing/endpoints.py
@@ -34,7 +34,7 @@
     Attributes
     ----------
     servers
-        The servers by id. One that is gone stays until no attempt is in flight there.
+        The servers by id. One that is gone stays until all attempts there have ended.
     returned
         Ids of servers that have come back from draining and have not been used since.
     list_interval
@@ -112,13 +112,8 @@
             server.slow_start_send_at = -1
 
     def _remove_gone(self) -> None:
-        gone = [
-            server.id
-            for server in self.servers.values()
-            if server.state == ServerState.GONE and not server.in_flight
-        ]
-        for server_id in gone:
-            del self.servers[server_id]
+        for server in [server for server in self.servers.values() if server.is_removable]:
+            del self.servers[server.id]
 
     def update_freshness(self, now: int) -> float:
         """Renew `stale`, and return the share (0 to 1) of reported loads that still counts.
--- a/hollybay/balancing/state.py
+++ b/hollybay/balancing/state.py
@@ -49,6 +49,7 @@
         "next_ejection",
         "nominal_size",
         "on_probation",
+        "open_attempts",
         "ownership_rank",
         "peer_in_flight",
         "rejected_tenants",
@@ -99,6 +100,7 @@
         # Attempts in flight
         self.in_flight = 0  # this node's and those that peers report
         self.peer_in_flight = 0  # those that peers report
+        self.open_attempts = 0  # this node's that have not ended: also those that wait for a request's body
 
         # Health
         self.failure_rate = 0.0  # moving share of this node's attempts
@@ -116,6 +118,11 @@
         # When (ns) each tenant that it rejects may be sent there again
         self.rejected_tenants: dict[int, int] = {}
 
+    @property
+    def is_removable(self) -> bool:
+        """Whether it is gone, and no attempt refers to it any more."""
+        return self.state == ServerState.GONE and not self.open_attempts and not self.in_flight
+
 
 class SpeedClass:
     """Servers of about one speed, in local or in remote zones, with the list of the idle ones.
--- /dev/null
+++ b/hollybay/testbed/balancer_invariants.py
@@ -0,0 +1,99 @@
+"""The invariant of a balancer's records: servers, idle index and attempts agree after every event.
+
+Tests over drawn streams of events and the simulation check it after each step.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hollybay.balancing import Balancer
+from hollybay.balancing.state import SpeedClass, TrackedAttempt, TrackedServer
+
+__all__ = ["record_fault"]
+
+
+def record_fault(balancer: Balancer, now: int) -> str | None:
+    """Return what disagrees in a balancer's records after an event, or None.
+
+    - Every attempt in flight is at a server that the balancer knows.
+    - A server's attempts in flight are those of this node at work there, and those that peers report.
+    - The attempts of the queueing delay are those of all servers.
+    - A listed idle server has nothing in flight, and its time to be idle has come.
+    - A server with nothing in flight that may be listed is listed, or will be when its time has come.
+
+    Parameters
+    ----------
+    balancer
+        The balancer, between two events.
+    now
+        The time (ns) of the last event.
+    """
+    attempts = [
+        attempt
+        for request in balancer.requests.values()
+        for attempt in request.attempts
+        if attempt.result is None
+    ]
+    return (
+        _unknown_server(balancer, attempts)
+        or _wrong_count(balancer, attempts)
+        or _wrong_listing(balancer, now)
+        or _missing_listing(balancer)
+    )
+
+
+def _unknown_server(balancer: Balancer, attempts: list[TrackedAttempt]) -> str | None:
+    for attempt in attempts:
+        if balancer.servers.get(attempt.server.id) is not attempt.server:
+            return f"an attempt is in flight at {attempt.server.id!r}, which was deleted"
+    return None
+
+
+def _wrong_count(balancer: Balancer, attempts: list[TrackedAttempt]) -> str | None:
+    counted = Counter(attempt.server.id for attempt in attempts if attempt.is_counted)
+    for server in balancer.servers.values():
+        own = server.in_flight - server.peer_in_flight
+        if own != counted[server.id]:
+            return f"{server.id!r} has {counted[server.id]} attempts at work, {own} are counted there"
+    total = balancer.load_shedder.queueing_delay.in_flight
+    if total != counted.total():
+        return f"{counted.total()} attempts are at work, the queueing delay counts {total}"
+    return None
+
+
+def _speed_classes(balancer: Balancer) -> list[SpeedClass]:
+    selector = balancer.selector
+    return [*selector.local.speed_classes, *selector.remote.speed_classes]
+
+
+def _wrong_listing(balancer: Balancer, now: int) -> str | None:
+    """Return what is wrong with a server that is listed as idle."""
+    listed = 0
+    for speed_class in _speed_classes(balancer):
+        for position, server in enumerate(speed_class.idle):
+            listed += 1
+            if server.idle_position != position or server.speed_class is not speed_class:
+                return f"{server.id!r} is listed as idle at {position}, it says {server.idle_position}"
+            if server.in_flight:
+                return f"{server.id!r} is listed as idle with {server.in_flight} attempts in flight"
+            if server.idle_from > now:
+                return f"{server.id!r} is listed as idle {server.idle_from - now} ns before its time"
+    claims = sum(server.idle_position >= 0 for server in balancer.servers.values())
+    return f"{claims} servers say that they are listed as idle, {listed} are" if claims != listed else None
+
+
+def _missing_listing(balancer: Balancer) -> str | None:
+    """Return the server that is not listed as idle and never will be."""
+    for server in balancer.servers.values():
+        if server.speed_class is None or server.in_flight or not server.in_idle_index:
+            continue
+        if server.idle_position < 0 and not _is_pending(server, server.speed_class):
+            return f"{server.id!r} has nothing in flight and is neither listed as idle nor to be listed"
+    return None
+
+
+def _is_pending(server: TrackedServer, speed_class: SpeedClass) -> bool:
+    return any(
+        entry is server and idle_from >= server.idle_from for idle_from, _, entry in speed_class.pending_idle
+    )
--- a/hollybay/testbed/world.py
+++ b/hollybay/testbed/world.py
@@ -232,12 +232,18 @@
         return self.give(api.ServerList(kind, servers))
 
     def ask(
-        self, rid: int, cls: int = 0, left: int = 0, key: int = 0, limits: api.Limits | None = None
+        self,
+        rid: int,
+        cls: int = 0,
+        left: int = 0,
+        key: int = 0,
+        limits: api.Limits | None = None,
+        body_pending: bool = False,
     ) -> list[api.Action]:
         """Give it a request with this id and class; left: its time (ns), the class's deadline if 0."""
         left = left or self.settings.classes[cls].deadline
         self.books[rid] = RequestRecord(cls, self.now + left)
-        return self.give(api.Request(rid, cls, left, key=key, limits=limits))
+        return self.give(api.Request(rid, cls, left, key=key, limits=limits, body_pending=body_pending))
 
     def answer(
         self, rid: int, attempt: int, result: api.Result = api.Result.OK, report: api.Report = ()
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -37,6 +37,7 @@
         "test_invalid_changes",
         "test_batch_model",
         "test_admin_requests",
+        "test_attempt_tracking",
         "test_balancer",
         "test_slow_start_many_nodes",
         "test_balancer_many_nodes",
--- /dev/null
+++ b/tests/test_attempt_tracking.py
@@ -0,0 +1,48 @@
+"""Attempts and their servers, where events come in rare orders: bodies that are late, servers that vanish."""
+
+from __future__ import annotations
+
+from hollybay.balancing import interface as api
+from hollybay.testbed.balancer_invariants import record_fault
+from hollybay.testbed.world import MS, BalancerHarness, make_settings
+
+SERVERS = tuple(api.Server(id=b"s%03d" % number) for number in range(4))
+
+
+def harness(**changes: object) -> BalancerHarness:
+    node = BalancerHarness(make_settings(zones=1, kinds=1, nodes=1, warm_up=0, **changes))
+    node.tell(SERVERS)
+    return node
+
+
+def check_records(node: BalancerHarness) -> None:
+    fault = record_fault(node.balancer, node.now)
+    assert fault is None, fault
+
+
+# Guards against: an attempt counted for ever, after which idle servers look full and requests are refused.
+def test_an_upload_whose_server_vanishes_counts_only_until_it_ends() -> None:
+    node = harness()
+    for rid in range(20):
+        node.ask(rid, 1, body_pending=True)
+        sent_to = node.books[rid].attempts[0].server
+        node.tell(tuple(server for server in SERVERS if server.id != sent_to))
+        node.give(api.RequestCompleted(rid))
+        node.answer(rid, 0)
+        node.tell(SERVERS)
+        node.run_to(node.now + 100 * MS)
+    assert node.balancer.load_shedder.queueing_delay.in_flight == 0
+    check_records(node)
+
+
+# Guards against: a body whose end moves another server to a wrong place in the idle index.
+def test_a_body_that_completes_after_its_server_was_deleted_leaves_the_idle_index_whole() -> None:
+    node = harness()
+    for rid in range(8):
+        node.ask(rid, 1, body_pending=True)
+    for left_out in range(len(SERVERS)):
+        node.tell(tuple(server for n, server in enumerate(SERVERS) if n != left_out))
+        node.give(api.RequestCompleted(2 * left_out))
+        check_records(node)
+        node.give(api.RequestCompleted(2 * left_out + 1))
+        check_records(node)
--- a/tests/test_documentation_names.py
+++ b/tests/test_documentation_names.py
@@ -12,7 +12,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 PAGES = sorted(
     str(path.relative_to(ROOT))
-    for path in [*(ROOT / "docs").glob("*.md"), ROOT / "README.md", ROOT / "DEVELOPERS.md"]
+    for path in [*(ROOT / "docs").rglob("*.md"), ROOT / "README.md", ROOT / "DEVELOPERS.md"]
 )
 TREE = Tree(ROOT)
 LINK = re.compile(r"\]\(([\w./-]+\.md)\)")
