A server whose time to be idle was put off leaves the idle index, also under an upload

What callers saw: a starting server got every upload: 297 attempts in 1.3 s where its send interval allows one, enough to push it over.

Cause: only an attempt that is counted takes its server off the list of idle ones. A send to a starting server whose body is still coming, and an attempt that fails before its last byte, put off the time from which the server is idle, but left it listed, and a pick does not look at that time again.

Mend: schedule_idle takes a listed server off whose time lies ahead, and is called after a send to a starting server, too.

--- a/hollybay/balancing/attempt_tracking.py
+++ b/hollybay/balancing/attempt_tracking.py
@@ -42,6 +42,7 @@
             self._count(attempt)
         if server.slow_start_factor < 1.0:
             SlowStart.record_send(server, now)
+            self.selector.schedule_idle(server, now)  # one whose body is pending has left it listed
         limits = request.limits
         timeout = limits.attempt_timeout if limits is not None else 0
         self.context.actions.append(Send(request.id, server.id, timeout, write_deadline))
@@ -64,7 +65,7 @@
         request.streaming = True
         attempt = request.attempts[event.attempt]
         self._discount(attempt)
-        self.selector.schedule_idle(attempt.server)
+        self.selector.schedule_idle(attempt.server, self.context.now)
 
     def finish(self, request: TrackedRequest, attempt: TrackedAttempt, event: AttemptFinished) -> None:
         """Record a result, learn from it, and take its server for idle again, eject it or forget it."""
@@ -78,7 +79,7 @@
         if server.is_removable:
             del self.endpoints.servers[server.id]
         else:
-            self.selector.schedule_idle(server)
+            self.selector.schedule_idle(server, self.context.now)
 
     def _count(self, attempt: TrackedAttempt) -> None:
         """Count an attempt among those in flight at its server."""
--- a/hollybay/balancing/balancer.py
+++ b/hollybay/balancing/balancer.py
@@ -115,5 +115,5 @@
         ClientDisconnected: answers.on_client_disconnected,
         ResponseStarted: attempts.on_response_started,
         RequestCompleted: attempts.on_request_completed,
-        PeerLoad: context.selector.apply_peer_load,
+        PeerLoad: lambda event: context.selector.apply_peer_load(event, context.now),
     }
--- a/hollybay/balancing/server_pool.py
+++ b/hollybay/balancing/server_pool.py
@@ -30,19 +30,28 @@
     server.idle_position = -1
 
 
-def schedule_idle(server: TrackedServer, tie_break: int) -> None:
+def schedule_idle(server: TrackedServer, now: int, tie_break: int) -> None:
     """Have a server taken for idle from its time on, if it may be and nothing is in flight there.
 
+    One that is listed before its time leaves the list: its time was put off, by an attempt that is not
+    counted as in flight.
+
     Parameters
     ----------
     server
         The server.
+    now
+        The time (ns).
     tie_break
         A number that is larger each time.
     """
     speed_class = server.speed_class
-    if server.in_flight or speed_class is None or server.idle_position >= 0 or not server.in_idle_index:
+    if server.in_flight or speed_class is None or not server.in_idle_index:
         return
+    if server.idle_position >= 0:
+        if server.idle_from <= now:
+            return
+        remove_from_idle(server)
     heappush(speed_class.pending_idle, (server.idle_from, tie_break, server))
 
 
--- a/hollybay/balancing/server_selection.py
+++ b/hollybay/balancing/server_selection.py
@@ -74,11 +74,11 @@
         """Build the pools anew: at each review and each list."""
         self.local, self.remote, self.largest_size = self.builder.build(now, self.reporting_peers)
 
-    def schedule_idle(self, server: TrackedServer) -> None:
+    def schedule_idle(self, server: TrackedServer, now: int) -> None:
         """Have a server taken for idle again, once its time has come."""
-        schedule_idle(server, next(self.tie_breaks))
+        schedule_idle(server, now, next(self.tie_breaks))
 
-    def apply_peer_load(self, event: PeerLoad) -> None:
+    def apply_peer_load(self, event: PeerLoad, now: int) -> None:
         """Take in what other nodes have in flight: each node knows then which servers are idle."""
         self.reporting_peers = event.nodes
         for server_id, in_flight in event.in_flight.items():
@@ -90,7 +90,7 @@
             if server.in_flight:
                 remove_from_idle(server)
             else:
-                self.schedule_idle(server)
+                self.schedule_idle(server, now)
 
     def eject(self, server: TrackedServer) -> None:
         """Stop sending to a server, until a review finds its ejection over."""
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -39,6 +39,7 @@
         "test_admin_requests",
         "test_attempt_tracking",
         "test_balancer",
+        "test_balancer_records",
         "test_slow_start_many_nodes",
         "test_balancer_many_nodes",
         "test_group_commit",
@@ -74,6 +75,7 @@
 LONG = frozenset(
     {
         "TestQueueMachine::runTest",
+        "test_servers_idle_index_and_attempts_agree_after_every_event",
         "test_any_tables_are_read_or_refused",
         "test_a_plan_after_changes_is_that_of_a_whole_compile",
         "test_each_planted_defect_is_found",
--- a/tests/test_attempt_tracking.py
+++ b/tests/test_attempt_tracking.py
@@ -46,3 +46,16 @@
         check_records(node)
         node.give(api.RequestCompleted(2 * left_out + 1))
         check_records(node)
+
+
+# Guards against: a server that fails uploads before their last byte, and is idle for each next one.
+def test_a_server_that_fails_while_a_body_is_coming_is_not_idle_for_the_next_request() -> None:
+    node = harness()
+    node.ask(1, 1, body_pending=True)
+    failed = node.books[1].attempts[0].server
+    node.answer(1, 0, api.Result.NOT_DELIVERED)
+    check_records(node)
+    node.sent.clear()
+    for rid in range(2, 30):
+        node.ask(rid, 1, body_pending=True)
+    assert failed not in {server for _, _, server in node.sent}
