A request whose body is still coming is not hedged

What callers saw: a failure where a retry was left. The hedge could not be sent, but counted as an attempt and charged the node's hedges and the route's budget.

Cause: Hedging.pick did not ask whether the body is complete; the dispatcher answers NOT_SENT while an attempt takes the body.

Evidence: the new test saw two attempts of such a request before, one now; a request without a body is hedged as before.

--- a/hollybay/balancing/hedging.py
+++ b/hollybay/balancing/hedging.py
@@ -56,7 +56,9 @@
     def pick(self, request: TrackedRequest, now: int) -> TrackedServer | None:
         """Return the server of a request's hedge, and charge the budgets for it; None for no hedge."""
         policy = self.retry_policy
-        if request.in_flight_attempts != 1 or request.streaming or policy.hedge_tokens < 1.0:
+        if request.in_flight_attempts != 1 or policy.hedge_tokens < 1.0:
+            return None
+        if request.body_pending or request.streaming:
             return None
         if self.estimates.loss_share > MAX_LOSS_SHARE:
             return None
--- a/tests/test_attempt_tracking.py
+++ b/tests/test_attempt_tracking.py
@@ -59,3 +59,17 @@
     for rid in range(2, 30):
         node.ask(rid, 1, body_pending=True)
     assert failed not in {server for _, _, server in node.sent}
+
+
+# Guards against: a hedge of a body that one attempt is still taking: it cannot be sent and uses up a retry.
+def test_a_request_whose_body_is_coming_is_not_hedged() -> None:
+    node = harness(hedging_allowed=True)
+    limits = api.Limits(hedges=1, hedge_delay=30 * MS)
+    for rid in range(10):  # the node earns its hedges by requests
+        node.ask(rid)
+        node.answer(rid, 0)
+    node.ask(20, limits=limits, body_pending=True)
+    node.ask(21, limits=limits)
+    node.run_to(node.now + 100 * MS)
+    assert len(node.books[20].attempts) == 1
+    assert len(node.books[21].attempts) == 2
