Simulation: the balancer's records are checked after every event, with two defects for it

The invariant of tests/test_balancer_records.py (servers, idle index and attempts agree) stands in record_fault alone; the simulation now reports it as "records" after each event of each node.

--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -34,6 +34,7 @@
 POOL_BUILDER = "hollybay/balancing/pool_builder.py"
 RETRIES = "hollybay/balancing/retries.py"
 SLOW_START = "hollybay/balancing/slow_start.py"
+STATE = "hollybay/balancing/state.py"
 REQUEST_DISPATCHER = "hollybay/proxy/request_dispatcher.py"
 POOLS = "hollybay/proxy/upstream/pools.py"
 ATTEMPT = "hollybay/proxy/upstream/attempt.py"
@@ -131,6 +132,18 @@
         "self.shed_share += WINDOW_WEIGHT * (share - self.shed_share)",
         "self.shed_share = max(self.shed_share, share)",
     ),
+    Defect(
+        "deleted-under-an-upload",
+        STATE,
+        "self.state == ServerState.GONE and not self.open_attempts and not self.in_flight",
+        "self.state == ServerState.GONE and not self.in_flight",
+    ),
+    Defect(
+        "idle-again-too-soon",
+        ATTEMPT_TRACKING,
+        "self.selector.schedule_idle(server, now)  # one whose body is pending has left it listed",
+        "pass",
+    ),
     Defect(
         "held-for-ever",
         ATTEMPT_TRACKING,
--- a/hollybay/simulation/watch.py
+++ b/hollybay/simulation/watch.py
@@ -51,6 +51,7 @@
     "route": "more attempts than the operator's file allows a route",
     "config": "an operator file in force that would break a rule",
     "budget": "a budget, a count or the descriptors beyond their limits",
+    "records": "servers, idle index and attempts of the balancer that disagree after an event",
     "rest": "something held at rest, or after the end",
     "live": "nothing is served once the faults are over",
     "process": "an exception that nobody handled, or a node that ended by itself",
--- a/hollybay/testbed/__init__.py
+++ b/hollybay/testbed/__init__.py
@@ -12,6 +12,7 @@
 
 Rules
     rules                   the four rules as pure functions
+    balancer_invariants     what agrees in a balancer's records after every event
     ledger                  what happened to each request, server and list, and the verdict over it
 
 Nodes under test
