Testbed: discovery writes nothing to a watch whose caller has gone, and ends with its conversations

What was seen: RuntimeError ("the handler is closed") past the connection of the fake discovery, 5 times in 51 starts and ends of a node, which hides what a test means to see.

Cause: a watch waits for a change, and the answer was written whether or not the connection was still there; under uvloop a write to one that was reset raises. A connection that waited when the listener was stopped was left behind, too ("Task was destroyed but it is pending" at the end of a run).

Evidence: the new test (a watch reset, then a change) saw five exceptions of five before, none now.

--- a/hollybay/testbed/discovery_agent.py
+++ b/hollybay/testbed/discovery_agent.py
@@ -88,6 +88,8 @@
             self.calls += 1
             self.note()
             since = await self._wait_for_change(head)
+            if writer.is_closing():  # its caller has gone meanwhile
+                return
             listing = self.listing(since if since <= self.version else WHOLE_LIST)
             writer.write(encode_ok(json.dumps(listing).encode()))
             self._note_told(listing["servers"])
--- a/hollybay/testbed/listener.py
+++ b/hollybay/testbed/listener.py
@@ -40,6 +40,7 @@
         self.changed = asyncio.Event()
         self.writers: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
+        self._conversations: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -50,11 +51,14 @@
         self.accepted += 1
         self.writers.append(writer)
         self.note()
+        conversation = asyncio.ensure_future(self.talk(reader, writer))
+        self._conversations.add(conversation)
         try:
-            await self.talk(reader, writer)
+            await conversation
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
+            self._conversations.discard(conversation)
             writer.close()
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -76,6 +80,8 @@
         """Take no new connection and end the open ones."""
         if self._server is not None:
             self._server.close()
+        for conversation in self._conversations:
+            conversation.cancel()
         for writer in self.writers:
             writer.transport.abort()
 
--- /dev/null
+++ b/tests/test_discovery_agent.py
@@ -0,0 +1,57 @@
+"""The fake discovery agent."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Any
+
+import pytest
+
+from hollybay.testbed.discovery_agent import DiscoveryAgent
+from hollybay.testbed.fake_server import FakeServer
+from hollybay.testbed.ledger import Ledger, RuleLimits
+from hollybay.testbed.scene import KINDS
+
+WATCH = b"GET /registry/instances?index=%d&wait=5000 HTTP/1.1\r\nHost: discovery\r\n\r\n"
+
+
+async def started() -> tuple[DiscoveryAgent, FakeServer]:
+    ledger = Ledger(RuleLimits((), 0, 0.5, 0))
+    server = FakeServer("s-1", KINDS[0], ledger, lambda target, chance: 0.0)
+    agent = DiscoveryAgent(ledger, [server])
+    await agent.start()
+    agent.publish()
+    return agent, server
+
+
+async def connect(agent: DiscoveryAgent) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = agent.address.partition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+# Guards against: an exception past the connection of a node that ended while its watch was open.
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_change_after_the_caller_of_a_watch_has_gone_is_written_to_nobody(reset: bool) -> None:
+    async def play() -> list[dict[str, Any]]:
+        raised: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: raised.append(context))
+        agent, server = await started()
+        for _ in range(5):
+            _, writer = await connect(agent)
+            writer.write(WATCH % agent.version)
+            known = agent.calls
+            await agent.until(lambda known=known: agent.calls > known)  # type: ignore[misc]
+            if reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            writer.close()
+            await asyncio.sleep(0.02)
+            agent.publish(server)
+            await asyncio.sleep(0.02)
+        await agent.stop()
+        await asyncio.sleep(0)
+        return raised
+
+    assert asyncio.run(play()) == []
