Testbed: discovery that is down answers no call, also none for the whole list

What was seen: a node that was to have no list yet got one, and served 295 requests.

Cause: the wait while down stood in the wait for a change, which a call for the whole list does not make.

Evidence: the new test got an answer before for the whole list, none now; 108 tests that use the agent pass.

--- a/hollybay/testbed/discovery_agent.py
+++ b/hollybay/testbed/discovery_agent.py
@@ -88,6 +88,7 @@
             self.calls += 1
             self.note()
             since = await self._wait_for_change(head)
+            await self._wait_while_down()
             if writer.is_closing():  # its caller has gone meanwhile
                 return
             listing = self.listing(since if since <= self.version else WHOLE_LIST)
@@ -105,12 +106,14 @@
         return since
 
     async def _wait_until_newer(self, since: int, wait_s: float) -> None:
-        """Wait until there is something newer than that, or the wait is over; for ever while down."""
+        """Wait until there is something newer than that, or the wait is over."""
         newer = asyncio.ensure_future(self.until(lambda: self.version > since and not self.down))
         try:
             await asyncio.wait({newer}, timeout=wait_s)
         finally:
             newer.cancel()
+
+    async def _wait_while_down(self) -> None:
         while self.down:
             self.changed.clear()
             await self.changed.wait()
--- a/tests/test_discovery_agent.py
+++ b/tests/test_discovery_agent.py
@@ -1,4 +1,4 @@
-"""The fake discovery agent."""
+"""The fake discovery agent: what it does while it is down, and where its caller has gone."""
 
 from __future__ import annotations
 
@@ -12,9 +12,11 @@
 from hollybay.testbed.discovery_agent import DiscoveryAgent
 from hollybay.testbed.fake_server import FakeServer
 from hollybay.testbed.ledger import Ledger, RuleLimits
+from hollybay.testbed.listener import read_message
 from hollybay.testbed.scene import KINDS
 
 WATCH = b"GET /registry/instances?index=%d&wait=5000 HTTP/1.1\r\nHost: discovery\r\n\r\n"
+WHOLE = b"GET /registry/instances HTTP/1.1\r\nHost: discovery\r\n\r\n"
 
 
 async def started() -> tuple[DiscoveryAgent, FakeServer]:
@@ -55,3 +57,24 @@
         return raised
 
     assert asyncio.run(play()) == []
+
+
+# Guards against: runs that mean to have no list and get one, as a call for the whole list was answered.
+@pytest.mark.parametrize("call", [WHOLE, WATCH % 0])
+def test_while_it_is_down_it_answers_no_call(call: bytes) -> None:
+    async def play() -> None:
+        agent, _ = await started()
+        agent.down = True
+        reader, writer = await connect(agent)
+        writer.write(call)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(read_message(reader), 0.1)
+        writer.transport.abort()
+        _, second = await connect(agent)
+        second.write(call)
+        await agent.until(lambda: agent.calls == 2)
+        agent.down = False
+        agent.publish()
+        await agent.stop()
+
+    asyncio.run(play())
