--- a/hollybay/balancing/endpoints.py
+++ b/hollybay/balancing/endpoints.py
@@ -111,10 +111,15 @@
         if up_since + self.settings.warm_up > now:
             server.slow_start_send_at = -1
 
-    def _remove_gone(self) -> None:
-        for server in [server for server in self.servers.values() if server.is_removable]:
+    def remove_if_gone(self, server: TrackedServer) -> None:
+        """Forget a server that is gone, once no attempt refers to it any more."""
+        if server.state == ServerState.GONE and not server.open_attempts and not server.in_flight:
             del self.servers[server.id]
 
+    def _remove_gone(self) -> None:
+        for server in list(self.servers.values()):
+            self.remove_if_gone(server)
+
     def update_freshness(self, now: int) -> float:
         """Renew `stale`, and return the share (0 to 1) of reported loads that still counts.
 
--- a/hollybay/balancing/state.py
+++ b/hollybay/balancing/state.py
@@ -118,11 +118,6 @@
         # When (ns) each tenant that it rejects may be sent there again
         self.rejected_tenants: dict[int, int] = {}
 
-    @property
-    def is_removable(self) -> bool:
-        """Whether it is gone, and no attempt refers to it any more."""
-        return self.state == ServerState.GONE and not self.open_attempts and not self.in_flight
-
 
 class SpeedClass:
     """Servers of about one speed, in local or in remote zones, with the list of the idle ones.
--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -34,7 +34,6 @@
 POOL_BUILDER = "hollybay/balancing/pool_builder.py"
 RETRIES = "hollybay/balancing/retries.py"
 SLOW_START = "hollybay/balancing/slow_start.py"
-STATE = "hollybay/balancing/state.py"
 REQUEST_DISPATCHER = "hollybay/proxy/request_dispatcher.py"
 POOLS = "hollybay/proxy/upstream/pools.py"
 ATTEMPT = "hollybay/proxy/upstream/attempt.py"
@@ -134,9 +133,9 @@
     ),
     Defect(
         "deleted-under-an-upload",
-        STATE,
-        "self.state == ServerState.GONE and not self.open_attempts and not self.in_flight",
-        "self.state == ServerState.GONE and not self.in_flight",
+        ENDPOINTS,
+        "if server.state == ServerState.GONE and not server.open_attempts and not server.in_flight:",
+        "if server.state == ServerState.GONE and not server.in_flight:",
     ),
     Defect(
         "idle-again-too-soon",
