Testbed: a soak of ends over real processes, drawn from seeds; a short part of it in the suite

It checks the four rules by the ledger, connections closed without an answer, attempts for clients that have left, refused connects, exit status, log, descriptors and memory. One command replays a seed.

--- /dev/null
+++ b/hollybay/mutation/soak_defects.py
@@ -0,0 +1,81 @@
+"""Defects of the end of a node, and the seeds of the soak that find them.
+
+`python -m hollybay.mutation.soak_defects` plays ten seeds of the soak on a copy of the code with each defect,
+and prints which of them break a rule.
+"""
+
+from __future__ import annotations
+
+import sys
+
+from .planted import LISTENER, Defect
+from .tree import mutated_copy, run_in
+
+__all__ = ["SOAK_DEFECTS", "is_found_by", "seeds_that_find"]
+
+SHUTDOWN = "hollybay/proxy/shutdown.py"
+SEEDS = range(10)
+SEED_TIMEOUT_S = 60.0
+
+SOAK_DEFECTS = (
+    Defect(
+        "no-last-answers",
+        SHUTDOWN,
+        "    dispatcher.end_all_requests()\n",
+        "",
+    ),
+    Defect(
+        "listens-no-longer",
+        SHUTDOWN,
+        "    await asyncio.sleep(accept_period_s)\n",
+        "    await asyncio.sleep(0.0 * accept_period_s)\n",
+    ),
+    Defect(
+        "ends-too-late",
+        SHUTDOWN,
+        "KILL_MARGIN_S = 0.3",
+        "KILL_MARGIN_S = -0.3",
+    ),
+    Defect(
+        "connections-cut",
+        SHUTDOWN,
+        "        clients.close_idle()\n",
+        "        for conn in list(clients.connections):\n            conn.abort()\n",
+    ),
+    Defect(
+        "room-by-force",
+        LISTENER,
+        "        for conn in self.overdue(self.idle, now - self.phase_timeouts.idle):\n",
+        "        for conn in list(self.connections):\n            conn.abort()\n",
+    ),
+)
+
+
+def seeds_that_find(defect: Defect, seeds: range) -> list[int]:
+    """Return the seeds of the soak that break a rule on a copy of the code with a defect."""
+    found = []
+    with mutated_copy(defect.path, defect.old, defect.new) as tree:
+        for seed in seeds:
+            status, _ = run_in(tree, ["-m", "hollybay.testbed.soak", str(seed)], SEED_TIMEOUT_S)
+            if status != 0:
+                found.append(seed)
+    return found
+
+
+def is_found_by(defect: Defect, seed: int) -> bool:
+    """Whether one seed of the soak finds a defect."""
+    return bool(seeds_that_find(defect, range(seed, seed + 1)))
+
+
+def main() -> int:
+    """Play all; 1 if a defect is found by no seed."""
+    missed = 0
+    for defect in SOAK_DEFECTS:
+        found = seeds_that_find(defect, SEEDS)
+        missed += not found
+        print(f"{defect.name}: seeds {found or 'NONE'} of {SEEDS.start}..{SEEDS.stop - 1}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hollybay/testbed/__init__.py
+++ b/hollybay/testbed/__init__.py
@@ -8,6 +8,7 @@
     client_request          kinds of requests, their bytes, one on its way
     discovery_agent         the discovery agent of the platform's protocol
     scene                   all of them in the usual make-up
+    loop_lateness           how late the loop of this process is
     listener                a scripted TCP server, the base of some of them
 
 Rules
--- a/hollybay/testbed/load_generator.py
+++ b/hollybay/testbed/load_generator.py
@@ -19,7 +19,7 @@
 from .fake_server import body_for
 from .ledger import FinalOutcome, Ledger, RequestEntry
 
-__all__ = ["LoadGenerator"]
+__all__ = ["LoadGenerator", "final_outcome"]
 
 STATUS_SERVED = 200
 STATUSES_REFUSED = (429, 503)
@@ -29,6 +29,14 @@
 ANSWERED = (FinalOutcome.SERVED, FinalOutcome.REFUSED, FinalOutcome.FAILED, FinalOutcome.WRONG)
 
 
+def final_outcome(ledger: Ledger, entry: RequestEntry, response: Response) -> FinalOutcome:
+    """What an answer says became of a request."""
+    if response.status == STATUS_SERVED:
+        bodies = (body_for(entry.id, server) for server in ledger.starts)
+        return FinalOutcome.SERVED if response.body in bodies else FinalOutcome.WRONG
+    return FinalOutcome.REFUSED if response.status in STATUSES_REFUSED else FinalOutcome.FAILED
+
+
 @dataclass
 class LoadGenerator:
     """An open stream of requests to one or several nodes.
@@ -232,7 +240,7 @@
             self.idle.setdefault(connection.port, []).append(connection)
         elif connection.transport is not None:
             connection.transport.close()
-        final = self._final_of(request, response)
+        final = final_outcome(self.ledger, request.entry, response)
         self._end(request, final, at, response.status, response.retry_after_s)
         if final is FinalOutcome.REFUSED and not request.is_retry and self.random.random() < self.retries:
             pause_s = self.pause if response.retry_after_s is None else response.retry_after_s
@@ -247,13 +255,6 @@
             at = min(at, now - self._own_delay_ns(request))
         return at
 
-    def _final_of(self, request: ClientRequest, response: Response) -> FinalOutcome:
-        """What an answer says became of a request."""
-        if response.status == STATUS_SERVED:
-            bodies = (body_for(request.entry.id, server) for server in self.ledger.starts)
-            return FinalOutcome.SERVED if response.body in bodies else FinalOutcome.WRONG
-        return FinalOutcome.REFUSED if response.status in STATUSES_REFUSED else FinalOutcome.FAILED
-
     def connection_broken(self, request: ClientRequest, received: bytes) -> None:
         """A connection ended under a request. One that the node closed between two may have crossed it."""
         if not request.on_new_connection and not received and not request.entry.arrived:
--- a/hollybay/testbed/process.py
+++ b/hollybay/testbed/process.py
@@ -1,7 +1,8 @@
 """A real node as a process of its own, on a port of the kernel's choice.
 
-`python -m hollybay.testbed.process` runs the node of `hollybay.proxy` unchanged, but for the port: 0 in place
-of the configured one, told on standard output once the node listens.
+`python -m hollybay.testbed.process` runs the node of `hollybay.proxy` unchanged, but for the port: that of
+the environment variable `TESTBED_PORT`, or 0, in place of the configured one, told on standard output once
+the node listens.
 """
 
 from __future__ import annotations
@@ -15,11 +16,12 @@
 from pathlib import Path
 from typing import Any
 
-__all__ = ["NodeProcess", "main"]
+__all__ = ["PORT_VARIABLE", "NodeProcess", "main"]
 
 START_LIMIT_S = 20.0
 LOG_TAIL_CHARACTERS = 2000  # of the log, in the error of a node that did not start
 EXIT_INVALID_CONFIG = 2
+PORT_VARIABLE = "TESTBED_PORT"
 
 
 class NodeProcess:
@@ -31,6 +33,8 @@
         The object that BALANCER_CONFIG names a file of.
     folder
         Where its configuration and its log go.
+    log_name
+        Name of the log in the folder.
     environ
         Environment variables, beside those of this process.
 
@@ -40,10 +44,12 @@
         Where it listens; 0 before its start.
     """
 
-    def __init__(self, config: dict[str, Any], folder: Path, **environ: str) -> None:
+    def __init__(
+        self, config: dict[str, Any], folder: Path, log_name: str = "node.log", **environ: str
+    ) -> None:
         self.config = config
         self.path = folder / "config.json"
-        self.log = folder / "node.log"
+        self.log = folder / log_name
         self.environ = environ
         self.port = 0
         self._process: asyncio.subprocess.Process | None = None
@@ -93,6 +99,21 @@
         pages = int(Path(f"/proc/{self.pid}/statm").read_text().split()[1])
         return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
 
+    def descriptors(self) -> int:
+        """How many file descriptors it holds."""
+        return len(os.listdir(f"/proc/{self.pid}/fd"))
+
+    @property
+    def exit_status(self) -> int | None:
+        """Its exit status; negative: the signal that ended it; None while it runs."""
+        assert self._process is not None
+        return self._process.returncode
+
+    async def wait(self) -> int:
+        """Wait for its end; its exit status."""
+        assert self._process is not None
+        return await self._process.wait()
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send it a signal."""
         assert self._process is not None
@@ -107,7 +128,7 @@
 
 
 def main() -> int:
-    """Run the node that BALANCER_CONFIG names, on a free port.
+    """Run the node that BALANCER_CONFIG names, on the port that the environment names or a free one.
 
     Returns
     -------
@@ -129,7 +150,7 @@
     def started(port: int) -> None:
         print(port, flush=True)
 
-    uvloop.run(serve(config, started=started, port=0))
+    uvloop.run(serve(config, started=started, port=int(os.environ.get(PORT_VARIABLE, "0"))))
     return 0
 
 
--- a/hollybay/testbed/scene.py
+++ b/hollybay/testbed/scene.py
@@ -4,6 +4,7 @@
 
 import random
 from bisect import bisect_right
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import accumulate
 from typing import Any
@@ -118,6 +119,8 @@
         The settings object of the node's configuration.
     memory_mb, sockets
         What the node may use.
+    make_ledger
+        Makes the ledger of these rules.
     """
 
     count: int
@@ -125,10 +128,11 @@
     words: dict[str, Any] = field(default_factory=settings)
     memory_mb: int = 192
     sockets: int = 1024
+    make_ledger: Callable[[RuleLimits], Ledger] = Ledger
 
     def __post_init__(self) -> None:
         self.settings = settings_from_json(self.words)
-        self.ledger = Ledger(RuleLimits.of(self.settings))
+        self.ledger = self.make_ledger(RuleLimits.of(self.settings))
         kinds = usual_kinds(self.count)
         random.Random(self.seed).shuffle(kinds)
         self.servers = [
--- /dev/null
+++ b/hollybay/testbed/soak/clients.py
@@ -0,0 +1,281 @@
+"""Clients that send on every open connection until it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from hollybay.testbed.client_connection import parse_response
+from hollybay.testbed.client_request import RequestMix, encode_request
+from hollybay.testbed.ledger import FinalOutcome, RequestEntry
+from hollybay.testbed.listener import read_message
+from hollybay.testbed.load_generator import final_outcome
+from hollybay.testbed.loop_lateness import LoopLateness
+from hollybay.units import MS, SECOND
+
+from .ledger import SoakLedger
+from .plan import Condition, SoakPlan
+
+__all__ = ["ClientGroup"]
+
+HOST = "127.0.0.1"
+# A request written at most this long before its connection closed may have crossed the close: the slack that
+# the pages give every time limit.
+CROSSING_NS = 50 * MS
+# How long a client waits beyond what the pages allow an answer to be late.
+PATIENCE_S = 1.0
+LEAVE_SHARE = 0.05  # of the requests, where clients leave
+UPLOAD_SHARE = 0.2  # of the requests, where bodies are long
+NEWCOMER_INTERVAL_S = 0.02
+PIPELINED_REQUESTS = (2, 4)
+UPLOAD_BYTES = (70 << 10, 200 << 10)
+UPLOAD_PIECES = 20
+UPLOAD_TIME_S = 1.0  # at the most
+
+
+class ClientGroup:
+    """All clients of one run.
+
+    Parameters
+    ----------
+    plan
+        The run.
+    ledger
+        Where requests and answers are noted.
+    port
+        Where the node listens.
+    mixes
+        Kinds of requests.
+    may_connect
+        Whether new connections are to be opened now.
+    """
+
+    def __init__(
+        self,
+        plan: SoakPlan,
+        ledger: SoakLedger,
+        port: int,
+        mixes: Sequence[RequestMix],
+        may_connect: Callable[[], bool],
+    ) -> None:
+        self.plan = plan
+        self.ledger = ledger
+        self.port = port
+        self.mixes = mixes
+        self.may_connect = may_connect
+        self.sent = 0
+        self.refused_connects = 0
+        self.is_ending = False
+        self.lateness = LoopLateness()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Let all clients begin."""
+        self.lateness.start()
+        for _ in range(self.plan.clients):
+            self._start_one()
+
+    async def keep_coming(self) -> None:
+        """Let further clients come, as long as new connections are to be opened."""
+        while self.may_connect():
+            self._start_one()
+            await asyncio.sleep(NEWCOMER_INTERVAL_S)
+
+    def _start_one(self) -> None:
+        client = _Client(self, random.Random(f"client {self.plan.seed} {len(self.tasks)}"))
+        self.tasks.append(asyncio.ensure_future(client.run()))
+
+    async def finish(self) -> None:
+        """Let all clients end with their next answer, and wait for that."""
+        self.is_ending = True
+        await asyncio.gather(*self.tasks)
+        self.lateness.stop()
+
+    def has(self, condition: Condition) -> bool:
+        """Whether a condition is part of the run."""
+        return condition in self.plan.conditions
+
+
+class _Client:
+    """One client: a connection after the other, on each a request after the other.
+
+    Parameters
+    ----------
+    group
+        All clients of the run.
+    chance
+        Its own source of chance.
+    """
+
+    def __init__(self, group: ClientGroup, chance: random.Random) -> None:
+        self.group = group
+        self.ledger = group.ledger
+        self.chance = chance
+        self.is_first_use = True
+
+    async def run(self) -> None:
+        """Open connections and use each until it ends, as long as new ones are to be opened."""
+        while self.group.may_connect():
+            try:
+                reader, writer = await asyncio.open_connection(HOST, self.group.port)
+            except OSError:
+                if self.group.may_connect():
+                    self.group.refused_connects += 1
+                return
+            self.is_first_use = True
+            try:
+                while await self._exchange(reader, writer) and not self.group.is_ending:
+                    self.is_first_use = False
+                    await asyncio.sleep(self.chance.uniform(0.0, self.group.plan.pause_s))
+            finally:
+                writer.transport.abort()
+
+    async def _exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Send one or several requests and read their answers; whether the connection can be used again."""
+        if reader.at_eof():
+            return False
+        if self.group.has(Condition.UPLOADS) and self.chance.random() < UPLOAD_SHARE:
+            return await self._upload(reader, writer)
+        count = self.chance.randint(*PIPELINED_REQUESTS) if self.group.has(Condition.PIPELINED) else 1
+        entries = []
+        for _ in range(count):
+            entry, data = self._ask(self.chance.choice(self.group.mixes))
+            entries.append(entry)
+            writer.write(data)
+        return await self._read_answers(reader, entries)
+
+    def _ask(self, mix: RequestMix, body: bytes | None = None) -> tuple[RequestEntry, bytes]:
+        """Note a request; its entry and its bytes, without its body where that is given."""
+        self.group.sent += 1
+        request_id = f"soak-{self.group.plan.seed}-{self.group.sent}"
+        request_class = self.ledger.limits.classes[mix.cls]
+        tenant = self.chance.choice(mix.tenants)
+        now = time.monotonic_ns()
+        entry = self.ledger.asked(request_id, mix.cls, now, now + request_class.deadline, tenant)
+        data = encode_request(request_id, request_class, mix, tenant, is_retry=False)
+        data = data % (request_class.deadline // MS)
+        if body is not None:
+            head, _, _ = data.partition(b"\r\n\r\n")
+            lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")]
+            data = b"\r\n".join((*lines, b"Content-Length: %d" % len(body), b"\r\n"))
+        return entry, data
+
+    async def _upload(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Send a request with a long body in pieces; an answer may come before its end."""
+        mix = next(mix for mix in self.group.mixes if mix.cls)  # one that has a body
+        body = bytes(self.chance.randint(*UPLOAD_BYTES))
+        entry, head = self._ask(mix, body)
+        # Nobody has taken it before its last byte.
+        deadline, entry.deadline = entry.deadline - entry.at, entry.deadline + 60 * SECOND
+        writer.write(head)
+        answer = asyncio.ensure_future(read_message(reader))
+        size = -(-len(body) // UPLOAD_PIECES)
+        pause_s = self.chance.uniform(0.0, UPLOAD_TIME_S / UPLOAD_PIECES)
+        for start in range(0, len(body), size):
+            await asyncio.sleep(pause_s)
+            if answer.done() or writer.transport.is_closing():
+                break
+            writer.write(body[start : start + size])
+        else:
+            entry.at = time.monotonic_ns()
+            entry.deadline = entry.at + deadline
+            return await self._take_answer(
+                answer, [entry], time.monotonic_ns(), self.group.lateness.until_now_ns()
+            )
+        return await self._end_upload_early(answer, entry)
+
+    async def _end_upload_early(self, answer: asyncio.Task[tuple[bytes, bytes]], entry: RequestEntry) -> bool:
+        """Take what came before the last byte of a body: nobody has taken that request."""
+        try:
+            head, body = await asyncio.wait_for(answer, PATIENCE_S)
+        except (OSError, EOFError, TimeoutError):
+            entry.excused = True
+            return False
+        self._note_answer(entry, head, body)
+        return False
+
+    async def _read_answers(self, reader: asyncio.StreamReader, entries: list[RequestEntry]) -> bool:
+        """Read the answers of requests that were written together."""
+        written_at, late_before = time.monotonic_ns(), self.group.lateness.until_now_ns()
+        for number, entry in enumerate(entries):
+            # One that lies behind others is due at once when they are answered, however late that is.
+            entry.deadline = max(entry.deadline, time.monotonic_ns())
+            answer = asyncio.ensure_future(read_message(reader))
+            if not await self._take_answer(answer, entries[number:], written_at, late_before):
+                return False
+        return True
+
+    async def _take_answer(
+        self,
+        answer: asyncio.Task[tuple[bytes, bytes]],
+        entries: list[RequestEntry],
+        written_at: int,
+        late_before: int,
+    ) -> bool:
+        """Take the answer of the first of these requests; whether the connection stays open.
+
+        Parameters
+        ----------
+        answer
+            Reads it.
+        entries
+            The requests that have no answer yet.
+        written_at, late_before
+            When (ns) they were written, and how late (ns) this loop had been in all by then.
+        """
+        entry = entries[0]
+        if self.group.has(Condition.LEAVING_CLIENTS) and self.chance.random() < LEAVE_SHARE:
+            await self._leave(answer, entries)
+            return False
+        limit_s = (entry.deadline - time.monotonic_ns() + self.ledger.limits.late) / SECOND + PATIENCE_S
+        try:
+            head, body = await asyncio.wait_for(answer, limit_s)
+        except TimeoutError:
+            self.ledger.answered(entry.id, FinalOutcome.SILENT, time.monotonic_ns())
+            for rest in entries[1:]:
+                rest.excused = True  # they were never due
+            return False
+        except (OSError, EOFError) as error:
+            self._closed(entries, written_at, late_before, getattr(error, "partial", b""))
+            return False
+        closes = self._note_answer(entry, head, body)
+        for rest in entries[1:] if closes else ():
+            self.ledger.closed_unread(rest.id, time.monotonic_ns())  # the node said that it reads no further
+        return not closes
+
+    async def _leave(self, answer: asyncio.Task[tuple[bytes, bytes]], entries: list[RequestEntry]) -> None:
+        """Leave while the answer is awaited."""
+        await asyncio.wait({answer}, timeout=self.chance.uniform(0.0, 0.05))
+        answer.cancel()
+        await asyncio.gather(answer, return_exceptions=True)
+        for entry in entries:
+            self.ledger.left(entry.id, time.monotonic_ns())
+
+    def _note_answer(self, entry: RequestEntry, head: bytes, body: bytes) -> bool:
+        """Note an answer; whether the node closes the connection after it."""
+        response = parse_response(head + body)
+        assert response is not None
+        outcome = final_outcome(self.ledger, entry, response)
+        now = time.monotonic_ns()
+        self.ledger.answered(entry.id, outcome, now, response.status, response.retry_after_s)
+        return not response.keeps_alive
+
+    def _closed(self, entries: list[RequestEntry], written_at: int, late_before: int, partial: bytes) -> None:
+        """Note requests whose connection was closed before their answer."""
+        now = time.monotonic_ns()
+        own_lateness_ns = self.group.lateness.until_now_ns() - late_before
+        crossed = now - written_at <= CROSSING_NS + own_lateness_ns
+        shut_for_the_crowd = self.is_first_use and self.group.has(Condition.CROWD)
+        for entry in entries:
+            if not partial and (crossed or shut_for_the_crowd):
+                self.ledger.closed_unread(entry.id, now)
+            else:
+                self.ledger.broke_off(entry.id, now, self._describe(now - written_at, partial))
+
+    def _describe(self, age_ns: int, partial: bytes) -> str:
+        """Tell how a connection was closed under a request of so much age."""
+        use = "its first use" if self.is_first_use else "a later use"
+        came = f"{len(partial)} bytes of an answer" if partial else "no byte of an answer"
+        return f"closed {age_ns / MS:.0f} ms after it was written, on {use} of the connection, with {came}"
--- /dev/null
+++ b/hollybay/testbed/soak/run.py
@@ -0,0 +1,337 @@
+"""Plays one run of the soak, and judges it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import socket
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from hollybay.testbed.discovery_agent import DiscoveryAgent
+from hollybay.testbed.ledger import RuleLimits, Violation
+from hollybay.testbed.listener import request_once
+from hollybay.testbed.process import PORT_VARIABLE, NodeProcess
+from hollybay.testbed.scene import CLASSES, Scene, settings
+from hollybay.units import MS
+
+from .clients import ClientGroup
+from .crowd import Crowd
+from .ledger import SoakLedger
+from .plan import Condition, SoakPlan
+
+__all__ = ["SoakResult", "play"]
+
+HOST = "127.0.0.1"
+# The pages: up to half a second after its deadline an answer only earns nothing.
+LATE_NS = 500 * MS
+# The pages: SIGKILL comes this long after the longest deadline, of which so much counts at the most.
+KILL_DELAY_S = 0.7
+MAX_DEADLINE_S = 3.0
+READY_LIMIT_S = 10.0
+READY_POLL_S = 0.02
+SAMPLE_INTERVAL_S = 0.05
+# How much more of each a node may hold at its end than before the crowd came.
+MAX_MORE_DESCRIPTORS = 8
+DESCRIPTORS_PER_CLIENT = 2  # its connection, and one to a server
+MAX_MORE_MEMORY_MB = 8.0
+DESCRIPTORS = 256
+CROWD_SIZE = 2 * DESCRIPTORS
+OPERATOR_ROUTES = 400
+HEALTH_REQUEST = b"GET /health/ready HTTP/1.1\r\nHost: soak\r\n\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a run showed.
+
+    Attributes
+    ----------
+    plan
+        The run.
+    violations
+        What was broken.
+    ends
+        How many requests ended in which way.
+    crossed
+        Requests that crossed the close of their connection.
+    ended_after_s
+        Time from the first SIGTERM to the end of the process.
+    """
+
+    plan: SoakPlan
+    violations: tuple[Violation, ...]
+    ends: dict[str, int]
+    crossed: int
+    ended_after_s: float
+
+    def __str__(self) -> str:
+        ends = ", ".join(f"{count} {name}" for name, count in sorted(self.ends.items()))
+        lines = [
+            f"{self.plan}",
+            f"  ended after {self.ended_after_s:.2f} s; {ends}, {self.crossed} crossed a close",
+        ]
+        lines += [f"  BROKEN {one.rule}: {one.subject}: {one.reason}" for one in self.violations]
+        return "\n".join(lines)
+
+
+async def play(plan: SoakPlan, folder: Path) -> SoakResult:
+    """Play a run in an empty folder."""
+    with reserved_port() as port, reserved_port() as admin_port, reserved_port() as other_admin_port:
+        run = _Run(plan, folder, port, (admin_port, other_admin_port))
+        await run.begin()
+        try:
+            await run.end_node()
+        finally:
+            await run.stop()
+        return run.result()
+
+
+@contextmanager
+def reserved_port() -> Iterator[int]:
+    """A port that nobody else gets, on which node processes can listen one beside the other."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((HOST, 0))
+        yield int(sock.getsockname()[1])
+
+
+@dataclass(frozen=True, slots=True)
+class _Sample:
+    """What a node process holds at one time."""
+
+    descriptors: int
+    memory_mb: float
+
+
+class _Run:
+    """One run under way.
+
+    Parameters
+    ----------
+    plan, folder, port
+        The run, where its files go, and where the node listens.
+    admin_ports
+        Those of the node and of its successor.
+    """
+
+    def __init__(self, plan: SoakPlan, folder: Path, port: int, admin_ports: tuple[int, int]) -> None:
+        self.plan = plan
+        self.folder = folder
+        self.port = port
+        self.admin_ports = admin_ports
+        self.violations: list[Violation] = []
+        self.scene = Scene(
+            plan.servers,
+            seed=plan.seed,
+            words=settings(categories=_classes(plan)),
+            sockets=DESCRIPTORS,
+            make_ledger=lambda limits: SoakLedger(_late_limits(limits)),
+        )
+        assert isinstance(self.scene.ledger, SoakLedger)
+        self.ledger: SoakLedger = self.scene.ledger
+        self.other_agent = DiscoveryAgent(self.ledger, self.scene.servers)
+        self.clients = ClientGroup(plan, self.ledger, port, self.scene.mixes(), self._may_connect)
+        self.crowd = Crowd(port, CROWD_SIZE)
+        self.node: NodeProcess
+        self.successor: NodeProcess | None = None
+        self.term_at: float | None = None
+        self.ended_after_s = 0.0
+        self.before = _Sample(0, 0.0)
+        self.last = _Sample(0, 0.0)
+
+    def _has(self, condition: Condition) -> bool:
+        return condition in self.plan.conditions
+
+    def _may_connect(self) -> bool:
+        """Whether clients are to open new connections now."""
+        if self.term_at is None:
+            return True
+        return time.monotonic() < self.term_at + self.plan.connects_after_term_s
+
+    # The beginning
+
+    async def begin(self) -> None:
+        """Start servers, discovery, the node and its clients, and let them run."""
+        await self.scene.start()
+        await self.other_agent.start()
+        self.other_agent.publish()
+        if self._has(Condition.NO_LIST):
+            self._silence_discovery()
+        if self._has(Condition.RELOAD):
+            self._write_operator_file(0)
+        self.node = self._node_process("node.log", self.admin_ports[0])
+        await self.node.start()
+        if not self._has(Condition.NO_LIST):
+            await self._wait_until_ready()
+        self.clients.start()
+        await asyncio.sleep(self.plan.traffic_s)
+        self.before = self._sample()
+        if self._has(Condition.CROWD):
+            self.crowd.start()
+            await asyncio.sleep(self.plan.traffic_s)
+        if self._has(Condition.SUCCESSOR):
+            self.successor = self._node_process("successor.log", self.admin_ports[1])
+            await self.successor.start()
+
+    def _node_process(self, log_name: str, admin_port: int) -> NodeProcess:
+        config = self.scene.config()
+        if self._has(Condition.SUCCESSOR):
+            config["admin"] = f"{HOST}:{admin_port}"
+        environ = {PORT_VARIABLE: str(self.port), "TMPDIR": str(self.folder)}
+        if self._has(Condition.RELOAD):
+            environ["HOLLYBAY_OPERATOR"] = str(self.folder / "operator.toml")
+        return NodeProcess(config, self.folder, log_name, **environ)
+
+    def _write_operator_file(self, version: int) -> None:
+        routes = (
+            f"[[route]]\nname = 'r{number}'\npath.exact = '/view-schedule/{number}'\n"
+            f"limits.in_flight = {1000 + version}\n"
+            for number in range(OPERATOR_ROUTES)
+        )
+        (self.folder / "operator.toml").write_text("".join(routes))
+
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(READY_LIMIT_S):
+            while b" 200 " not in (await request_once(self.port, HEALTH_REQUEST))[0]:
+                await asyncio.sleep(READY_POLL_S)
+
+    def _silence_discovery(self) -> None:
+        self.scene.agent.down = True
+        self.other_agent.down = True
+
+    # The end
+
+    async def end_node(self) -> None:
+        """Send the signals, and wait for the end of the process until it would be killed."""
+        self._strike()
+        newcomers = asyncio.ensure_future(self.clients.keep_coming())
+        for number, timed in enumerate(self.plan.signals):
+            if timed.after_s:
+                await asyncio.sleep(timed.after_s)
+            self._send(timed.number, number)
+        assert self.term_at is not None
+        sampler = asyncio.ensure_future(self._keep_sampling())
+        if not self.plan.crowd_stays:
+            asyncio.get_running_loop().call_later(self.plan.connects_after_term_s, self.crowd.leave)
+        try:
+            async with asyncio.timeout(self.term_at + self._kill_after_s() - time.monotonic()):
+                await self.node.wait()
+        except TimeoutError:
+            self._note("end", "it had not ended by itself when it was killed")
+            await self.node.stop(signal.SIGKILL)
+        self.ended_after_s = time.monotonic() - self.term_at
+        sampler.cancel()
+        await asyncio.gather(sampler, newcomers, return_exceptions=True)
+
+    def _strike(self) -> None:
+        """Let happen what happens beside the end."""
+        if self._has(Condition.SILENT_WATCH):
+            self._silence_discovery()
+        if self._has(Condition.HANGING_SERVERS):
+            for server in self.scene.servers[: round(self.plan.hanging_share * len(self.scene.servers))]:
+                server.cut = True
+        if self._has(Condition.DRAINING_SERVERS):
+            server = self.scene.servers[-1]
+            server.state = "DRAINING"
+            for agent in (self.scene.agent, self.other_agent):
+                agent.publish(server)
+
+    def _send(self, number: signal.Signals, version: int) -> None:
+        """Send a signal; with SIGHUP the configuration names the other discovery."""
+        if number == signal.SIGHUP:
+            self.node.path.write_text(json.dumps({**self.node.config, "discovery": self.other_agent.address}))
+            if self._has(Condition.RELOAD):
+                self._write_operator_file(version)
+        elif self.term_at is None:
+            self.term_at = time.monotonic()
+        if self.node.exit_status is None:
+            self.node.send_signal(number)
+
+    def _kill_after_s(self) -> float:
+        """How long after SIGTERM the node is killed at the earliest."""
+        return min(max(self.plan.deadlines_ms) / 1000, MAX_DEADLINE_S) + KILL_DELAY_S
+
+    def _sample(self) -> _Sample:
+        return _Sample(self.node.descriptors(), self.node.memory_mb())
+
+    async def _keep_sampling(self) -> None:
+        while True:
+            try:
+                self.last = self._sample()
+            except (OSError, IndexError):  # it has ended
+                return
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+    async def stop(self) -> None:
+        """End clients, servers and the successor."""
+        await self.crowd.stop()
+        await self.clients.finish()
+        if self.node.exit_status is None:
+            await self.node.stop(signal.SIGKILL)
+        if self.successor is not None:
+            await self.successor.stop()
+        await self.other_agent.stop()
+        await self.scene.stop()
+
+    # The verdict
+
+    def _note(self, rule: str, reason: str, subject: str = "node") -> None:
+        self.violations.append(Violation(rule, subject, reason))
+
+    def result(self) -> SoakResult:
+        """Judge the run."""
+        self.violations += self.ledger.check().violations
+        self._check_process(self.node)
+        if self.successor is not None:
+            self._check_process(self.successor)
+        if self.clients.refused_connects:
+            self._note("listen", f"{self.clients.refused_connects} new connections were refused")
+        self._check_descriptors()
+        if self.last.memory_mb > self.before.memory_mb + MAX_MORE_MEMORY_MB:
+            self._note("rest", f"{self.last.memory_mb:.0f} MB at the end, {self.before.memory_mb:.0f} before")
+        ends = Counter(
+            "unanswered" if entry.final is None else entry.final.value
+            for entry in self.ledger.requests.values()
+        )
+        return SoakResult(
+            self.plan, tuple(self.violations), dict(ends), self.ledger.crossed, self.ended_after_s
+        )
+
+    def _check_descriptors(self) -> None:
+        """Once a crowd has left, the node holds what it held before, and what clients have come since."""
+        if not self._has(Condition.CROWD) or self.plan.crowd_stays:
+            return
+        newcomers = len(self.clients.tasks) - self.plan.clients
+        most = self.before.descriptors + DESCRIPTORS_PER_CLIENT * newcomers + MAX_MORE_DESCRIPTORS
+        if self.last.descriptors > most:
+            self._note(
+                "rest",
+                f"{self.last.descriptors} descriptors at the end, {self.before.descriptors} before the crowd",
+            )
+
+    def _check_process(self, process: NodeProcess) -> None:
+        subject = process.log.stem
+        if process.exit_status:
+            self._note("end", f"exit status {process.exit_status}", subject)
+        if "Traceback" in process.log.read_text():
+            self._note("end", f"a traceback in {process.log.name}", subject)
+
+
+def _classes(plan: SoakPlan) -> list[dict[str, Any]]:
+    """The classes of the usual scene with the deadlines of a run."""
+    return [
+        {**request_class, "give-up": deadline_ms * MS, "slo": min(request_class["slo"], deadline_ms * MS)}
+        for request_class, deadline_ms in zip(CLASSES, plan.deadlines_ms, strict=True)
+    ]
+
+
+def _late_limits(limits: RuleLimits) -> RuleLimits:
+    return replace(limits, late=LATE_NS)
--- a/tests/groups.py
+++ b/tests/groups.py
@@ -25,7 +25,7 @@
     "test_routes_node",
 )
 # The longest of the other modules, begun next.
-EARLY = ("test_simulation_node", "test_simulation_consensus", "test_planted")
+EARLY = ("test_simulation_node", "test_simulation_consensus", "test_planted", "test_soak")
 # No sockets, no processes, no waiting: `make quick` runs these.
 PURE = frozenset(
     {
