Metrics: edge_balancer_refusal_causes_total tells what rejected requests at once

Needed to trace refusals of other tenants while one floods a route on a busy machine: refused_total does not tell the node's own lateness from load at the servers.

--- a/hollybay/admin/metrics.py
+++ b/hollybay/admin/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from prometheus_client import CollectorRegistry, generate_latest
@@ -36,6 +36,8 @@
         Listed servers that get no requests, drained by operators or avoided by the balancer.
     reloads_ok, reloads_failed
         Configuration reloads by their result.
+    rejection_causes
+        Requests that the balancer rejected at once, by cause.
     """
 
     classes: Sequence[str]
@@ -48,6 +50,7 @@
     servers_excluded: int
     reloads_ok: int
     reloads_failed: int
+    rejection_causes: Mapping[str, int]
 
 
 class MetricsCollector(Collector):
@@ -81,6 +84,10 @@
             "refused", "Requests refused, which a client may try again.", classes, metrics.rejected
         )
         yield _class_counter("failed", "Requests failed.", classes, metrics.failed)
+        causes = metrics.rejection_causes
+        yield _labelled_counter(
+            "refusal_causes", "Requests refused at once, by cause.", "cause", [*causes], [*causes.values()]
+        )
         yield _counter("attempts", "Attempts written whole to servers.", metrics.attempts)
         yield _counter("reloads_ok", "Configurations taken over while running.", metrics.reloads_ok)
         yield _counter("reloads_failed", "Configurations that did not hold.", metrics.reloads_failed)
@@ -96,9 +103,15 @@
 def _class_counter(
     name: str, documentation: str, classes: Sequence[str], counts: Sequence[int]
 ) -> CounterMetricFamily:
-    family = CounterMetricFamily(PREFIX + name, documentation, labels=("class",))
-    for class_name, count in zip(classes, counts, strict=True):
-        family.add_metric((class_name,), count)
+    return _labelled_counter(name, documentation, "class", classes, counts)
+
+
+def _labelled_counter(
+    name: str, documentation: str, label: str, values: Sequence[str], counts: Sequence[int]
+) -> CounterMetricFamily:
+    family = CounterMetricFamily(PREFIX + name, documentation, labels=(label,))
+    for value, count in zip(values, counts, strict=True):
+        family.add_metric((value,), count)
     return family
 
 
--- a/hollybay/balancing/load_shedding.py
+++ b/hollybay/balancing/load_shedding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from math import inf
 from random import Random
 
@@ -17,7 +18,7 @@
 from .queueing_delay import QueueingDelay
 from .state import TrackedRequest, TrackedServer
 
-__all__ = ["SHEDDING_LOSS_SHARE", "LoadShedder"]
+__all__ = ["SHEDDING_LOSS_SHARE", "LoadShedder", "RejectionCause"]
 
 # Shedding starts when attempts lose this share of their priority weight, being late or rejected.
 SHEDDING_LOSS_SHARE = 0.15
@@ -54,6 +55,25 @@
 MIN_TIME_LEFT_SHARE = 0.5
 
 
+class RejectionCause(Enum):
+    """Why a request is rejected at once."""
+
+    NODE_LATE = "node_late"
+    """The node reads requests late, and sheds a share of them."""
+
+    LITTLE_TIME = "little_time"
+    """It was read late, with too little time left for an answer."""
+
+    FEW_SLOTS = "few_slots"
+    """The node has few slots for pending requests left."""
+
+    LOAD_SHED = "load_shed"
+    """Attempts lose priority weight, or take long: a share of all work is shed."""
+
+    QUEUE_LIMIT = "queue_limit"
+    """It would keep requests of higher priority waiting."""
+
+
 class LoadShedder:
     """The shares of requests that are rejected, by class.
 
@@ -76,6 +96,8 @@
         How much work (ns) may be queued ahead of a request, by class.
     min_free_slots
         The free share (0 to 1) of request slots below which a class is rejected.
+    rejections
+        Requests rejected since the start, by cause.
     """
 
     def __init__(self, settings: Settings, estimates: Estimates, random: Random, now: int) -> None:
@@ -91,6 +113,7 @@
         self.shed_share = 0.0
         self.shed_by_class = [0.0] * len(classes)
         self.queue_limits = [inf] * len(classes)
+        self.rejections = dict.fromkeys(RejectionCause, 0)
         self.min_free_slots = [
             FREE_SLOT_THRESHOLD
             * (1.0 - sum(other < weight for other in self.priority_weights) / len(classes))
@@ -161,12 +184,14 @@
             )
         share = self.event_loop_shed_by_class[event.class_index]
         if share > 0.0 and self.random.random() < share:
-            return True
+            return self._reject(RejectionCause.NODE_LATE)
         if event.queued_time:  # read late: there may be too little time left for any server to answer it
             takes = self.estimates.response_times[event.class_index] * (event.cost or 1) / largest_size
             if event.time_left < MIN_TIME_LEFT_SHARE * takes:
-                return True
-        return event.free_slot_share < self.min_free_slots[event.class_index]
+                return self._reject(RejectionCause.LITTLE_TIME)
+        if event.free_slot_share < self.min_free_slots[event.class_index]:
+            return self._reject(RejectionCause.FEW_SLOTS)
+        return False
 
     def rejects_for_load(self, class_index: int, server: TrackedServer | None, now: int) -> bool:
         """Whether a request is rejected for the servers' load.
@@ -183,12 +208,19 @@
         limit = self.queue_limits[class_index]
         share = max(self.shed_by_class[class_index], self.queueing_delay.rejection_share(now, limit))
         if share > 0.0 and self.random.random() < share:
-            return True
+            return self._reject(RejectionCause.LOAD_SHED)
         if server is None or not server.in_flight:
             return False
         # It would keep requests of higher priority waiting for too long.
         queued = self.estimates.service_times.mean * expected_queue(server)
-        return queued / (server.size * server.slow_start_factor) > limit
+        if queued / (server.size * server.slow_start_factor) > limit:
+            return self._reject(RejectionCause.QUEUE_LIMIT)
+        return False
+
+    def _reject(self, cause: RejectionCause) -> bool:
+        """Count a rejection; True."""
+        self.rejections[cause] += 1
+        return True
 
     def servers_are_full(self, now: int) -> bool:
         """Whether attempts take the shortest latency objective or longer at present."""
--- a/hollybay/proxy/admin_service.py
+++ b/hollybay/proxy/admin_service.py
@@ -172,6 +172,7 @@
     def take_metrics(self) -> NodeMetrics:
         """Return a snapshot of the node's metrics."""
         counters = self.dispatcher.counters
+        rejections = self.dispatcher.balancer.load_shedder.rejections
         return NodeMetrics(
             classes=[request_class.name for request_class in self.dispatcher.settings.classes],
             served=counters.served,
@@ -183,6 +184,7 @@
             servers_excluded=self.server_drains.drains.count_excluded(self.dispatcher.balancer.avoids),
             reloads_ok=counters.reloads_ok,
             reloads_failed=counters.reloads_failed,
+            rejection_causes={cause.value: count for cause, count in rejections.items()},
         )
 
 
--- a/tests/golden/build.py
+++ b/tests/golden/build.py
@@ -1130,6 +1130,7 @@
         servers_excluded=10,
         reloads_ok=11,
         reloads_failed=12,
+        rejection_causes={"node_late": 13, "queue_limit": 14},
     )
     return f"{METRICS_TYPE}\n".encode() + MetricsCollector(lambda: snapshot).render()
 
