What limits turn away is shed first for the node's lateness, before requests within them

Cause: a late node sheds a share of the requests that the balancer sees. What limits turn away, most of what the node read, never reached it, so the others paid for it.

The new test (each request read 60 ms late) rejects more than 20 of 199 without limits, and none where 40 others were turned away before each; that case failed before.

Mend: Request.limited_before tells the balancer of them; they are counted like the classes and come first at weight 0.

--- a/hollybay/balancing/events.py
+++ b/hollybay/balancing/events.py
@@ -87,6 +87,8 @@
         The free share (0 to 1) of the node's slots for pending requests.
     body_pending
         Whether its body is still on its way; a server begins with the last byte (RequestCompleted).
+    limited_before
+        Requests that limits have turned away since the one before, which the balancer has not seen.
     """
 
     id: int
@@ -100,6 +102,7 @@
     limits: Limits | None = None
     free_slot_share: float = 1.0
     body_pending: bool = False
+    limited_before: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollybay/balancing/load_shedding.py
+++ b/hollybay/balancing/load_shedding.py
@@ -53,6 +53,8 @@
 FREE_SLOT_THRESHOLD = 0.25
 # A request that was read late is rejected where it has less than this share of the time that an answer takes.
 MIN_TIME_LEFT_SHARE = 0.5
+# The priority weight of requests beyond a limit.
+LIMITED_WEIGHT = 0.0
 
 
 class RejectionCause(Enum):
@@ -96,6 +98,8 @@
         How much work (ns) may be queued ahead of a request, by class.
     min_free_slots
         The free share (0 to 1) of request slots below which a class is rejected.
+    limited
+        A decaying count of requests that limits have turned away, as those of each class are counted.
     rejections
         Requests rejected since the start, by cause.
     """
@@ -113,6 +117,7 @@
         self.shed_share = 0.0
         self.shed_by_class = [0.0] * len(classes)
         self.queue_limits = [inf] * len(classes)
+        self.limited = 0.0
         self.rejections = dict.fromkeys(RejectionCause, 0)
         self.min_free_slots = [
             FREE_SLOT_THRESHOLD
@@ -150,6 +155,7 @@
         for index in range(len(work)):
             estimates.offered[index] *= COUNT_DECAY
             estimates.completed[index] *= COUNT_DECAY
+        self.limited *= COUNT_DECAY
 
     def update_queue_limits(self) -> None:
         """Renew how much may be queued ahead of each class."""
@@ -176,12 +182,9 @@
         now
             The time (ns).
         """
+        self.limited += event.limited_before
         if self.event_loop_delay.observe(event.queued_time, now):
-            # Here each request costs about the same, whatever its work at a server.
-            offered = self.estimates.offered
-            self.event_loop_shed_by_class = distribute_by_priority(
-                self.event_loop_delay.shed_share, offered, self.priority_weights, [1.0] * len(offered)
-            )
+            self._distribute_event_loop_shedding()
         share = self.event_loop_shed_by_class[event.class_index]
         if share > 0.0 and self.random.random() < share:
             return self._reject(RejectionCause.NODE_LATE)
@@ -193,6 +196,19 @@
             return self._reject(RejectionCause.FEW_SLOTS)
         return False
 
+    def _distribute_event_loop_shedding(self) -> None:
+        """Turn the share of all requests that this node cannot serve in time into one of each class.
+
+        What limits turn away comes first: a tenant over its limit takes no service from the others. Here
+        each request costs about the same, whatever its work at a server.
+        """
+        amounts = [self.limited, *self.estimates.offered]
+        weights = [LIMITED_WEIGHT, *self.priority_weights]
+        share = self.event_loop_delay.shed_share
+        _, *self.event_loop_shed_by_class = distribute_by_priority(
+            share, amounts, weights, [1.0] * len(amounts)
+        )
+
     def rejects_for_load(self, class_index: int, server: TrackedServer | None, now: int) -> bool:
         """Whether a request is rejected for the servers' load.
 
--- a/hollybay/proxy/downstream/client_context.py
+++ b/hollybay/proxy/downstream/client_context.py
@@ -96,6 +96,8 @@
         Admission control by the operator file; None: there is no such file.
     policy_agreement
         Whether the policy in force here is in force at all nodes; None: nodes do not agree on policies.
+    limited_requests
+        Requests that limits have turned away since the balancer was last told.
     service_state
         How far the node is out of service. Each of the three that follow is set once and independent of it.
     ready
@@ -122,6 +124,7 @@
         self.phase_timeouts = PhaseTimeouts()
         self.admission: AdmissionControl | None = None
         self.policy_agreement: PolicyAgreement | None = None
+        self.limited_requests = 0
         self.service_state = ServiceState.SERVING
         self.ready = False
         self.is_shutting_down = False
@@ -148,6 +151,11 @@
         """The free part (0 to 1) of `max_unfinished_requests`."""
         return max(0.0, 1.0 - self.dispatcher.unfinished_requests / self.max_unfinished_requests)
 
+    def take_limited_requests(self) -> int:
+        """Return how many requests limits have turned away since the last call."""
+        count, self.limited_requests = self.limited_requests, 0
+        return count
+
     def admit(self, conn: C) -> None:
         """Add a new connection, closing others if there are too many."""
         self.connections[conn] = None
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -334,6 +334,7 @@
         retry_after = admit_request(clients.admission, request, tenant)
         if retry_after is not None:
             clients.dispatcher.counters.rejected[request.class_index] += 1
+            clients.limited_requests += 1
             self._respond(429, retry_after_header(retry_after), (REJECTED_BODY,))
             return
         # A request that came behind another waited for its response, not for the loop.
@@ -368,6 +369,7 @@
             limits=request.limits.balancer_limits if request.limits is not None else None,
             free_slot_share=self.clients.free_slot_share,
             body_pending=streaming_body is not None,
+            limited_before=self.clients.take_limited_requests(),
         )
         if self.request_id:  # it was not answered at once
             self.request_id = request_id
--- a/hollybay/proxy/request_dispatcher.py
+++ b/hollybay/proxy/request_dispatcher.py
@@ -130,6 +130,7 @@
         limits: api.Limits | None = None,
         free_slot_share: float = 1.0,
         body_pending: bool = False,
+        limited_before: int = 0,
     ) -> int:
         """Accept a request and return its number; it may be answered before this returns.
 
@@ -141,7 +142,8 @@
             Index of its class in the settings.
         time_left
             How long (ns) its client waits.
-        tenant, key, cost, is_retry, queued_time, limits, free_slot_share, body_pending
+        tenant, key, cost, is_retry, queued_time, limits, free_slot_share, body_pending,
+        limited_before
             As in `api.Request`.
         """
         time_left = max(1, time_left - ANSWER_MARGIN_NS)
@@ -161,6 +163,7 @@
                 limits,
                 free_slot_share,
                 body_pending,
+                limited_before,
             )
         )
         return request.id
--- a/tests/recorded_decisions.py
+++ b/tests/recorded_decisions.py
@@ -202,6 +202,7 @@
         ("limits", optional(LIMITS.part)),
         "free_slot_share",
         "body_pending",
+        "limited_before",
     ),
     "whole": Shape(api.RequestCompleted, "id"),
     "started": Shape(api.ResponseStarted, "id", "attempt", ("server", SERVER_ID), "rtt"),
--- a/tests/test_event_loop_delay.py
+++ b/tests/test_event_loop_delay.py
@@ -8,6 +8,8 @@
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
+
 from hollybay.balancing import Balancer
 from hollybay.balancing import interface as api
 from hollybay.proxy.downstream.client_context import ACCEPT_BATCH
@@ -207,3 +209,21 @@
             await asyncio.gather(*asking)
 
     asyncio.run(play())
+
+
+# Guards against: a tenant over its limit makes the node late, and the node sheds the others for it.
+@pytest.mark.parametrize(("limited", "may_reject"), [(0, True), (40, False)])
+def test_what_limits_turn_away_is_shed_before_what_is_within_them(limited: int, may_reject: bool) -> None:
+    balancer = Balancer(make_settings(), 1, 0)
+    balancer.handle(0, api.ServerList(api.ListKind.FULL, fleet(6), 1))
+    rejected = 0
+    for number in range(1, 200):
+        now = number * 10 * MS
+        # Each is read 60 ms late: with the limit at a tenth of 200 ms half of all requests are too many.
+        event = api.Request(number, 0, 500 * MS, queued_time=60 * MS, limited_before=limited)
+        actions = balancer.handle(now, event)
+        rejected += any(isinstance(action, api.Reject) for action in actions)
+        if any(isinstance(action, api.Send) for action in actions):
+            sent_to = next(action.server for action in actions if isinstance(action, api.Send))
+            balancer.handle(now, api.AttemptFinished(number, 0, sent_to, api.Result.OK, MS, final=True))
+    assert (rejected > 20) is may_reject and (rejected == 0) is not may_reject
