--- a/hollybay/testbed/soak/clients.py
+++ b/hollybay/testbed/soak/clients.py
@@ -33,6 +33,9 @@
 UPLOAD_BYTES = (70 << 10, 200 << 10)
 UPLOAD_PIECES = 20
 UPLOAD_TIME_S = 1.0  # at the most
+# How long after its usual deadline an upload is due that is not complete: nobody has taken it.
+INCOMPLETE_GRACE_NS = 60 * SECOND
+MAX_STAY_S = 0.05  # of a client that leaves while it waits
 
 
 class ClientGroup:
@@ -168,7 +171,7 @@
         body = bytes(self.chance.randint(*UPLOAD_BYTES))
         entry, head = self._ask(mix, body)
         # Nobody has taken it before its last byte.
-        deadline, entry.deadline = entry.deadline - entry.at, entry.deadline + 60 * SECOND
+        deadline, entry.deadline = entry.deadline - entry.at, entry.deadline + INCOMPLETE_GRACE_NS
         writer.write(head)
         answer = asyncio.ensure_future(read_message(reader))
         size = -(-len(body) // UPLOAD_PIECES)
@@ -247,7 +250,7 @@
 
     async def _leave(self, answer: asyncio.Task[tuple[bytes, bytes]], entries: list[RequestEntry]) -> None:
         """Leave while the answer is awaited."""
-        await asyncio.wait({answer}, timeout=self.chance.uniform(0.0, 0.05))
+        await asyncio.wait({answer}, timeout=self.chance.uniform(0.0, MAX_STAY_S))
         answer.cancel()
         await asyncio.gather(answer, return_exceptions=True)
         for entry in entries:
