Soak: time that the machine takes is measured for nodes, too, and counts for nobody

Nodes and clients had no core for seconds. Now the lateness of the clients' loop and the time that node processes waited for a core (schedstat) are taken off an answer's lateness, off the time before a close that a request may cross, and added to the kill; an answer that never comes is still lost.

--- a/hollybay/testbed/soak/clients.py
+++ b/hollybay/testbed/soak/clients.py
@@ -35,6 +35,7 @@
 UPLOAD_TIME_S = 1.0  # at the most
 # How long after its usual deadline an upload is due that is not complete: nobody has taken it.
 INCOMPLETE_GRACE_NS = 60 * SECOND
+MAX_EXTENSION_NS = 30 * SECOND  # of a client's patience, on a machine that is busy
 MAX_STAY_S = 0.05  # of a client that leaves while it waits
 
 
@@ -53,6 +54,8 @@
         Kinds of requests.
     may_connect
         Whether new connections are to be opened now.
+    nodes_waited_ns
+        How long the node's processes have waited for a core in all.
     """
 
     def __init__(
@@ -62,12 +65,14 @@
         port: int,
         mixes: Sequence[RequestMix],
         may_connect: Callable[[], bool],
+        nodes_waited_ns: Callable[[], int],
     ) -> None:
         self.plan = plan
         self.ledger = ledger
         self.port = port
         self.mixes = mixes
         self.may_connect = may_connect
+        self.nodes_waited_ns = nodes_waited_ns
         self.sent = 0
         self.refused_connects = 0
         self.is_ending = False
@@ -96,6 +101,10 @@
         await asyncio.gather(*self.tasks)
         self.lateness.stop()
 
+    def disturbance_ns(self) -> int:
+        """How much time the machine has taken in all: lateness of this loop, and nodes that had no core."""
+        return self.lateness.until_now_ns() + self.nodes_waited_ns()
+
     def has(self, condition: Condition) -> bool:
         """Whether a condition is part of the run."""
         return condition in self.plan.conditions
@@ -117,6 +126,7 @@
         self.ledger = group.ledger
         self.chance = chance
         self.is_first_use = True
+        self.disturbance_before: dict[str, int] = {}  # by request, as it was asked (ns)
 
     async def run(self) -> None:
         """Open connections and use each until it ends, as long as new ones are to be opened."""
@@ -157,6 +167,7 @@
         tenant = self.chance.choice(mix.tenants)
         now = time.monotonic_ns()
         entry = self.ledger.asked(request_id, mix.cls, now, now + request_class.deadline, tenant)
+        self.disturbance_before[request_id] = self.group.disturbance_ns()
         data = encode_request(request_id, request_class, mix, tenant, is_retry=False)
         data = data % (request_class.deadline // MS)
         if body is not None:
@@ -184,9 +195,7 @@
         else:
             entry.at = time.monotonic_ns()
             entry.deadline = entry.at + deadline
-            return await self._take_answer(
-                answer, [entry], time.monotonic_ns(), self.group.lateness.until_now_ns()
-            )
+            return await self._take_answer(answer, [entry], time.monotonic_ns(), self.group.disturbance_ns())
         return await self._end_upload_early(answer, entry)
 
     async def _end_upload_early(self, answer: asyncio.Task[tuple[bytes, bytes]], entry: RequestEntry) -> bool:
@@ -201,12 +210,12 @@
 
     async def _read_answers(self, reader: asyncio.StreamReader, entries: list[RequestEntry]) -> bool:
         """Read the answers of requests that were written together."""
-        written_at, late_before = time.monotonic_ns(), self.group.lateness.until_now_ns()
+        written_at, disturbed_before = time.monotonic_ns(), self.group.disturbance_ns()
         for number, entry in enumerate(entries):
             # One that lies behind others is due at once when they are answered, however late that is.
             entry.deadline = max(entry.deadline, time.monotonic_ns())
             answer = asyncio.ensure_future(read_message(reader))
-            if not await self._take_answer(answer, entries[number:], written_at, late_before):
+            if not await self._take_answer(answer, entries[number:], written_at, disturbed_before):
                 return False
         return True
 
@@ -215,7 +224,7 @@
         answer: asyncio.Task[tuple[bytes, bytes]],
         entries: list[RequestEntry],
         written_at: int,
-        late_before: int,
+        disturbed_before: int,
     ) -> bool:
         """Take the answer of the first of these requests; whether the connection stays open.
 
@@ -225,29 +234,46 @@
             Reads it.
         entries
             The requests that have no answer yet.
-        written_at, late_before
-            When (ns) they were written, and how late (ns) this loop had been in all by then.
+        written_at, disturbed_before
+            When (ns) they were written, and how much time (ns) the machine had taken in all by then.
         """
         entry = entries[0]
         if self.group.has(Condition.LEAVING_CLIENTS) and self.chance.random() < LEAVE_SHARE:
             await self._leave(answer, entries)
             return False
-        limit_s = (entry.deadline - time.monotonic_ns() + self.ledger.limits.late) / SECOND + PATIENCE_S
-        try:
-            head, body = await asyncio.wait_for(answer, limit_s)
-        except TimeoutError:
+        await self._wait_for(answer, entry)
+        if not answer.done():
+            answer.cancel()
             self.ledger.answered(entry.id, FinalOutcome.SILENT, time.monotonic_ns())
             for rest in entries[1:]:
                 rest.excused = True  # they were never due
             return False
+        try:
+            head, body = answer.result()
         except (OSError, EOFError) as error:
-            self._closed(entries, written_at, late_before, getattr(error, "partial", b""))
+            self._closed(entries, written_at, disturbed_before, getattr(error, "partial", b""))
             return False
         closes = self._note_answer(entry, head, body)
         for rest in entries[1:] if closes else ():
             self.ledger.closed_unread(rest.id, time.monotonic_ns())  # the node said that it reads no further
         return not closes
 
+    async def _wait_for(self, answer: asyncio.Task[tuple[bytes, bytes]], entry: RequestEntry) -> None:
+        """Wait for an answer until it would be lost, longer by what the machine has taken meanwhile."""
+        extension_ns = 0
+        while True:
+            due_ns = entry.deadline + self.ledger.limits.late + extension_ns
+            left_s = (due_ns - time.monotonic_ns()) / SECOND + PATIENCE_S
+            await asyncio.wait({answer}, timeout=max(0.0, left_s))
+            disturbance_ns = min(self._disturbance_of(entry), MAX_EXTENSION_NS)
+            if answer.done() or disturbance_ns <= extension_ns:
+                return
+            extension_ns = disturbance_ns
+
+    def _disturbance_of(self, entry: RequestEntry) -> int:
+        """How much time (ns) the machine has taken since a request was asked."""
+        return self.group.disturbance_ns() - self.disturbance_before[entry.id]
+
     async def _leave(self, answer: asyncio.Task[tuple[bytes, bytes]], entries: list[RequestEntry]) -> None:
         """Leave while the answer is awaited."""
         await asyncio.wait({answer}, timeout=self.chance.uniform(0.0, MAX_STAY_S))
@@ -262,14 +288,19 @@
         assert response is not None
         outcome = final_outcome(self.ledger, entry, response)
         now = time.monotonic_ns()
-        self.ledger.answered(entry.id, outcome, now, response.status, response.retry_after_s)
+        # What the machine took is neither the node's lateness nor the client's.
+        late_ns = max(0, now - entry.deadline)
+        at = now - min(late_ns, self._disturbance_of(entry))
+        self.ledger.answered(entry.id, outcome, at, response.status, response.retry_after_s)
         return not response.keeps_alive
 
-    def _closed(self, entries: list[RequestEntry], written_at: int, late_before: int, partial: bytes) -> None:
+    def _closed(
+        self, entries: list[RequestEntry], written_at: int, disturbed_before: int, partial: bytes
+    ) -> None:
         """Note requests whose connection was closed before their answer."""
         now = time.monotonic_ns()
-        own_lateness_ns = self.group.lateness.until_now_ns() - late_before
-        crossed = now - written_at <= CROSSING_NS + own_lateness_ns
+        disturbance_ns = self.group.disturbance_ns() - disturbed_before
+        crossed = now - written_at <= CROSSING_NS + disturbance_ns
         shut_for_the_crowd = self.is_first_use and self.group.has(Condition.CROWD)
         for entry in entries:
             if not partial and (crossed or shut_for_the_crowd):
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -14,12 +14,13 @@
 from pathlib import Path
 from typing import Any
 
+from hollybay.testbed.cpu_wait import cpu_wait_ns
 from hollybay.testbed.discovery_agent import DiscoveryAgent
 from hollybay.testbed.ledger import RuleLimits, Violation
 from hollybay.testbed.listener import request_once
 from hollybay.testbed.process import PORT_VARIABLE, NodeProcess
 from hollybay.testbed.scene import CLASSES, Scene, settings
-from hollybay.units import MS
+from hollybay.units import MS, SECOND
 
 from .clients import ClientGroup
 from .crowd import Crowd
@@ -39,6 +40,7 @@
 SAMPLE_INTERVAL_S = 0.05
 # How much more of each a node may hold at its end than before the crowd came.
 MAX_MORE_DESCRIPTORS = 8
+CROWD_SETTLE_S = 0.5  # in which a node sees that a crowd has left
 DESCRIPTORS_PER_CLIENT = 2  # its connection, and one to a server
 MAX_MORE_MEMORY_MB = 8.0
 DESCRIPTORS = 256
@@ -138,10 +140,14 @@
         assert isinstance(self.scene.ledger, SoakLedger)
         self.ledger: SoakLedger = self.scene.ledger
         self.other_agent = DiscoveryAgent(self.ledger, self.scene.servers)
-        self.clients = ClientGroup(plan, self.ledger, port, self.scene.mixes(), self._may_connect)
+        self.clients = ClientGroup(
+            plan, self.ledger, port, self.scene.mixes(), self._may_connect, self._nodes_waited_ns
+        )
         self.crowd = Crowd(port, CROWD_SIZE)
         self.node: NodeProcess
         self.successor: NodeProcess | None = None
+        self.node_end: asyncio.Future[int]
+        self.waited_ns: dict[int, int] = {}  # by process
         self.term_at: float | None = None
         self.ended_after_s = 0.0
         self.before = _Sample(0, 0.0)
@@ -156,6 +162,15 @@
             return True
         return time.monotonic() < self.term_at + self.plan.connects_after_term_s
 
+    def _nodes_waited_ns(self) -> int:
+        """How long the node's processes have waited for a core in all."""
+        for process in (self.node, self.successor):
+            if process is not None and process.exit_status is None:
+                self.waited_ns[process.pid] = max(
+                    self.waited_ns.get(process.pid, 0), cpu_wait_ns(process.pid)
+                )
+        return sum(self.waited_ns.values())
+
     # The beginning
 
     async def begin(self) -> None:
@@ -169,6 +184,7 @@
             self._write_operator_file(0)
         self.node = self._node_process("node.log", self.admin_ports[0])
         await self.node.start()
+        self.node_end = asyncio.ensure_future(self.node.wait())
         if not self._has(Condition.NO_LIST):
             await self._wait_until_ready()
         self.clients.start()
@@ -178,8 +194,9 @@
             self.crowd.start()
             await asyncio.sleep(self.plan.traffic_s)
         if self._has(Condition.SUCCESSOR):
-            self.successor = self._node_process("successor.log", self.admin_ports[1])
-            await self.successor.start()
+            successor = self._node_process("successor.log", self.admin_ports[1])
+            await successor.start()
+            self.successor = successor
 
     def _node_process(self, log_name: str, admin_port: int) -> NodeProcess:
         config = self.scene.config()
@@ -221,16 +238,22 @@
         sampler = asyncio.ensure_future(self._keep_sampling())
         if not self.plan.crowd_stays:
             asyncio.get_running_loop().call_later(self.plan.connects_after_term_s, self.crowd.leave)
-        try:
-            async with asyncio.timeout(self.term_at + self._kill_after_s() - time.monotonic()):
-                await self.node.wait()
-        except TimeoutError:
+        if not await self._ends_before_the_kill(self.term_at):
             self._note("end", "it had not ended by itself when it was killed")
             await self.node.stop(signal.SIGKILL)
         self.ended_after_s = time.monotonic() - self.term_at
         sampler.cancel()
         await asyncio.gather(sampler, newcomers, return_exceptions=True)
 
+    async def _ends_before_the_kill(self, term_at: float) -> bool:
+        """Wait for the end of the process; a core that it did not have counts neither for nor against it."""
+        waited_before = self._nodes_waited_ns()
+        limit_s = self._kill_after_s()
+        while self.node.exit_status is None and time.monotonic() < term_at + limit_s:
+            await asyncio.wait({self.node_end}, timeout=term_at + limit_s - time.monotonic())
+            limit_s = self._kill_after_s() + (self._nodes_waited_ns() - waited_before) / SECOND
+        return self.node.exit_status is not None
+
     def _strike(self) -> None:
         """Let happen what happens beside the end."""
         if self._has(Condition.SILENT_WATCH):
@@ -307,7 +330,8 @@
 
     def _check_descriptors(self) -> None:
         """Once a crowd has left, the node holds what it held before, and what clients have come since."""
-        if not self._has(Condition.CROWD) or self.plan.crowd_stays:
+        settled_after_s = self.plan.connects_after_term_s + CROWD_SETTLE_S
+        if not self._has(Condition.CROWD) or self.plan.crowd_stays or self.ended_after_s < settled_after_s:
             return
         newcomers = len(self.clients.tasks) - self.plan.clients
         most = self.before.descriptors + DESCRIPTORS_PER_CLIENT * newcomers + MAX_MORE_DESCRIPTORS
