Soak: ports that the kernel gives to nobody, and a defect that is too late also on a busy machine

Seen: one run of some 400 found requests at a server "that no client sent": its port was that of another run's node, as a socket that is bound with SO_REUSEADDR and not listened on can be given a second time. Ports of nodes now lie below the kernel's range. The planted defect "ends-too-late" was 0.3 s late and not found in one of two plays beside four busy processes, as time without a core is taken off; it is 3 s late now.

--- a/hollybay/mutation/soak_defects.py
+++ b/hollybay/mutation/soak_defects.py
@@ -34,7 +34,7 @@
         "ends-too-late",
         SHUTDOWN,
         "KILL_MARGIN_S = 0.3",
-        "KILL_MARGIN_S = -0.3",
+        "KILL_MARGIN_S = -3.0",
     ),
     Defect(
         "connections-cut",
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import time
@@ -46,8 +47,12 @@
 DESCRIPTORS = 256
 CROWD_SIZE = 2 * DESCRIPTORS
 OPERATOR_ROUTES = 400
+RESERVED_PORTS = (15_000, 30_000)
 HEALTH_REQUEST = b"GET /health/ready HTTP/1.1\r\nHost: soak\r\n\r\n"
 
+# Ports are no part of a run: each process draws others.
+_chance = random.SystemRandom()
+
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
@@ -97,14 +102,30 @@
 
 @contextmanager
 def reserved_port() -> Iterator[int]:
-    """A port that nobody else gets, on which node processes can listen one beside the other."""
+    """A port that nobody else gets, on which node processes can listen one beside the other.
+
+    It lies below those that the kernel chooses from: a server with SO_REUSEADDR that asks for any port may be
+    given one that is bound with that option and not listened on.
+    """
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.bind((HOST, 0))
+        sock.bind((HOST, _free_port()))
         yield int(sock.getsockname()[1])
 
 
+def _free_port() -> int:
+    """Return a port that no socket is bound to."""
+    while True:
+        port = _chance.randrange(*RESERVED_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
+
+
 @dataclass(frozen=True, slots=True)
 class _Sample:
     """What a node process holds at one time."""
