--- a/hollybay/balancing/attempt_tracking.py
+++ b/hollybay/balancing/attempt_tracking.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .decision_context import DecisionContext
-from .interface import AttemptFinished, RequestCompleted, ResponseStarted, Send, ServerState
+from .interface import AttemptFinished, RequestCompleted, ResponseStarted, Send
 from .server_pool import remove_from_idle
 from .slow_start import SlowStart
 from .state import TrackedAttempt, TrackedRequest, TrackedServer
@@ -77,8 +77,7 @@
         if self.estimates.observe(server, request, event, self.context.now, self.endpoints.stale):
             self.selector.eject(server)
         self.endpoints.remove_if_gone(server)
-        if server.state != ServerState.GONE:
-            self.selector.schedule_idle(server, self.context.now)
+        self.selector.schedule_idle(server, self.context.now)
 
     def _count(self, attempt: TrackedAttempt) -> None:
         """Count an attempt among those in flight at its server."""
