Dispatcher: submit takes the event for the balancer in place of its fields

limited_before was the fourteenth parameter of submit, which copied each into an api.Request and had grown beyond 50 lines. ClientRequest.balancer_event builds the event beside message(), the connection adds what is its clients', and submit gives it its number and the time less the margin. No decision and no answer changes; the tests are as they were.

--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -356,21 +356,12 @@
             streaming_body.client_deadline = system.monotonic_ns() + time_left
             time_left += request.remaining_body_time(streaming_body)
         self.request_id = BEING_SUBMITTED
-        request_id = self.clients.dispatcher.submit(
-            self,
-            message,
-            request.class_index,
-            time_left,
-            tenant=tenant,
-            key=request.session_hash,
-            cost=request.cost,
-            is_retry=request.is_repeat,
-            queued_time=queued_time,
-            limits=request.limits.balancer_limits if request.limits is not None else None,
-            free_slot_share=self.clients.free_slot_share,
-            body_pending=streaming_body is not None,
-            limited_before=self.clients.take_limited_requests(),
+        event = request.balancer_event(
+            time_left, tenant, queued_time, body_pending=streaming_body is not None
         )
+        event.free_slot_share = self.clients.free_slot_share
+        event.limited_before = self.clients.take_limited_requests()
+        request_id = self.clients.dispatcher.submit(self, message, event)
         if self.request_id:  # it was not answered at once
             self.request_id = request_id
 
--- a/hollybay/proxy/downstream/request.py
+++ b/hollybay/proxy/downstream/request.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from hollybay.balancing import interface as api
 from hollybay.units import MS, SECOND
 
 from ..config import Config
@@ -231,6 +232,26 @@
             self.event.method, self.event.target, headers, self.body, self.size, streaming_body
         )
 
+    def balancer_event(
+        self, time_left: int, tenant: int, queued_time: int, body_pending: bool
+    ) -> api.Request:
+        """Return the request as the balancer is told of it; the dispatcher gives it its number.
+
+        Parameters are as in `api.Request`.
+        """
+        return api.Request(
+            0,
+            self.class_index,
+            time_left,
+            tenant,
+            self.session_hash,
+            self.cost,
+            self.is_repeat,
+            queued_time,
+            self.limits.balancer_limits if self.limits is not None else None,
+            body_pending=body_pending,
+        )
+
     def remaining_body_time(self, streaming_body: StreamingBody) -> int:
         """Return how long (ns) the rest of a long body may take; the client waits from its last byte on."""
         if streaming_body.length is None:
--- a/hollybay/proxy/request_dispatcher.py
+++ b/hollybay/proxy/request_dispatcher.py
@@ -115,68 +115,32 @@
 
     # Clients
 
-    def submit(
-        self,
-        client: Client,
-        message: ForwardedRequest,
-        class_index: int,
-        time_left: int,
-        *,
-        tenant: int = 0,
-        key: int = 0,
-        cost: int = 0,
-        is_retry: bool = False,
-        queued_time: int = 0,
-        limits: api.Limits | None = None,
-        free_slot_share: float = 1.0,
-        body_pending: bool = False,
-        limited_before: int = 0,
-    ) -> int:
+    def submit(self, client: Client, message: ForwardedRequest, event: api.Request) -> int:
         """Accept a request and return its number; it may be answered before this returns.
 
         Parameters
         ----------
         client, message
             Where its answer goes, and what is sent to a server.
-        class_index
-            Index of its class in the settings.
-        time_left
-            How long (ns) its client waits.
-        tenant, key, cost, is_retry, queued_time, limits, free_slot_share, body_pending,
-        limited_before
-            As in `api.Request`.
+        event
+            What the balancer is told of it, with the time (ns) that its client waits. Its number is given
+            here, and its time shortened so that the answer is there in time.
         """
-        time_left = max(1, time_left - ANSWER_MARGIN_NS)
-        request = self._register(client, message, class_index, time_left)
+        event.time_left = max(1, event.time_left - ANSWER_MARGIN_NS)
+        request = self._register(client, message, event)
         if self.load_reporter is not None:
             self.load_reporter.poll()
-        self.feed(
-            api.Request(
-                request.id,
-                class_index,
-                time_left,
-                tenant,
-                key,
-                cost,
-                is_retry,
-                queued_time,
-                limits,
-                free_slot_share,
-                body_pending,
-                limited_before,
-            )
-        )
+        self.feed(event)
         return request.id
 
-    def _register(
-        self, client: Client, message: ForwardedRequest, class_index: int, time_left: int
-    ) -> PendingRequest:
-        request = PendingRequest(self._next_id, client, message, class_index)
+    def _register(self, client: Client, message: ForwardedRequest, event: api.Request) -> PendingRequest:
+        event.id = self._next_id
+        request = PendingRequest(event.id, client, message, event.class_index)
         self._next_id += 1
         self.requests[request.id] = request
         self.unfinished_requests += 1
         request.client_seen = system.monotonic_ns()
-        self._start_timer(request, time_left)
+        self._start_timer(request, event.time_left)
         return request
 
     def _start_timer(self, request: PendingRequest, time_left: int) -> None:
