Testbed: discovery waits for its return in one place

The wait for a newer version asked whether discovery is down, too; since the wait while down follows every call, that was a second check of the same thing. tests/test_discovery_agent.py and what uses the agent pass as before.

--- a/hollybay/testbed/discovery_agent.py
+++ b/hollybay/testbed/discovery_agent.py
@@ -107,7 +107,7 @@
 
     async def _wait_until_newer(self, since: int, wait_s: float) -> None:
         """Wait until there is something newer than that, or the wait is over."""
-        newer = asyncio.ensure_future(self.until(lambda: self.version > since and not self.down))
+        newer = asyncio.ensure_future(self.until(lambda: self.version > since))
         try:
             await asyncio.wait({newer}, timeout=wait_s)
         finally:
