Simulation: the balancer's records are checked after each event, by what the drawn streams use

Both wrapped the same check; watch_records now serves both. The simulation had looked once a step, and not again where the clock had stood still since the last look: an event in the next step of the same virtual time was not seen.

--- a/hollybay/simulation/nodes.py
+++ b/hollybay/simulation/nodes.py
@@ -10,7 +10,7 @@
 from hollybay.proxy.downstream.listener import ClientListener as NodeClients
 from hollybay.proxy.life_cycle import serve
 from hollybay.proxy.upstream.pools import UpstreamPools
-from hollybay.testbed.balancer_invariants import record_fault
+from hollybay.testbed.balancer_invariants import watch_records
 
 from .loop import Process
 from .machine import Machine
@@ -38,7 +38,6 @@
         self.orderly = False  # it was told to end
         self.files: dict[str, bytes] = {}
         self._task: asyncio.Task[None] | None = None
-        self._records_checked_at = 0  # the last event (ns) of the balancer after which they were
 
     def configuration(self) -> bytes:
         """What BALANCER_CONFIG names."""
@@ -76,6 +75,10 @@
     async def _main(self, environ: dict[str, str]) -> None:
         def assembled(parts: NodeParts) -> None:
             self.parts = parts
+            watch_records(
+                parts.dispatcher.balancer,
+                lambda _, fault: world.ledger.report("records", self.host, fault),
+            )
 
         world = self.world
         process = self.process
@@ -158,21 +161,12 @@
             }
         )
         self.world.ledger.report("budget", self.host, reason)
-        self._check_records()
         while self.machine.overdue:
             took = self.machine.overdue.pop()
             self.world.ledger.report(
                 "connect", self.host, connect_fault(took, self.world.plan.connect / 1000)
             )
 
-    def _check_records(self) -> None:
-        """The balancer's records, once after each of its events."""
-        assert self.parts is not None
-        driver = self.parts[1].driver
-        if driver.now != self._records_checked_at:
-            self._records_checked_at = driver.now
-            self.world.ledger.report("records", self.host, record_fault(driver.balancer, driver.now))
-
     def plan_in_force(self) -> object:
         """The plan of its operator file, None where it has none."""
         if self.parts is None or self.parts[0].admission is None:
--- a/hollybay/testbed/balancer_invariants.py
+++ b/hollybay/testbed/balancer_invariants.py
@@ -1,16 +1,18 @@
 """The invariant of a balancer's records: servers, idle index and attempts agree after every event.
 
-Tests over drawn streams of events and the simulation check it after each step.
+Tests over drawn streams of events and the simulation check it after each event.
 """
 
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 
 from hollybay.balancing import Balancer
+from hollybay.balancing import interface as api
 from hollybay.balancing.state import SpeedClass, TrackedAttempt, TrackedServer
 
-__all__ = ["record_fault"]
+__all__ = ["record_fault", "watch_records"]
 
 
 def record_fault(balancer: Balancer, now: int) -> str | None:
@@ -43,6 +45,20 @@
     )
 
 
+def watch_records(balancer: Balancer, report: Callable[[api.Event, str], None]) -> None:
+    """Report what disagrees in a balancer's records after each event that it handles from now on."""
+    handle = balancer.handle
+
+    def checked(now: int, event: api.Event) -> list[api.Action]:
+        actions = handle(now, event)
+        fault = record_fault(balancer, now)
+        if fault is not None:
+            report(event, fault)
+        return actions
+
+    balancer.handle = checked  # type: ignore[method-assign]
+
+
 def _unknown_server(balancer: Balancer, attempts: list[TrackedAttempt]) -> str | None:
     for attempt in attempts:
         if balancer.servers.get(attempt.server.id) is not attempt.server:
--- a/tests/test_balancer_records.py
+++ b/tests/test_balancer_records.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from hollybay.balancing import interface as api
-from hollybay.testbed.balancer_invariants import record_fault
+from hollybay.testbed.balancer_invariants import watch_records
 from hollybay.testbed.world import MS, SECOND, BalancerHarness, fleet, make_settings
 
 SERVERS = 5
@@ -43,15 +43,11 @@
         self.asked = 0
         self.pending: set[int] = set()  # requests whose body is still coming
         self.started: set[int] = set()  # requests whose response has begun
-        handle = self.node.balancer.handle
 
-        def checked(now: int, event: api.Event) -> list[api.Action]:
-            actions = handle(now, event)
-            fault = record_fault(self.node.balancer, now)
-            assert fault is None, f"after {event}: {fault}"
-            return actions
+        def report(event: api.Event, fault: str) -> None:
+            raise AssertionError(f"after {event}: {fault}")
 
-        self.node.balancer.handle = checked  # type: ignore[method-assign]
+        watch_records(self.node.balancer, report)
         self.node.tell(fleet(SERVERS))
 
     def play(self, steps: list[Any]) -> None:
