Testbed: one reserved port for the soak and for the test of upgrades

Both had a piece of their own. The test of upgrades bound its admin ports with SO_REUSEADDR and did not listen on them, in the range from which the kernel gives such a port a second time: the fault that the soak had seen. reserved_port, below that range, serves both.

--- a/hollybay/testbed/__init__.py
+++ b/hollybay/testbed/__init__.py
@@ -8,7 +8,6 @@
     client_request          kinds of requests, their bytes, one on its way
     discovery_agent         the discovery agent of the platform's protocol
     scene                   all of them in the usual make-up
-    loop_lateness           how late the loop of this process is
     listener                a scripted TCP server, the base of some of them
 
 Rules
@@ -23,6 +22,8 @@
     world                   the decision module alone, with a driver that records and checks what it does
 
 Machine
-    cpu_wait                how long this process waited for a core
+    cpu_wait                how long a process waited for a core
+    loop_lateness           how late the loop of this process is
+    reserved_port           a port for node processes that listen one beside the other
     scratch                 where runs of many processes keep their folders
 """
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -4,13 +4,9 @@
 
 import asyncio
 import json
-import random
 import signal
-import socket
 import time
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -20,6 +16,7 @@
 from hollybay.testbed.ledger import RuleLimits, Violation
 from hollybay.testbed.listener import request_once
 from hollybay.testbed.process import PORT_VARIABLE, NodeProcess
+from hollybay.testbed.reserved_port import reserved_port
 from hollybay.testbed.scene import CLASSES, Scene, settings
 from hollybay.units import MS, SECOND
 
@@ -47,12 +44,8 @@
 DESCRIPTORS = 256
 CROWD_SIZE = 2 * DESCRIPTORS
 OPERATOR_ROUTES = 400
-RESERVED_PORTS = (15_000, 30_000)
 HEALTH_REQUEST = b"GET /health/ready HTTP/1.1\r\nHost: soak\r\n\r\n"
 
-# Ports are no part of a run: each process draws others.
-_chance = random.SystemRandom()
-
 
 @dataclass(frozen=True, slots=True)
 class SoakResult:
@@ -100,32 +93,6 @@
         return run.result()
 
 
-@contextmanager
-def reserved_port() -> Iterator[int]:
-    """A port that nobody else gets, on which node processes can listen one beside the other.
-
-    It lies below those that the kernel chooses from: a server with SO_REUSEADDR that asks for any port may be
-    given one that is bound with that option and not listened on.
-    """
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.bind((HOST, _free_port()))
-        yield int(sock.getsockname()[1])
-
-
-def _free_port() -> int:
-    """Return a port that no socket is bound to."""
-    while True:
-        port = _chance.randrange(*RESERVED_PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
-
-
 @dataclass(frozen=True, slots=True)
 class _Sample:
     """What a node process holds at one time."""
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,11 +5,9 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
 
@@ -27,6 +25,7 @@
     running,
     write_config,
 )
+from hollybay.testbed.reserved_port import reserved_port
 
 
 def test_files_that_dead_processes_left_do_not_count(tmp_path: Path) -> None:
@@ -100,15 +99,6 @@
     asyncio.run(play())
 
 
-@contextmanager
-def reserved(option: int = socket.SO_REUSEPORT) -> Iterator[int]:
-    """A port that nobody else gets, and that processes that set this option too can listen on."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, option, 1)
-        sock.bind(("127.0.0.1", 0))
-        yield sock.getsockname()[1]
-
-
 class NodeProcess:
     """`python -m hollybay.proxy`, as the platform starts it."""
 
@@ -251,7 +241,7 @@
         assert asked - served <= len(clients)
 
     with ExitStack() as held:
-        port = held.enter_context(reserved())
+        port = held.enter_context(reserved_port())
         # An admin address for each process; they are held so that no other test is given them meanwhile.
-        admins = [held.enter_context(reserved(socket.SO_REUSEADDR)) for _ in range(5)]
+        admins = [held.enter_context(reserved_port()) for _ in range(5)]
         asyncio.run(play(port, admins))
