Soak: what stood twice or could be derived is gone; a defect is found where a rule is broken

- A run's conditions are asked of its plan, in place of two methods that did the same.
- When a request was written, and what the machine had taken by then, is kept by request; three functions had passed it on beside that.
- encode_request takes the body, where the soak had edited an encoded head; an upload is its bytes in pieces, its head in the first.
- The ledger keeps which requests crossed a close, not when and not how many; a request that was broken off is told of once.
- A seed finds a planted defect where its output names a broken rule; a run that could not be played counted, too, before.

Bounds are as they were; for uploads, time that the machine took before the last byte is no longer taken off.

--- a/hollybay/mutation/soak_defects.py
+++ b/hollybay/mutation/soak_defects.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Sequence
 
 from .planted import LISTENER, Defect
 from .tree import mutated_copy, run_in
@@ -16,6 +17,7 @@
 SHUTDOWN = "hollybay/proxy/shutdown.py"
 SEEDS = range(10)
 SEED_TIMEOUT_S = 60.0
+BROKEN = "  BROKEN "  # begins each line of the soak's output that tells of a broken rule
 
 SOAK_DEFECTS = (
     Defect(
@@ -51,20 +53,20 @@
 )
 
 
-def seeds_that_find(defect: Defect, seeds: range) -> list[int]:
+def seeds_that_find(defect: Defect, seeds: Sequence[int]) -> list[int]:
     """Return the seeds of the soak that break a rule on a copy of the code with a defect."""
     found = []
     with mutated_copy(defect.path, defect.old, defect.new) as tree:
         for seed in seeds:
-            status, _ = run_in(tree, ["-m", "hollybay.testbed.soak", str(seed)], SEED_TIMEOUT_S)
-            if status != 0:
+            _, output = run_in(tree, ["-m", "hollybay.testbed.soak", str(seed)], SEED_TIMEOUT_S)
+            if BROKEN in output:  # a run that could not be played has found nothing
                 found.append(seed)
     return found
 
 
 def is_found_by(defect: Defect, seed: int) -> bool:
     """Whether one seed of the soak finds a defect."""
-    return bool(seeds_that_find(defect, range(seed, seed + 1)))
+    return seeds_that_find(defect, [seed]) == [seed]
 
 
 def main() -> int:
--- a/hollybay/testbed/client_request.py
+++ b/hollybay/testbed/client_request.py
@@ -90,9 +90,17 @@
 
 
 def encode_request(
-    request_id: str, request_class: api.RequestClass, mix: RequestMix, tenant: str, is_retry: bool
+    request_id: str,
+    request_class: api.RequestClass,
+    mix: RequestMix,
+    tenant: str,
+    is_retry: bool,
+    body: bytes = UNSAFE_BODY,
 ) -> bytes:
-    """The bytes of a request, with a placeholder (``%d``) for the time (ms) that its client will wait."""
+    """The bytes of a request, with a placeholder (``%d``) for the time (ms) that its client will wait.
+
+    Its body, where its class has one, may hold no "%".
+    """
     is_safe = request_class.effect == api.Effect.SAFE
     lines = [
         b"%s %s HTTP/1.1" % (b"GET" if is_safe else b"POST", mix.target),
@@ -107,7 +115,7 @@
     if request_class.effect == api.Effect.KEYED:
         lines.append(b"Idempotency-Key: " + request_id.encode())
     if not is_safe:
-        lines.append(b"Content-Length: %d" % len(UNSAFE_BODY))
+        lines.append(b"Content-Length: %d" % len(body))
     lines.append(b"X-Time-Left-Ms: ")
     head = b"\r\n".join(lines).replace(b"%", b"%%") + TIME_LEFT_PLACEHOLDER + b"\r\n\r\n"
-    return head if is_safe else head + UNSAFE_BODY
+    return head if is_safe else head + body
--- a/hollybay/testbed/process.py
+++ b/hollybay/testbed/process.py
@@ -121,10 +121,9 @@
 
     async def stop(self, number: signal.Signals = signal.SIGTERM) -> int:
         """End it and wait for that; its exit status."""
-        assert self._process is not None
-        if self._process.returncode is None:
-            self._process.send_signal(number)
-        return await self._process.wait()
+        if self.exit_status is None:
+            self.send_signal(number)
+        return await self.wait()
 
 
 def main() -> int:
--- a/hollybay/testbed/soak/clients.py
+++ b/hollybay/testbed/soak/clients.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from hollybay.testbed.client_connection import parse_response
-from hollybay.testbed.client_request import RequestMix, encode_request
+from hollybay.testbed.client_request import UNSAFE_BODY, RequestMix, encode_request
 from hollybay.testbed.ledger import FinalOutcome, RequestEntry
 from hollybay.testbed.listener import read_message
 from hollybay.testbed.load_generator import final_outcome
@@ -105,10 +105,6 @@
         """How much time the machine has taken in all: lateness of this loop, and nodes that had no core."""
         return self.lateness.until_now_ns() + self.nodes_waited_ns()
 
-    def has(self, condition: Condition) -> bool:
-        """Whether a condition is part of the run."""
-        return condition in self.plan.conditions
-
 
 class _Client:
     """One client: a connection after the other, on each a request after the other.
@@ -126,7 +122,7 @@
         self.ledger = group.ledger
         self.chance = chance
         self.is_first_use = True
-        self.disturbance_before: dict[str, int] = {}  # by request, as it was asked (ns)
+        self.disturbance_before: dict[str, int] = {}  # by request, as it was written (ns)
 
     async def run(self) -> None:
         """Open connections and use each until it ends, as long as new ones are to be opened."""
@@ -149,9 +145,9 @@
         """Send one or several requests and read their answers; whether the connection can be used again."""
         if reader.at_eof():
             return False
-        if self.group.has(Condition.UPLOADS) and self.chance.random() < UPLOAD_SHARE:
+        if self.group.plan.has(Condition.UPLOADS) and self.chance.random() < UPLOAD_SHARE:
             return await self._upload(reader, writer)
-        count = self.chance.randint(*PIPELINED_REQUESTS) if self.group.has(Condition.PIPELINED) else 1
+        count = self.chance.randint(*PIPELINED_REQUESTS) if self.group.plan.has(Condition.PIPELINED) else 1
         entries = []
         for _ in range(count):
             entry, data = self._ask(self.chance.choice(self.group.mixes))
@@ -159,8 +155,8 @@
             writer.write(data)
         return await self._read_answers(reader, entries)
 
-    def _ask(self, mix: RequestMix, body: bytes | None = None) -> tuple[RequestEntry, bytes]:
-        """Note a request; its entry and its bytes, without its body where that is given."""
+    def _ask(self, mix: RequestMix, body: bytes = UNSAFE_BODY) -> tuple[RequestEntry, bytes]:
+        """Note a request; its entry and its bytes."""
         self.group.sent += 1
         request_id = f"soak-{self.group.plan.seed}-{self.group.sent}"
         request_class = self.ledger.limits.classes[mix.cls]
@@ -168,34 +164,29 @@
         now = time.monotonic_ns()
         entry = self.ledger.asked(request_id, mix.cls, now, now + request_class.deadline, tenant)
         self.disturbance_before[request_id] = self.group.disturbance_ns()
-        data = encode_request(request_id, request_class, mix, tenant, is_retry=False)
-        data = data % (request_class.deadline // MS)
-        if body is not None:
-            head, _, _ = data.partition(b"\r\n\r\n")
-            lines = [line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")]
-            data = b"\r\n".join((*lines, b"Content-Length: %d" % len(body), b"\r\n"))
-        return entry, data
+        template = encode_request(request_id, request_class, mix, tenant, is_retry=False, body=body)
+        return entry, template % (request_class.deadline // MS)
 
     async def _upload(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Send a request with a long body in pieces; an answer may come before its end."""
         mix = next(mix for mix in self.group.mixes if mix.cls)  # one that has a body
-        body = bytes(self.chance.randint(*UPLOAD_BYTES))
-        entry, head = self._ask(mix, body)
+        entry, data = self._ask(mix, bytes(self.chance.randint(*UPLOAD_BYTES)))
         # Nobody has taken it before its last byte.
         deadline, entry.deadline = entry.deadline - entry.at, entry.deadline + INCOMPLETE_GRACE_NS
-        writer.write(head)
         answer = asyncio.ensure_future(read_message(reader))
-        size = -(-len(body) // UPLOAD_PIECES)
+        size = -(-len(data) // UPLOAD_PIECES)
         pause_s = self.chance.uniform(0.0, UPLOAD_TIME_S / UPLOAD_PIECES)
-        for start in range(0, len(body), size):
-            await asyncio.sleep(pause_s)
+        for start in range(0, len(data), size):
+            if start:
+                await asyncio.sleep(pause_s)
             if answer.done() or writer.transport.is_closing():
                 break
-            writer.write(body[start : start + size])
+            writer.write(data[start : start + size])
         else:
             entry.at = time.monotonic_ns()
             entry.deadline = entry.at + deadline
-            return await self._take_answer(answer, [entry], time.monotonic_ns(), self.group.disturbance_ns())
+            self.disturbance_before[entry.id] = self.group.disturbance_ns()
+            return await self._take_answer(answer, [entry])
         return await self._end_upload_early(answer, entry)
 
     async def _end_upload_early(self, answer: asyncio.Task[tuple[bytes, bytes]], entry: RequestEntry) -> bool:
@@ -210,21 +201,16 @@
 
     async def _read_answers(self, reader: asyncio.StreamReader, entries: list[RequestEntry]) -> bool:
         """Read the answers of requests that were written together."""
-        written_at, disturbed_before = time.monotonic_ns(), self.group.disturbance_ns()
         for number, entry in enumerate(entries):
             # One that lies behind others is due at once when they are answered, however late that is.
             entry.deadline = max(entry.deadline, time.monotonic_ns())
             answer = asyncio.ensure_future(read_message(reader))
-            if not await self._take_answer(answer, entries[number:], written_at, disturbed_before):
+            if not await self._take_answer(answer, entries[number:]):
                 return False
         return True
 
     async def _take_answer(
-        self,
-        answer: asyncio.Task[tuple[bytes, bytes]],
-        entries: list[RequestEntry],
-        written_at: int,
-        disturbed_before: int,
+        self, answer: asyncio.Task[tuple[bytes, bytes]], entries: list[RequestEntry]
     ) -> bool:
         """Take the answer of the first of these requests; whether the connection stays open.
 
@@ -234,11 +220,9 @@
             Reads it.
         entries
             The requests that have no answer yet.
-        written_at, disturbed_before
-            When (ns) they were written, and how much time (ns) the machine had taken in all by then.
         """
         entry = entries[0]
-        if self.group.has(Condition.LEAVING_CLIENTS) and self.chance.random() < LEAVE_SHARE:
+        if self.group.plan.has(Condition.LEAVING_CLIENTS) and self.chance.random() < LEAVE_SHARE:
             await self._leave(answer, entries)
             return False
         await self._wait_for(answer, entry)
@@ -251,11 +235,11 @@
         try:
             head, body = answer.result()
         except (OSError, EOFError) as error:
-            self._closed(entries, written_at, disturbed_before, getattr(error, "partial", b""))
+            self._closed(entries, getattr(error, "partial", b""))
             return False
         closes = self._note_answer(entry, head, body)
         for rest in entries[1:] if closes else ():
-            self.ledger.closed_unread(rest.id, time.monotonic_ns())  # the node said that it reads no further
+            self.ledger.closed_unread(rest.id)  # the node said that it reads no further
         return not closes
 
     async def _wait_for(self, answer: asyncio.Task[tuple[bytes, bytes]], entry: RequestEntry) -> None:
@@ -271,7 +255,7 @@
             extension_ns = disturbance_ns
 
     def _disturbance_of(self, entry: RequestEntry) -> int:
-        """How much time (ns) the machine has taken since a request was asked."""
+        """How much time (ns) the machine has taken since a request was written."""
         return self.group.disturbance_ns() - self.disturbance_before[entry.id]
 
     async def _leave(self, answer: asyncio.Task[tuple[bytes, bytes]], entries: list[RequestEntry]) -> None:
@@ -294,19 +278,17 @@
         self.ledger.answered(entry.id, outcome, at, response.status, response.retry_after_s)
         return not response.keeps_alive
 
-    def _closed(
-        self, entries: list[RequestEntry], written_at: int, disturbed_before: int, partial: bytes
-    ) -> None:
+    def _closed(self, entries: list[RequestEntry], partial: bytes) -> None:
         """Note requests whose connection was closed before their answer."""
         now = time.monotonic_ns()
-        disturbance_ns = self.group.disturbance_ns() - disturbed_before
-        crossed = now - written_at <= CROSSING_NS + disturbance_ns
-        shut_for_the_crowd = self.is_first_use and self.group.has(Condition.CROWD)
+        shut_for_the_crowd = self.is_first_use and self.group.plan.has(Condition.CROWD)
         for entry in entries:
+            age_ns = now - entry.at
+            crossed = age_ns <= CROSSING_NS + self._disturbance_of(entry)
             if not partial and (crossed or shut_for_the_crowd):
-                self.ledger.closed_unread(entry.id, now)
+                self.ledger.closed_unread(entry.id)
             else:
-                self.ledger.broke_off(entry.id, now, self._describe(now - written_at, partial))
+                self.ledger.broke_off(entry.id, now, self._describe(age_ns, partial))
 
     def _describe(self, age_ns: int, partial: bytes) -> str:
         """Tell how a connection was closed under a request of so much age."""
--- a/hollybay/testbed/soak/ledger.py
+++ b/hollybay/testbed/soak/ledger.py
@@ -17,23 +17,22 @@
     def __init__(self, limits: RuleLimits) -> None:
         super().__init__(limits)
         self.left_at: dict[str, int] = {}
-        self.closed: dict[str, int] = {}
-        self.crossed = 0
+        self.closed: set[str] = set()
 
     def left(self, request_id: str, at: int) -> None:
         """The client of a request has closed its connection."""
         self.requests[request_id].excused = True
         self.left_at[request_id] = at
 
-    def closed_unread(self, request_id: str, at: int) -> None:
+    def closed_unread(self, request_id: str) -> None:
         """The node closed a connection in the moment in which a request was sent on it."""
         self.requests[request_id].excused = True
-        self.closed[request_id] = at
-        self.crossed += 1
+        self.closed.add(request_id)
 
     def broke_off(self, request_id: str, at: int, how: str) -> None:
         """The node closed a connection before the answer of a request that it had time to read."""
         self.answered(request_id, FinalOutcome.BROKEN, at)
+        self.requests[request_id].excused = True  # told here, with how
         self.violations.append(Violation("lost", request_id, how))
 
     def arrived(
@@ -50,7 +49,7 @@
         """Decide all rules over the run: what crossed a close was read by nobody."""
         sent_on = [
             Violation("closed", rid, "its connection was closed with no answer, and it was sent on")
-            for rid in self.closed
+            for rid in sorted(self.closed)
             if self.requests[rid].arrived
         ]
         return Verdict((*super().check().violations, *sent_on))
--- a/hollybay/testbed/soak/plan.py
+++ b/hollybay/testbed/soak/plan.py
@@ -107,6 +107,10 @@
     crowd_stays: bool
     conditions: frozenset[Condition]
 
+    def has(self, condition: Condition) -> bool:
+        """Whether a condition is part of the run."""
+        return condition in self.conditions
+
     def __str__(self) -> str:
         signals = " ".join(f"+{one.after_s:.3f} {one.name}" for one in self.signals)
         conditions = ", ".join(sorted(one.name.lower() for one in self.conditions)) or "nothing"
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -141,9 +141,6 @@
         self.before = _Sample(0, 0.0)
         self.last = _Sample(0, 0.0)
 
-    def _has(self, condition: Condition) -> bool:
-        return condition in self.plan.conditions
-
     def _may_connect(self) -> bool:
         """Whether clients are to open new connections now."""
         if self.term_at is None:
@@ -166,32 +163,32 @@
         await self.scene.start()
         await self.other_agent.start()
         self.other_agent.publish()
-        if self._has(Condition.NO_LIST):
+        if self.plan.has(Condition.NO_LIST):
             self._silence_discovery()
-        if self._has(Condition.RELOAD):
+        if self.plan.has(Condition.RELOAD):
             self._write_operator_file(0)
         self.node = self._node_process("node.log", self.admin_ports[0])
         await self.node.start()
         self.node_end = asyncio.ensure_future(self.node.wait())
-        if not self._has(Condition.NO_LIST):
+        if not self.plan.has(Condition.NO_LIST):
             await self._wait_until_ready()
         self.clients.start()
         await asyncio.sleep(self.plan.traffic_s)
         self.before = self._sample()
-        if self._has(Condition.CROWD):
+        if self.plan.has(Condition.CROWD):
             self.crowd.start()
             await asyncio.sleep(self.plan.traffic_s)
-        if self._has(Condition.SUCCESSOR):
+        if self.plan.has(Condition.SUCCESSOR):
             successor = self._node_process("successor.log", self.admin_ports[1])
             await successor.start()
             self.successor = successor
 
     def _node_process(self, log_name: str, admin_port: int) -> NodeProcess:
         config = self.scene.config()
-        if self._has(Condition.SUCCESSOR):
+        if self.plan.has(Condition.SUCCESSOR):
             config["admin"] = f"{HOST}:{admin_port}"
         environ = {PORT_VARIABLE: str(self.port), "TMPDIR": str(self.folder)}
-        if self._has(Condition.RELOAD):
+        if self.plan.has(Condition.RELOAD):
             environ["HOLLYBAY_OPERATOR"] = str(self.folder / "operator.toml")
         return NodeProcess(config, self.folder, log_name, **environ)
 
@@ -244,12 +241,12 @@
 
     def _strike(self) -> None:
         """Let happen what happens beside the end."""
-        if self._has(Condition.SILENT_WATCH):
+        if self.plan.has(Condition.SILENT_WATCH):
             self._silence_discovery()
-        if self._has(Condition.HANGING_SERVERS):
+        if self.plan.has(Condition.HANGING_SERVERS):
             for server in self.scene.servers[: round(self.plan.hanging_share * len(self.scene.servers))]:
                 server.cut = True
-        if self._has(Condition.DRAINING_SERVERS):
+        if self.plan.has(Condition.DRAINING_SERVERS):
             server = self.scene.servers[-1]
             server.state = "DRAINING"
             for agent in (self.scene.agent, self.other_agent):
@@ -259,7 +256,7 @@
         """Send a signal; with SIGHUP the configuration names the other discovery."""
         if number == signal.SIGHUP:
             self.node.path.write_text(json.dumps({**self.node.config, "discovery": self.other_agent.address}))
-            if self._has(Condition.RELOAD):
+            if self.plan.has(Condition.RELOAD):
                 self._write_operator_file(version)
         elif self.term_at is None:
             self.term_at = time.monotonic()
@@ -313,13 +310,14 @@
             for entry in self.ledger.requests.values()
         )
         return SoakResult(
-            self.plan, tuple(self.violations), dict(ends), self.ledger.crossed, self.ended_after_s
+            self.plan, tuple(self.violations), dict(ends), len(self.ledger.closed), self.ended_after_s
         )
 
     def _check_descriptors(self) -> None:
         """Once a crowd has left, the node holds what it held before, and what clients have come since."""
-        settled_after_s = self.plan.connects_after_term_s + CROWD_SETTLE_S
-        if not self._has(Condition.CROWD) or self.plan.crowd_stays or self.ended_after_s < settled_after_s:
+        if not self.plan.has(Condition.CROWD) or self.plan.crowd_stays:
+            return
+        if self.ended_after_s < self.plan.connects_after_term_s + CROWD_SETTLE_S:
             return
         newcomers = len(self.clients.tasks) - self.plan.clients
         most = self.before.descriptors + DESCRIPTORS_PER_CLIENT * newcomers + MAX_MORE_DESCRIPTORS
