--- a/hollybay/testbed/soak/clients.py
+++ b/hollybay/testbed/soak/clients.py
@@ -21,10 +21,10 @@
 __all__ = ["ClientGroup"]
 
 HOST = "127.0.0.1"
-# A request written at most this long before its connection closed may have crossed the close: the slack that
-# the pages give every time limit.
+# A request written at most this long before its connection closed may have crossed the close: the slack of
+# every time limit of the platform.
 CROSSING_NS = 50 * MS
-# How long a client waits beyond what the pages allow an answer to be late.
+# How long a client waits beyond what an answer may be late.
 PATIENCE_S = 1.0
 LEAVE_SHARE = 0.05  # of the requests, where clients leave
 UPLOAD_SHARE = 0.2  # of the requests, where bodies are long
--- a/hollybay/testbed/soak/ledger.py
+++ b/hollybay/testbed/soak/ledger.py
@@ -7,7 +7,7 @@
 
 __all__ = ["SoakLedger"]
 
-# The pages: an attempt that begins more than 0.1 s after its client has gone is a break; with their slack.
+# No attempt may begin later than 0.1 s after its client has gone; 50 ms are for the clocks.
 LEFT_GRACE_NS = 150 * MS
 
 
--- a/hollybay/testbed/soak/plan.py
+++ b/hollybay/testbed/soak/plan.py
@@ -11,7 +11,7 @@
 
 # Share of the runs with each condition.
 CONDITION_SHARE = 0.3
-# The pages: new connections come for 0.2 to 0.4 s after SIGTERM.
+# The platform sends new connections for 0.2 to 0.4 s after SIGTERM.
 CONNECTS_AFTER_TERM_S = (0.2, 0.4)
 # The longest time between two signals of a series.
 MAX_SIGNAL_GAP_S = 0.3
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -28,9 +28,9 @@
 __all__ = ["SoakResult", "play"]
 
 HOST = "127.0.0.1"
-# The pages: up to half a second after its deadline an answer only earns nothing.
+# The platform counts an answer as lost once it is this late.
 LATE_NS = 500 * MS
-# The pages: SIGKILL comes this long after the longest deadline, of which so much counts at the most.
+# The platform sends SIGKILL this long after the longest deadline, of which so much counts at the most.
 KILL_DELAY_S = 0.7
 MAX_DEADLINE_S = 3.0
 READY_LIMIT_S = 10.0
