--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 import contextlib
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -14,18 +15,18 @@
 from standins import (  # noqa: E402
     CannotRunError,
     Discovery,
-    Exchange,
     Node,
     Record,
     Request,
     Server,
     encode_request,
-    exchange,
     is_disturbed,
     open_connection,
     read_head,
+    read_response,
     run_case,
     serving,
+    unacknowledged_bytes,
 )
 
 MEMORY_MB = 48
@@ -41,6 +42,7 @@
 TIME_LEFT_MS = 4000
 # An answer counts as lost half a second after its time.
 LOST_AFTER_S = TIME_LEFT_MS / 1000 + 0.5
+ACKNOWLEDGED_WITHIN_S = 0.2
 ANSWER_WAIT_S = 12.0
 
 
@@ -74,16 +76,57 @@
     writer.close()
 
 
-async def book(record: Record, node: Node, number: int) -> Exchange:
-    """Send a request with a body that the kernel of the node's machine takes whole, and await its answer."""
-    request_id = f"booking-{number}"
-    request = encode_request(
-        "/book-venue/hall-7", request_id, TIME_LEFT_MS, key=f"key-b{number}", body=BOOKING_BODY
+@dataclass(slots=True)
+class Booking:
+    """A request with a body, and what came back.
+
+    Attributes
+    ----------
+    is_taken
+        Whether the node's machine has acknowledged its last byte, soon after it was sent.
+    status
+        Status of its answer; 0 if none came whole.
+    waited_s
+        Time from its last byte to the end of its answer, or to the end of the wait.
+    """
+
+    id: str
+    is_taken: bool = False
+    status: int = 0
+    waited_s: float = 0.0
+
+    def is_lost(self) -> bool:
+        """Whether it was taken, and has no answer half a second after its time."""
+        return self.is_taken and self.waited_s > LOST_AFTER_S
+
+
+async def book(record: Record, node: Node, number: int) -> Booking:
+    """Send a request with a body, and await its answer."""
+    booking = Booking(f"booking-{number}")
+    reader, writer = await open_connection(node.address)
+    writer.write(
+        encode_request(
+            "/book-venue/hall-7", booking.id, TIME_LEFT_MS, key=f"key-b{number}", body=BOOKING_BODY
+        )
     )
-    record(f"client: sends id={request_id} with {TIME_LEFT_MS} ms left")
-    result = await exchange(node.address, request_id, request, ANSWER_WAIT_S)
-    record(f"client: {result}")
-    return result
+    sent_at = time.monotonic()
+    record(f"client: id={booking.id} sent with {TIME_LEFT_MS} ms left")
+    answer = asyncio.create_task(read_response(reader))
+    await asyncio.sleep(ACKNOWLEDGED_WITHIN_S)
+    booking.is_taken = unacknowledged_bytes(writer) == 0
+    record(f"client: id={booking.id} last byte acknowledged by the node's machine: {booking.is_taken}")
+    outcome = "no answer"
+    try:
+        async with asyncio.timeout(ANSWER_WAIT_S):
+            head, _ = await answer
+        booking.status = head.status
+        outcome = f"answered {head.status}"
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        outcome += f" ({type(error).__name__})"
+    booking.waited_s = time.monotonic() - sent_at
+    record(f"client: id={booking.id} {outcome}, {booking.waited_s:.3f} s after its last byte")
+    writer.close()
+    return booking
 
 
 async def play(record: Record, folder: Path) -> list[str]:
@@ -99,16 +142,16 @@
             await asyncio.sleep(READER_INTERVAL_S)
         await asyncio.sleep(1.0)
         record(f"platform: node uses {node.memory_used_mb():.1f} MB of {MEMORY_MB} MB")
-        results = await asyncio.gather(*[book(record, node, number) for number in range(BOOKINGS)])
+        bookings = await asyncio.gather(*[book(record, node, number) for number in range(BOOKINGS)])
         for task in readers:
             task.cancel()
         if node.has_ended():
             raise CannotRunError("the node has ended")
     return [
-        f"id={result.id} has no answer {result.answered_after_s:.1f} s after it was sent with "
-        f"{TIME_LEFT_MS / 1000:.1f} s left"
-        for result in results
-        if result.answered_after_s > LOST_AFTER_S
+        f"id={booking.id} was taken with {TIME_LEFT_MS / 1000:.1f} s left, "
+        f"and has no answer after {booking.waited_s:.1f} s"
+        for booking in bookings
+        if booking.is_lost()
     ]
 
 
