--- a/review/standins.py
+++ b/review/standins.py
@@ -534,12 +534,13 @@
             if self.has_ended():
                 raise CannotRunError("the node has ended before it was ready")
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                if await self._is_ready():
+                if await self.is_ready():
                     return
             await asyncio.sleep(0.1)
         raise CannotRunError(f"the node is not ready within {READY_TIMEOUT_S:.0f} s")
 
-    async def _is_ready(self) -> bool:
+    async def is_ready(self) -> bool:
+        """Whether `GET /health/ready` answers 200."""
         reader, writer = await open_connection(self.address)
         try:
             writer.write(b"GET /health/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n")
