A request whose body waits for memory is refused before its client's time is up

Cause: ClientConnection._charge pauses reading where BodyBudget has no room, and nothing limited how long. The request has no deadline before the dispatcher has it, and is_request_overdue was never true while reading was paused.

Change: a request that waits for room has a timer that fires when its client's time is up, counted from the last byte that the kernel has (TCP_INFO), and is refused with 503 and Retry-After: nothing of it has run. It is renewed if more bytes have come meanwhile. The limit for unfinished requests (2.4 s and the time of its bytes at 48 kB/s) holds while it waits, too, so that a client that stops in the middle and states a long time keeps its place no longer than before. Reading that is paused because a server takes nothing stays exempt.

Cost: a timer for a request that has to wait, nothing for any other (8 bytes a connection for the reference).

--- a/hollybay/proxy/downstream/body_budget.py
+++ b/hollybay/proxy/downstream/body_budget.py
@@ -13,7 +13,8 @@
 class BodyBudget:
     """Memory budget shared by all buffered bodies that are not small.
 
-    A reader for which there is no room pauses reading, so that the rest of its body waits in the kernel.
+    A reader for which there is no room pauses reading, so that the rest of its body waits in the kernel. The
+    budget sets no limit on how long: the reader does, as only it knows until when its client waits.
 
     Parameters
     ----------
@@ -45,6 +46,10 @@
         self.waiting[reader] = None
         return False
 
+    def is_waiting(self, reader: BodySource) -> bool:
+        """Whether a reader has paused until there is room."""
+        return reader in self.waiting
+
     def stop_waiting(self, reader: BodySource) -> None:
         """Remove a reader whose body is complete from those that wait; its bytes stay charged."""
         self.waiting.pop(reader, None)
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from hollybay.units import MS
+from hollybay.units import MS, SECOND
 
 from .. import system
 from ..flow_control import BodySource
@@ -54,6 +54,9 @@
 # half of which it offers as window.
 HIDDEN_CLOSE_BYTES = 32 << 10
 
+# How long (s) before the end of its client's time a request that waits for memory is rejected.
+BUDGET_WAIT_MARGIN_S = 0.02
+
 # Values of `ClientConnection.request_id` that are no request number.
 NO_REQUEST = 0
 BEING_SUBMITTED = -1
@@ -100,6 +103,8 @@
         Source of the body of a streamed response.
     linger_timer
         Closes the connection if its client does not; None while it is not lingering.
+    budget_timer
+        Limits how long the request may wait for memory; None if it has not had to wait.
     """
 
     def __init__(self, clients: ClientContext[ClientConnection], sock: socket.socket) -> None:
@@ -115,6 +120,7 @@
         self.streaming_body: StreamingBody | None = None
         self.body_source: BodySource | None = None
         self.linger_timer: asyncio.TimerHandle | None = None
+        self.budget_timer: asyncio.Handle | None = None
 
     # State of the connection
 
@@ -158,11 +164,12 @@
         return self.streaming_body is None and not self.unread_bytes()
 
     def is_request_overdue(self, now: float) -> bool:
-        """Whether the rest of a request is overdue at a loop time (s); never while reading is paused."""
+        """Whether the rest of a request is overdue at a loop time (s); never while its server holds it up."""
         if self.request is None or self.phase is None:
             return True
         allowed_s = self.clients.phase_timeouts.unfinished + self.request.size / MIN_BODY_BYTES_PER_S
-        return self.reading and now - self.phase[self] > allowed_s
+        is_held_up = not self.reading and not self.clients.body_budget.is_waiting(self)
+        return not is_held_up and now - self.phase[self] > allowed_s
 
     def close_if_idle(self) -> None:
         """Close an idle connection gracefully unless it has unread bytes.
@@ -174,8 +181,19 @@
             self._linger()
 
     def reject_unfinished(self) -> None:
-        """Reject a request that was not complete in time."""
-        self._reject_invalid(RequestProblem(408, "the request is not whole in time"))
+        """Reject a request that was not complete in time, for which its client or the node is to blame."""
+        if self.clients.body_budget.is_waiting(self):
+            self.reject_waiting()
+        else:
+            self._reject_and_close(RequestProblem(408, "the request is not whole in time"))
+
+    def reject_waiting(self) -> None:
+        """Reject a request whose body waits for memory, which is not read to its end."""
+        request = self.request
+        assert request is not None
+        self.clients.dispatcher.counters.rejected[request.class_index] += 1
+        retry_after = retry_after_header(self.clients.config.settings.max_retry_after)
+        self._reject_and_close(RequestProblem(503, "refused"), retry_after)
 
     def resume_writing(self) -> None:
         """Continue with the response: the kernel has accepted everything that was written."""
@@ -188,6 +206,7 @@
 
     def _abandon_request(self) -> None:
         """End the current request without a response."""
+        self._stop_budget_timer()
         if self.request is not None:
             release_request(self.clients.admission, self.request)
             self.request.body = []
@@ -199,6 +218,11 @@
         if streaming_body is not None:
             streaming_body.close()
 
+    def _stop_budget_timer(self) -> None:
+        if self.budget_timer is not None:
+            self.budget_timer.cancel()
+            self.budget_timer = None
+
     # Requests
 
     def received(self, data: memoryview) -> None:
@@ -243,7 +267,7 @@
                 else:  # paused or closed: no further request can arrive on this connection
                     self._linger()
         except h11.RemoteProtocolError as error:
-            self._reject_invalid(RequestProblem(error.error_status_hint, str(error)))
+            self._reject_and_close(RequestProblem(error.error_status_hint, str(error)))
 
     def _mark_unfinished(self) -> None:
         """Move the connection to the unfinished phase once the first byte of a request has arrived."""
@@ -256,14 +280,14 @@
         request = self.request = ClientRequest(event)
         problem = request.resolve(clients.config, clients.admission, clients.policy_agreement)
         if problem is not None:
-            self._reject_invalid(problem)
+            self._reject_and_close(problem)
 
     def _handle_data(self, data: bytes, just_read: bool) -> None:
         request = self.request
         assert request is not None
         request.size += len(data)
         if request.size > request.max_body:
-            self._reject_invalid(RequestProblem(413, f"the body is longer than {request.max_body} bytes"))
+            self._reject_and_close(RequestProblem(413, f"the body is longer than {request.max_body} bytes"))
             return
         if self.streaming_body is not None:
             self.streaming_body.append(data)
@@ -283,6 +307,28 @@
         """Charge bytes of a body to the budget, and pause reading if there is no room."""
         if not self.clients.body_budget.charge(self, size):
             self.set_reading(False)
+            if self.budget_timer is None:
+                # Not called at once: the end of the request may be among the bytes that were just read.
+                self.budget_timer = self.clients.loop.call_soon(self._check_budget_wait)
+
+    def _check_budget_wait(self) -> None:
+        """Reject a request that still waits for memory when its client's time is up.
+
+        That time counts from the last byte of the request, which may be in the kernel already, unread.
+        """
+        self.budget_timer = None
+        request = self.request
+        if request is None or not self.clients.body_budget.is_waiting(self):
+            return
+        is_open, last_byte_age_ms = self.read_delay()
+        if not is_open:
+            self.abandon()
+            return
+        left = (request.time_left - last_byte_age_ms * MS) / SECOND - BUDGET_WAIT_MARGIN_S
+        if left > 0.0:
+            self.budget_timer = self.clients.loop.call_later(left, self._check_budget_wait)
+        else:
+            self.reject_waiting()
 
     def _start_streaming(self, request: ClientRequest, just_read: bool) -> None:
         """Forward a request whose body is too long to be buffered, while the body is still arriving."""
@@ -304,6 +350,7 @@
         self.state = next_state(self.state, _REQUEST_COMPLETED)
         self.bytes_ahead = len(self.http.trailing_data[0])
         self.clients.body_budget.stop_waiting(self)
+        self._stop_budget_timer()
         self.set_reading(True)
         self.clients.move(self, None)
         if request.path in HEALTH_PATHS:
@@ -325,7 +372,7 @@
             return
         clients = self.clients
         if clients.recent_ids.check_and_add(request.values[b"x-correlation-id"], clients.loop.time()):
-            self._reject_invalid(RequestProblem(409, "X-Correlation-Id: another request has it"))
+            self._reject_and_close(RequestProblem(409, "X-Correlation-Id: another request has it"))
             return
         if clients.is_full or clients.forwarding_stopped or not request.is_policy_known:
             clients.dispatcher.counters.rejected[request.class_index] += 1
@@ -443,10 +490,10 @@
             return [*headers, (b"connection", b"close")]
         return headers
 
-    def _reject_invalid(self, problem: RequestProblem) -> None:
-        """Respond to an invalid request, and close the connection."""
+    def _reject_and_close(self, problem: RequestProblem, headers: Sequence[tuple[bytes, bytes]] = ()) -> None:
+        """Respond to a request that is not read to its end, and close the connection."""
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._write(*rejection_events(problem))
+            self._write(*rejection_events(problem, list(headers)))
         self._linger()
 
     def _response_completed(self) -> None:
--- a/hollybay/proxy/downstream/responses.py
+++ b/hollybay/proxy/downstream/responses.py
@@ -35,15 +35,23 @@
     return 503, b"not ready\n"
 
 
-def rejection_events(problem: RequestProblem) -> tuple[h11.Event, ...]:
-    """Return the response to an invalid request, after which the connection closes."""
+def rejection_events(problem: RequestProblem, headers: Headers) -> tuple[h11.Event, ...]:
+    """Return the response to a request that is not read to its end, after which the connection closes.
+
+    Parameters
+    ----------
+    problem
+        Why the request is rejected.
+    headers
+        Headers in addition to those of the framing.
+    """
     body = problem.reason.encode("latin-1", "replace") + b"\n"
-    headers = [
+    framing = [
         (b"content-type", b"text/plain"),
         (b"content-length", b"%d" % len(body)),
         (b"connection", b"close"),
     ]
-    response = h11.Response(status_code=problem.status, headers=headers)
+    response = h11.Response(status_code=problem.status, headers=[*headers, *framing])
     return response, h11.Data(data=body), h11.EndOfMessage()
 
 
--- /dev/null
+++ b/tests/test_body_budget.py
@@ -0,0 +1,130 @@
+"""Requests whose body waits for memory: each is answered in time, and memory is kept for no answer's sake."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from hollybay.proxy import shutdown
+from hollybay.proxy.config import Config
+from hollybay.proxy.message_limits import MAX_HELD_BODY_BYTES
+from hollybay.proxy.shutdown import shut_down_gracefully
+from hollybay.testbed.loopback import (
+    FakeDiscovery,
+    RunningNode,
+    ScriptedServer,
+    StalledServer,
+    call,
+    request,
+    running,
+)
+
+# With one body of HELD in the budget, there is no room for another one of WAITING.
+BUDGET_BYTES = MAX_HELD_BODY_BYTES + 30_000
+HELD = b"h" * 60_000
+WAITING = b"w" * 20_000
+
+
+def with_small_budget(config: Config) -> Config:
+    return replace(config, body_budget=BUDGET_BYTES)
+
+
+async def fill_budget(node: RunningNode, server: ScriptedServer) -> asyncio.Task[bytes]:
+    """Send a request whose body fills the budget; it waits at the server."""
+    first = asyncio.ensure_future(node.ask(request("send", rid="r-1", body=HELD)))
+    await server.until(lambda: len(server.heads) == 1)
+    return first
+
+
+def test_a_body_that_waits_for_memory_gets_its_answer_before_its_time(tmp_path: Path) -> None:
+    """Guards against requests that lie in the kernel for as long as other requests hold the budget."""
+
+    async def play() -> None:
+        server = StalledServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            first = await fill_budget(node, server)
+            waiting = request("send", rid="r-2", body=WAITING, extra=b"X-Time-Left-Ms: 300\r\n")
+            response = await node.ask(waiting)
+            assert response.startswith(b"HTTP/1.1 503") and not first.done()
+            assert len(server.heads) == 1 and sum(node.dispatcher.counters.rejected) == 1
+            assert not node.clients.body_budget.waiting
+            server.go.set()
+            assert b" 200 " in await first
+
+    asyncio.run(play())
+
+
+def test_a_body_that_waits_for_memory_is_served_once_there_is_room(tmp_path: Path) -> None:
+    """The limit of the wait must not end a request that has been read since."""
+
+    async def play() -> None:
+        server = StalledServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            first = await fill_budget(node, server)
+            second = asyncio.ensure_future(node.ask(request("send", rid="r-2", body=WAITING)))
+            await node.until(lambda: bool(node.clients.body_budget.waiting))
+            (conn,) = node.clients.body_budget.waiting
+            server.go.set()
+            assert b" 200 " in await first and b" 200 " in await second
+            assert conn.budget_timer is None  # type: ignore[attr-defined]
+
+    asyncio.run(play())
+
+
+def test_a_client_that_stops_while_its_body_waits_for_memory_gets_an_error(tmp_path: Path) -> None:
+    """Guards against bad clients that state a long time and keep their connections without limit."""
+
+    async def play() -> None:
+        server = StalledServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            first = await fill_budget(node, server)
+            node.clients.phase_timeouts.unfinished = 0.0
+            data = request("send", rid="r-2", body=WAITING, extra=b"X-Time-Left-Ms: 86400000\r\n")
+            response = await node.ask(data[:-1000])
+            assert response.startswith(b"HTTP/1.1 503") and not first.done()
+            assert not node.clients.body_budget.waiting
+            server.go.set()
+            assert b" 200 " in await first
+
+    asyncio.run(play())
+
+
+def test_the_end_of_a_shutdown_answers_requests_that_wait_for_memory(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that ends while a whole request lies unread in the kernel."""
+    monkeypatch.setattr(shutdown, "MAX_DEADLINE_S", 0.2)
+
+    async def play() -> None:
+        server = StalledServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            first = await fill_budget(node, server)
+            second = asyncio.ensure_future(node.ask(request("send", rid="r-2", body=WAITING)))
+            await node.until(lambda: bool(node.clients.body_budget.waiting))
+            await shut_down_gracefully(node.clients, node.dispatcher, accept_period_s=0.0)
+            assert not node.clients.connections
+            assert (await second).startswith(b"HTTP/1.1 503")
+            assert (await first).startswith(b"HTTP/1.1 50")
+
+    asyncio.run(play())
+
+
+def test_a_client_that_leaves_while_its_body_waits_for_memory_releases_it(tmp_path: Path) -> None:
+    """Its close lies unread behind the body: the wait's limit finds it, and no attempt follows."""
+
+    async def play() -> None:
+        server = StalledServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            first = await fill_budget(node, server)
+            sock = call(node, request("send", rid="r-2", body=WAITING, extra=b"X-Time-Left-Ms: 300\r\n"))
+            await node.until(lambda: bool(node.clients.body_budget.waiting))
+            sock.close()
+            await node.until(lambda: not node.clients.body_budget.waiting)
+            server.go.set()
+            assert b" 200 " in await first
+            assert len(server.heads) == 1 and node.clients.body_budget.used == 0
+
+    asyncio.run(play())
