A request's body keeps no memory once its answer has begun

Cause: the bytes of a request were released in _response_completed alone, after the last byte of its answer. A streamed answer has begun before, and from then on no other attempt can send the request. The same holds for the retained bytes of a long upload (RetentionBudget), whose room decides whether other uploads can be retried.

Change: start_response releases the body, buffered or retained, and empties the list of its parts, which attempts and the dispatcher refer to as well, so that the memory is free and not only its account. The release at an abandoned request is in a `finally`: an exception of the dispatcher leaves no budget charged.

The planted defect client-left-unnoticed quotes the call at its new indentation.

--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -299,8 +299,8 @@
     Defect(
         "client-left-unnoticed",
         CONNECTION,
-        "        if request_id:\n            self.clients.dispatcher.disconnect(request_id)",
-        "        if request_id < 0:\n            self.clients.dispatcher.disconnect(request_id)",
+        "            if request_id:\n                self.clients.dispatcher.disconnect(request_id)",
+        "            if request_id < 0:\n                self.clients.dispatcher.disconnect(request_id)",
     ),
     Defect(
         "headers-of-the-hop-passed",
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -209,14 +209,24 @@
         self._stop_budget_timer()
         if self.request is not None:
             release_request(self.clients.admission, self.request)
-            self.request.body = []
-        self.clients.body_budget.release(self)
-        streaming_body, self.streaming_body = self.streaming_body, None
         request_id, self.request_id = self.request_id, NO_REQUEST
-        if request_id:
-            self.clients.dispatcher.disconnect(request_id)
-        if streaming_body is not None:
-            streaming_body.close()
+        try:
+            if request_id:
+                self.clients.dispatcher.disconnect(request_id)
+        finally:
+            self._release_body()
+
+    def _release_body(self) -> None:
+        """Release the memory of the request's body, which no attempt sends any more.
+
+        The list of its parts is emptied, as attempts that are still in flight refer to it, too.
+        """
+        if self.request is not None:
+            self.request.body.clear()
+        self.clients.body_budget.release(self)
+        if self.streaming_body is not None:
+            self.streaming_body.close()
+            self.streaming_body = None
 
     def _stop_budget_timer(self) -> None:
         if self.budget_timer is not None:
@@ -438,7 +448,8 @@
         self._respond(status, [], (b"failed\n",))
 
     def start_response(self, response: ForwardedResponse, body_source: BodySource) -> None:
-        """Begin to write a streamed response."""
+        """Begin to write a streamed response, after which the request is not sent to a server again."""
+        self._release_body()
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         headers = response.headers
         if response.length is not None:
@@ -499,15 +510,12 @@
     def _response_completed(self) -> None:
         """Release the request; the connection continues once the kernel has accepted the response."""
         self.state = next_state(self.state, _RESPONSE_COMPLETED)
+        self._release_body()
         if self.request is not None:
             release_request(self.clients.admission, self.request)
             self.request = None
         self.request_id = NO_REQUEST
         self.body_source = None
-        self.clients.body_budget.release(self)
-        if self.streaming_body is not None:
-            self.streaming_body.close()
-            self.streaming_body = None
         if self.is_write_buffered:
             self.clients.move(self, self.clients.writing)
         else:
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -13,6 +13,8 @@
 from hollybay.proxy.message_limits import MAX_HELD_BODY_BYTES
 from hollybay.proxy.shutdown import shut_down_gracefully
 from hollybay.testbed.loopback import (
+    LIMIT,
+    OK,
     FakeDiscovery,
     RunningNode,
     ScriptedServer,
@@ -26,6 +28,8 @@
 BUDGET_BYTES = MAX_HELD_BODY_BYTES + 30_000
 HELD = b"h" * 60_000
 WAITING = b"w" * 20_000
+# So long that the node passes it on before it is whole.
+ANSWER_PART = b"a" * (2 * MAX_HELD_BODY_BYTES)
 
 
 def with_small_budget(config: Config) -> Config:
@@ -128,3 +132,40 @@
             assert len(server.heads) == 1 and node.clients.body_budget.used == 0
 
     asyncio.run(play())
+
+
+class LongAnswerServer(ScriptedServer):
+    """Server that begins a long answer, and ends it once `go` is set."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._answer)
+        self.go = asyncio.Event()
+
+    async def _answer(self, _head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (2 * len(ANSWER_PART)) + ANSWER_PART)
+        await self.go.wait()
+        writer.write(ANSWER_PART)
+
+
+@pytest.mark.parametrize("body", [HELD, HELD * 3], ids=["buffered", "streamed"])
+def test_a_body_keeps_no_memory_while_its_answer_is_being_read(body: bytes, tmp_path: Path) -> None:
+    """Guards against long answers, read slowly, that hold the budget with bodies nobody can use any more."""
+
+    async def play() -> None:
+        server = LongAnswerServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server, adjust=with_small_budget) as node:
+            node.clients.streaming_budget.total = 2 * len(body)
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request("send", rid="r-1", body=body))
+                await reader.readuntil(b"\r\n\r\n")
+                (pending,) = node.dispatcher.requests.values()
+                assert pending.message is not None and not pending.message.body
+                assert node.clients.body_budget.used == node.clients.streaming_budget.used == 0
+                server.script = OK
+                assert b" 200 " in await node.ask(request("send", rid="r-2", body=WAITING))
+                server.go.set()
+                assert await reader.readexactly(2 * len(ANSWER_PART)) == 2 * ANSWER_PART
+            writer.transport.abort()
+
+    asyncio.run(play())
