The id of a request stays in use for as long as the request is open

Cause: RecentRequestIds remembered an id for 10 to 20 s from when its request was submitted, or until 20,000 to 40,000 others had come, whether or not the request was still open; and only from when it was whole.

Change: RequestIds (hollybay/proxy/request_ids.py) keeps the ids of open requests apart from those that ended recently. A request claims its id with its head; the dispatcher retires it when the request has its final response and no attempt in flight, and from then on it is remembered as before. A request that was never whole gives its id back at once, as nothing can have run for it.

Not covered by this: two processes of one node during an upgrade.

Cost: a set entry an open request (some 64 bytes, as many as descriptors allow) and two set operations a request; the memory of ended ids is bounded as before.

A 409 now comes with the head, before the body is read.

--- a/hollybay/proxy/downstream/client_context.py
+++ b/hollybay/proxy/downstream/client_context.py
@@ -11,7 +11,6 @@
 from ..streaming_body import RetentionBudget
 from .body_budget import BodyBudget
 from .connection_table import ConnectionTable, TrackedConnection
-from .recent_request_ids import RecentRequestIds
 from .service_state import HEALTHY_STATES, ServiceEvent, ServiceState, next_state
 
 if TYPE_CHECKING:
@@ -128,7 +127,6 @@
         )
         self.body_budget = BodyBudget(config.body_budget)
         self.streaming_budget = RetentionBudget(config.body_budget // 2)
-        self.recent_ids = RecentRequestIds()
         self.phase_timeouts = PhaseTimeouts()
         self.admission: AdmissionControl | None = None
         self.policy_agreement: PolicyAgreement | None = None
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -20,6 +20,7 @@
 from ..http_parsers import new_request_parser
 from ..interfaces import ClientPresence
 from ..message_limits import MAX_HELD_BODY_BYTES, SMALL_BODY_BYTES
+from ..request_ids import NOT_CLAIMED
 from ..streaming_body import StreamingBody
 from ..tcp_connection import TcpConnection
 from .client_context import ClientContext
@@ -208,6 +209,7 @@
         """End the current request without a response."""
         self._stop_budget_timer()
         if self.request is not None:
+            self.clients.dispatcher.request_ids.forget(self.request.claimed_id)
             release_request(self.clients.admission, self.request)
         request_id, self.request_id = self.request_id, NO_REQUEST
         try:
@@ -289,9 +291,19 @@
         clients = self.clients
         request = self.request = ClientRequest(event)
         problem = request.resolve(clients.config, clients.admission, clients.policy_agreement)
+        if problem is None and request.path not in HEALTH_PATHS:
+            problem = self._claim_id(request)
         if problem is not None:
             self._reject_and_close(problem)
 
+    def _claim_id(self, request: ClientRequest) -> RequestProblem | None:
+        """Claim the id of a request; return its problem if another request has the id."""
+        request_ids = self.clients.dispatcher.request_ids
+        request.claimed_id = request_ids.claim(request.values[b"x-correlation-id"], self.clients.loop.time())
+        if request.claimed_id == NOT_CLAIMED:
+            return RequestProblem(409, "X-Correlation-Id: another request has it")
+        return None
+
     def _handle_data(self, data: bytes, just_read: bool) -> None:
         request = self.request
         assert request is not None
@@ -381,9 +393,6 @@
             self.abandon()
             return
         clients = self.clients
-        if clients.recent_ids.check_and_add(request.values[b"x-correlation-id"], clients.loop.time()):
-            self._reject_and_close(RequestProblem(409, "X-Correlation-Id: another request has it"))
-            return
         if clients.is_full or clients.forwarding_stopped or not request.is_policy_known:
             clients.dispatcher.counters.rejected[request.class_index] += 1
             self.reject(clients.config.settings.max_retry_after)
@@ -429,7 +438,8 @@
         )
         event.free_slot_share = self.clients.free_slot_share
         event.limited_before = self.clients.take_limited_requests()
-        request_id = self.clients.dispatcher.submit(self, message, event)
+        claimed_id, request.claimed_id = request.claimed_id, NOT_CLAIMED
+        request_id = self.clients.dispatcher.submit(self, message, event, claimed_id)
         if self.request_id:  # the response was not written within `submit`
             self.request_id = request_id
 
@@ -512,6 +522,7 @@
         self.state = next_state(self.state, _RESPONSE_COMPLETED)
         self._release_body()
         if self.request is not None:
+            self.clients.dispatcher.request_ids.retire(self.request.claimed_id, self.clients.loop.time())
             release_request(self.clients.admission, self.request)
             self.request = None
         self.request_id = NO_REQUEST
--- a/hollybay/proxy/downstream/request.py
+++ b/hollybay/proxy/downstream/request.py
@@ -14,6 +14,7 @@
 from ..http_messages import ForwardedRequest, end_to_end_headers, lowercase_headers, names_not_forwarded
 from ..interfaces import PolicyAgreement
 from ..message_limits import MAX_BODY_BYTES, MAX_HELD_BODY_BYTES
+from ..request_ids import NOT_CLAIMED
 from ..streaming_body import StreamingBody
 from .request_validation import RequestProblem, class_index_of, is_health_check, validate_head
 
@@ -74,12 +75,15 @@
         Limits under which admission control counts the request as in flight; None if it does not.
     max_body
         Length (bytes) of the longest body that is accepted.
+    claimed_id
+        Number of its id in `RequestIds`, until the dispatcher has the request.
     is_policy_known
         Whether the node knows which policy is in force; if not, the request must not be forwarded.
     """
 
     __slots__ = (
         "body",
+        "claimed_id",
         "class_index",
         "counted_limits",
         "event",
@@ -103,6 +107,7 @@
         self.limits: EffectiveLimits | None = None
         self.counted_limits: EffectiveLimits | None = None
         self.max_body = MAX_BODY_BYTES
+        self.claimed_id = NOT_CLAIMED
         self.is_policy_known = True
 
     def resolve(
--- a/hollybay/proxy/pending_request.py
+++ b/hollybay/proxy/pending_request.py
@@ -20,6 +20,7 @@
 from . import system
 from .http_messages import ForwardedRequest
 from .interfaces import Client, ClientPresence
+from .request_ids import NOT_CLAIMED
 from .state_machine import transition_function
 
 __all__ = [
@@ -128,6 +129,8 @@
         Message that is sent to a server.
     class_index
         Index of the request's class in the settings.
+    claimed_id
+        Number of the client's id in `RequestIds`.
 
     Attributes
     ----------
@@ -151,6 +154,7 @@
 
     __slots__ = (
         "attempts",
+        "claimed_id",
         "class_index",
         "client",
         "client_seen_at",
@@ -163,11 +167,19 @@
         "timer",
     )
 
-    def __init__(self, request_id: int, client: Client, message: ForwardedRequest, class_index: int) -> None:
+    def __init__(
+        self,
+        request_id: int,
+        client: Client,
+        message: ForwardedRequest,
+        class_index: int,
+        claimed_id: int = NOT_CLAIMED,
+    ) -> None:
         self.id = request_id
         self.client = client
         self.message: ForwardedRequest | None = message
         self.class_index = class_index
+        self.claimed_id = claimed_id
         self.state = PENDING
         self.deadline = 0
         self.attempts: list[RequestAttempt | None] = []
--- a/hollybay/proxy/request_dispatcher.py
+++ b/hollybay/proxy/request_dispatcher.py
@@ -23,6 +23,7 @@
 from .interfaces import Client, DiscoveryControl, LoadReporter
 from .pending_request import FINISHED, PENDING, UNANSWERED_STATES, PendingRequest, RequestEvent, next_state
 from .request_counters import RequestCounters
+from .request_ids import RequestIds
 from .upstream.attempt import UpstreamAttempt
 from .upstream.pools import UpstreamPools
 
@@ -58,6 +59,8 @@
         Counters of final responses since the start of the process.
     requests
         Requests by number that have no final response yet, or still have attempts in flight.
+    request_ids
+        Ids that clients gave to their requests: of those that are open, and of those that ended recently.
     unfinished_requests
         Number of requests without a complete final response, including those with a streamed one under way.
     discovery
@@ -76,6 +79,7 @@
         self.apply_drains: Callable[[DiscoveryUpdate], DiscoveryUpdate] | None = None
         self.load_reporter: LoadReporter | None = None
         self.requests: dict[int, PendingRequest] = {}
+        self.request_ids = RequestIds()
         self.unfinished_requests = 0
         self.loop = asyncio.get_running_loop()
         self._next_id = 1
@@ -116,7 +120,7 @@
 
     # Clients
 
-    def submit(self, client: Client, message: ForwardedRequest, event: api.Request) -> int:
+    def submit(self, client: Client, message: ForwardedRequest, event: api.Request, claimed_id: int) -> int:
         """Accept a request and return its number; it may have its final response before this returns.
 
         Parameters
@@ -126,17 +130,21 @@
         event
             The balancer's event for the request. This method sets its number, and shortens its `time_left`
             (ns) so that the final response reaches the client in time.
+        claimed_id
+            Number of the client's id, which this object retires once the request has ended.
         """
         event.time_left = max(1, event.time_left - ANSWER_MARGIN_NS)
-        request = self._register(client, message, event)
+        request = self._register(client, message, event, claimed_id)
         if self.load_reporter is not None:
             self.load_reporter.poll()
         self.feed(event)
         return request.id
 
-    def _register(self, client: Client, message: ForwardedRequest, event: api.Request) -> PendingRequest:
+    def _register(
+        self, client: Client, message: ForwardedRequest, event: api.Request, claimed_id: int
+    ) -> PendingRequest:
         event.id = self._next_id
-        request = PendingRequest(event.id, client, message, event.class_index)
+        request = PendingRequest(event.id, client, message, event.class_index, claimed_id)
         self._next_id += 1
         self.requests[request.id] = request
         self.unfinished_requests += 1
@@ -339,6 +347,7 @@
         if request.state is FINISHED and not request.in_flight:
             request.stop_timer()
             self.requests.pop(request.id, None)
+            self.request_ids.retire(request.claimed_id, self.loop.time())
             # Attempts refer to their request: this breaks the reference cycle, so that no garbage collection
             # is needed.
             request.attempts = []
