An attempt that ends while its connection opens leaves no connection counted

Cause: UpstreamPools._connect was cancelled at the end of its attempt, also while it waited for create_connection. connection_made had then entered the connection in `connections`, and the event loop closes such a transport without connection_lost, so that the entry stayed; 92 of them are the limit at 256 descriptors.

Change: once the socket is connected, the end of the attempt no longer cancels the task, which takes an iteration or two of the loop from there. A connection whose attempt has ended meanwhile is kept for another attempt, as one whose client has left always was, or closed if its server drains. Whatever else ends the opening (an error, the end of the loop) leaves neither socket nor entry.

Why this works: connection_made and connection_lost are now always paired, and only they change the table.

Cost: nothing for an open request; a connection that was opened for nothing is used by the next attempt instead of being opened again.

Related paths: each end of an attempt (client gone, deadline, drain, shutdown, given up) at each step (before the task's first step, while connecting, between the socket's connect and the transport, when the transport is made), with and without cancelling. Besides the table of connections, the attempts being opened, unwritten attempts, attempts in flight at the balancer, open ids, and the sockets of the process are compared.

--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -252,8 +252,8 @@
     Defect(
         "descriptor-leaks",
         POOLS,
-        "        except OSError:  # includes TimeoutError\n            sock.close()",
-        "        except OSError:  # includes TimeoutError\n            pass",
+        "        except BaseException:\n            sock.close()",
+        "        except BaseException:\n            pass",
     ),
     Defect(
         "old-address-kept", POOLS, "if endpoint is not None and endpoint.address != address:", "if False:"
--- a/hollybay/proxy/upstream/connection.py
+++ b/hollybay/proxy/upstream/connection.py
@@ -132,8 +132,9 @@
             attempt.end(api.Result.NOT_DELIVERED)
             return
         if not attempt.observer.is_needed(attempt):
-            # The client disconnected while the connection was being opened; another attempt can use it.
-            self.return_unused(attempt)
+            # The client disconnected while the connection was being opened.
+            self.keep()
+            attempt.end(api.Result.NOT_SENT)
             return
         message = attempt.message
         assert message is not None
--- a/hollybay/proxy/upstream/pools.py
+++ b/hollybay/proxy/upstream/pools.py
@@ -154,9 +154,8 @@
         return min(reversed(idle), key=lambda connection: connection.response_ended_at)
 
     async def _connect(self, endpoint: Endpoint, attempt: UpstreamAttempt) -> None:
-        host, port = endpoint.address
         try:
-            sock = system.tcp_socket(host)
+            sock = system.tcp_socket(endpoint.address[0])
         except OSError as error:
             # NOT_SENT, as the node lacks a descriptor, which is no failure of the server. If the exception
             # were propagated, the attempt and its request would not end before their deadline.
@@ -165,26 +164,35 @@
             attempt.end(api.Result.NOT_SENT)
             return
         sock.setblocking(False)
+        connection = ServerConnection(self, endpoint, attempt, sock)
         try:
-            limit = self.settings.connect_timeout / SECOND
-            await connect(sock, (host, port), limit, self.establish)
-            _, connection = await self.loop.create_connection(
-                lambda: ServerConnection(self, endpoint, attempt, sock), sock=sock
-            )
+            await self._open(connection, attempt)
         except OSError:  # includes TimeoutError
-            sock.close()
             attempt.connecting = None
             attempt.end(api.Result.NOT_DELIVERED)
             return
-        except asyncio.CancelledError:
-            sock.close()
-            raise
-        attempt.connecting = None
         if connection.state is UpstreamConnectionState.CLOSED:
             attempt.end(api.Result.NOT_DELIVERED)
+        elif attempt.result is not None:
+            connection.keep()
         else:
             connection.begin(attempt)
 
+    async def _open(self, connection: ServerConnection, attempt: UpstreamAttempt) -> None:
+        """Connect a connection's socket and create its transport; whatever fails leaves neither behind."""
+        sock, address = connection.sock, connection.endpoint.address
+        try:
+            limit = self.settings.connect_timeout / SECOND
+            await connect(sock, address, limit, self.establish)
+            # From here on, the end of the attempt does not cancel this task. The event loop would close the
+            # transport without calling `connection_lost`, and the connection would be counted forever.
+            attempt.connecting = None
+            await self.loop.create_connection(lambda: connection, sock=sock)
+        except BaseException:
+            sock.close()
+            self.connection_closed(connection)
+            raise
+
     def add_idle(self, connection: PooledConnection) -> None:
         """Add an idle connection to the pool of its server, or close it if the server drains."""
         if connection.endpoint.drain_timer is not None:
--- a/hollybay/proxy/upstream/request_sender.py
+++ b/hollybay/proxy/upstream/request_sender.py
@@ -141,11 +141,11 @@
         self.stop_timer()
         self.timer = self.owner.loop.call_later(delay, call)
 
-    def return_unused(self, attempt: UpstreamAttempt) -> None:
-        """Return the connection to the pool, and end an attempt of which nothing was written."""
-        self.response_ended_at = self.owner.loop.time()
-        self.owner.add_idle(self)
-        attempt.end(api.Result.NOT_SENT)
+    def keep(self) -> None:
+        """Add the connection, which has carried nothing yet, to the pool, as another attempt can use it."""
+        if not self.transport.is_closing():
+            self.response_ended_at = self.owner.loop.time()
+            self.owner.add_idle(self)
 
     def _begin_streaming(
         self, message: ForwardedRequest, streaming_body: StreamingBody, headers: Headers
