An upload to a server that reads nothing is refused when its client's time is up

Past the retained bytes of a streamed body the connection pauses while its server takes nothing, the dispatcher's deadline allows up to 30 s for a body that is still coming, and the end of the request lies unread in the kernel.

Change: PauseLimit (downstream/pause_limit.py) holds the limit of both pauses, for memory and for a server. A streamed body is ended at its client's time, from the last byte that the kernel has, if the rest of it has arrived: by the stated length and the unread bytes; for a chunked body, whose end the kernel cannot tell, if its server has taken nothing for 1 s. The dispatcher ends the request as at any deadline: nothing has run, so it is 503. A client that closes behind unread bytes is noticed within 0.25 s; before, only at the deadline.

Cost: an object and four checks a second for a connection that is paused, a reference a connection, an addition a piece of a streamed body. An upload that its server takes, however slowly, ends as before.

--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -12,7 +12,7 @@
 
 import h11
 
-from hollybay.units import MS, SECOND
+from hollybay.units import MS
 
 from .. import system
 from ..flow_control import BodySource
@@ -24,6 +24,7 @@
 from ..streaming_body import StreamingBody
 from ..tcp_connection import TcpConnection
 from .client_context import ClientContext
+from .pause_limit import PauseLimit
 from .request import MIN_BODY_BYTES_PER_S, ClientRequest
 from .request_admission import admit_request, release_request
 from .request_validation import HEALTH_PATHS, RequestProblem
@@ -55,9 +56,6 @@
 # half of which it offers as window.
 HIDDEN_CLOSE_BYTES = 32 << 10
 
-# How long (s) before the end of its client's time a request that waits for memory is rejected.
-BUDGET_WAIT_MARGIN_S = 0.02
-
 # Values of `ClientConnection.request_id` that are no request number.
 NO_REQUEST = 0
 BEING_SUBMITTED = -1
@@ -104,8 +102,8 @@
         Source of the body of a streamed response.
     linger_timer
         Closes the connection if its client does not; None while it is not lingering.
-    budget_timer
-        Limits how long the request may wait for memory; None if it has not had to wait.
+    pause_limit
+        Time limit of the current request; None if reading has not been paused since its head.
     """
 
     def __init__(self, clients: ClientContext[ClientConnection], sock: socket.socket) -> None:
@@ -121,7 +119,7 @@
         self.streaming_body: StreamingBody | None = None
         self.body_source: BodySource | None = None
         self.linger_timer: asyncio.TimerHandle | None = None
-        self.budget_timer: asyncio.Handle | None = None
+        self.pause_limit: PauseLimit | None = None
 
     # State of the connection
 
@@ -196,6 +194,28 @@
         retry_after = retry_after_header(self.clients.config.settings.max_retry_after)
         self._reject_and_close(RequestProblem(503, "refused"), retry_after)
 
+    def is_paused(self) -> bool:
+        """Whether there is a request whose rest is not read at the moment."""
+        is_incomplete = self.request is not None and self.state in READING_STATES
+        return is_incomplete and not self.reading
+
+    def client_time_left(self) -> int:
+        """Return how long (ns) the client waits from the last byte of its request."""
+        return self.request.time_left if self.request is not None else 0
+
+    def remaining_body_bytes(self) -> int | None:
+        """Return how many bytes of the body were not read yet; None if the client did not state a length."""
+        assert self.request is not None
+        length = self.request.content_length
+        return None if length is None else length - self.request.size
+
+    def end_paused_request(self) -> None:
+        """Respond to a request whose rest is not read, as its client's time is up."""
+        if self.clients.body_budget.is_waiting(self):
+            self.reject_waiting()
+        else:
+            self.clients.dispatcher.expire(self.request_id)
+
     def resume_writing(self) -> None:
         """Continue with the response: the kernel has accepted everything that was written."""
         super().resume_writing()
@@ -207,7 +227,7 @@
 
     def _abandon_request(self) -> None:
         """End the current request without a response."""
-        self._stop_budget_timer()
+        self._stop_pause_limit()
         if self.request is not None:
             self.clients.dispatcher.request_ids.forget(self.request.claimed_id)
             release_request(self.clients.admission, self.request)
@@ -230,11 +250,6 @@
             self.streaming_body.close()
             self.streaming_body = None
 
-    def _stop_budget_timer(self) -> None:
-        if self.budget_timer is not None:
-            self.budget_timer.cancel()
-            self.budget_timer = None
-
     # Requests
 
     def received(self, data: memoryview) -> None:
@@ -313,6 +328,8 @@
             return
         if self.streaming_body is not None:
             self.streaming_body.append(data)
+            if not self.reading:
+                self._limit_pause()
             return
         if self.state is _STREAMING:
             return  # the request has ended, as its client has disconnected
@@ -329,28 +346,17 @@
         """Charge bytes of a body to the budget, and pause reading if there is no room."""
         if not self.clients.body_budget.charge(self, size):
             self.set_reading(False)
-            if self.budget_timer is None:
-                # Not called at once: the end of the request may be among the bytes that were just read.
-                self.budget_timer = self.clients.loop.call_soon(self._check_budget_wait)
+            self._limit_pause()
 
-    def _check_budget_wait(self) -> None:
-        """Reject a request that still waits for memory when its client's time is up.
+    def _limit_pause(self) -> None:
+        """Limit the time for which the rest of the current request is not read."""
+        if self.pause_limit is None or not self.pause_limit.is_running:
+            self.pause_limit = PauseLimit(self.clients.loop, self)
 
-        That time counts from the last byte of the request, which may be in the kernel already, unread.
-        """
-        self.budget_timer = None
-        request = self.request
-        if request is None or not self.clients.body_budget.is_waiting(self):
-            return
-        is_open, last_byte_age_ms = self.read_delay()
-        if not is_open:
-            self.abandon()
-            return
-        left = (request.time_left - last_byte_age_ms * MS) / SECOND - BUDGET_WAIT_MARGIN_S
-        if left > 0.0:
-            self.budget_timer = self.clients.loop.call_later(left, self._check_budget_wait)
-        else:
-            self.reject_waiting()
+    def _stop_pause_limit(self) -> None:
+        if self.pause_limit is not None:
+            self.pause_limit.stop()
+            self.pause_limit = None
 
     def _start_streaming(self, request: ClientRequest, just_read: bool) -> None:
         """Forward a request whose body is too long to be buffered, while the body is still arriving."""
@@ -372,7 +378,7 @@
         self.state = next_state(self.state, _REQUEST_COMPLETED)
         self.bytes_ahead = len(self.http.trailing_data[0])
         self.clients.body_budget.stop_waiting(self)
-        self._stop_budget_timer()
+        self._stop_pause_limit()
         self.set_reading(True)
         self.clients.move(self, None)
         if request.path in HEALTH_PATHS:
--- /dev/null
+++ b/hollybay/proxy/downstream/pause_limit.py
@@ -0,0 +1,136 @@
+"""Time limit of a request that is not read to its end, as its connection has paused reading."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from hollybay.units import MS, SECOND
+
+from ..streaming_body import StreamingBody
+
+__all__ = ["PauseLimit", "PausedConnection"]
+
+# How long (s) before the end of its client's time a paused request is ended.
+MARGIN_S = 0.02
+# Time (s) between two checks of a streamed body of whose end nothing is known, or that is not whole yet.
+CHECK_INTERVAL_S = 0.25
+# How long (s) a server takes nothing of a chunked body, whose end the kernel cannot tell, before its client
+# counts as waiting for the response.
+MAX_STALL_S = 1.0
+
+
+class PausedConnection(Protocol):
+    """Interface of a client connection, as far as the limit uses it.
+
+    Attributes
+    ----------
+    streaming_body
+        Body that is forwarded while it is still arriving; None while it is buffered.
+    """
+
+    streaming_body: StreamingBody | None
+
+    def is_paused(self) -> bool:
+        """Whether the connection has a request whose rest it does not read at the moment."""
+        ...
+
+    def remaining_body_bytes(self) -> int | None:
+        """Return how many bytes of the body were not read yet; None if the client did not state a length."""
+        ...
+
+    def client_time_left(self) -> int:
+        """Return how long (ns) the client waits from the last byte of its request."""
+        ...
+
+    def read_delay(self) -> tuple[bool, int]:
+        """Return whether the client is connected, and the age (ms) of the last bytes that arrived."""
+        ...
+
+    def unread_bytes(self) -> int:
+        """Return the number of bytes that have arrived and were not read yet."""
+        ...
+
+    def abandon(self) -> None:
+        """Close the connection of a client that has disconnected."""
+        ...
+
+    def end_paused_request(self) -> None:
+        """Respond to the request, as its client's time is up."""
+        ...
+
+
+class PauseLimit:
+    """Ends a paused request when its client's time is up.
+
+    That time counts from the last byte of the request, which may lie unread in the kernel: until it is read,
+    no other deadline runs. A request whose body waits for memory may be ended early, as nothing of it has
+    been sent on. A streamed body is ended only if its rest has arrived, as the client's time does not begin
+    before that.
+
+    Parameters
+    ----------
+    loop
+        The event loop.
+    connection
+        The connection that has paused.
+    """
+
+    __slots__ = ("_bytes_pulled", "_connection", "_handle", "_loop", "_progress_at")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, connection: PausedConnection) -> None:
+        self._loop = loop
+        self._connection = connection
+        self._bytes_pulled = 0
+        self._progress_at = loop.time()
+        # Not checked at once: the end of the request may be among the bytes that were just read.
+        self._handle: asyncio.Handle | None = loop.call_soon(self._check)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the request is still checked; not any more once it was found not paused."""
+        return self._handle is not None
+
+    def stop(self) -> None:
+        """Stop checking, as the request is complete or has ended."""
+        if self._handle is not None:
+            self._handle.cancel()
+            self._handle = None
+
+    def _check(self) -> None:
+        self._handle = None
+        connection = self._connection
+        if not connection.is_paused():
+            return
+        is_open, last_byte_age_ms = connection.read_delay()
+        if not is_open:
+            connection.abandon()
+            return
+        left = (connection.client_time_left() - last_byte_age_ms * MS) / SECOND - MARGIN_S
+        body = connection.streaming_body
+        if body is None:
+            self._end_or_check_after(left)
+        elif self._has_arrived(body):
+            self._end_or_check_after(min(left, CHECK_INTERVAL_S))
+        else:
+            self._check_after(CHECK_INTERVAL_S)
+
+    def _has_arrived(self, body: StreamingBody) -> bool:
+        """Whether the rest of a streamed body has arrived, or seems to, where its length is not known."""
+        now = self._loop.time()
+        if body.bytes_pulled != self._bytes_pulled:
+            self._bytes_pulled = body.bytes_pulled
+            self._progress_at = now
+        remaining = self._connection.remaining_body_bytes()
+        if remaining is None:
+            return now - self._progress_at >= MAX_STALL_S
+        return self._connection.unread_bytes() >= remaining
+
+    def _end_or_check_after(self, delay: float) -> None:
+        if delay > 0.0:
+            self._check_after(delay)
+        else:
+            self._connection.end_paused_request()
+
+    def _check_after(self, delay: float) -> None:
+        self._handle = self._loop.call_later(delay, self._check)
--- a/hollybay/proxy/request_dispatcher.py
+++ b/hollybay/proxy/request_dispatcher.py
@@ -165,6 +165,12 @@
         self._start_timer(request, max(1, time_left - ANSWER_MARGIN_NS))
         self.feed(api.RequestCompleted(request_id))
 
+    def expire(self, request_id: int) -> None:
+        """End a request whose client's time is up though its streamed body has not been read to its end."""
+        request = self.requests.get(request_id)
+        if request is not None and request.state in UNANSWERED_STATES:
+            self._on_deadline(request)
+
     def disconnect(self, request_id: int) -> None:
         """End a request whose client has disconnected."""
         request = self.requests.get(request_id)
--- a/hollybay/proxy/streaming_body.py
+++ b/hollybay/proxy/streaming_body.py
@@ -79,6 +79,8 @@
         Whether bytes were dropped, so that no other attempt can send the body.
     sink
         Connection of the attempt that is sending the body; None if there is none.
+    bytes_pulled
+        Number of bytes that sinks have pulled so far, which shows whether a server takes the body.
     """
 
     __slots__ = (
@@ -89,6 +91,7 @@
         "_reserved",
         "_source",
         "_waiting",
+        "bytes_pulled",
         "client_deadline",
         "has_dropped_bytes",
         "is_complete",
@@ -102,6 +105,7 @@
         self.is_complete = False
         self.has_dropped_bytes = False
         self.sink: BodySink | None = None
+        self.bytes_pulled = 0
         self._source = source
         self._budget = budget
         self._reserved = 0  # number of bytes reserved in the budget
@@ -153,6 +157,7 @@
             self._pieces.popleft()
             self.has_dropped_bytes = True
         self._waiting -= len(data)
+        self.bytes_pulled += len(data)
         if not self._is_retained and self._waiting <= WINDOW_BYTES // 2:
             self._source.set_reading(True)
         return data
--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -73,7 +73,7 @@
             (conn,) = node.clients.body_budget.waiting
             server.go.set()
             assert b" 200 " in await first and b" 200 " in await second
-            assert conn.budget_timer is None  # type: ignore[attr-defined]
+            assert conn.pause_limit is None  # type: ignore[attr-defined]
 
     asyncio.run(play())
 
--- /dev/null
+++ b/tests/test_pause_limit.py
@@ -0,0 +1,142 @@
+"""Requests whose rest lies unread, as no server takes their body: each is answered when its time is up."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from hollybay.proxy.downstream import pause_limit
+from hollybay.proxy.upstream.connector import establish
+from hollybay.testbed.loopback import (
+    FakeDiscovery,
+    RunningNode,
+    request,
+    running,
+)
+
+from .test_streaming_body import BodyRecorder
+
+SMALL_BUFFER_BYTES = 8 << 10
+# Takes the part of a body that the node does not read.
+LARGE_BUFFER_BYTES = 200_000
+BODY = b"b" * 300_000
+TIME_LEFT_S = 0.4
+
+
+class UnreadServer(BodyRecorder):
+    """Server that accepts connections and reads nothing until `go` is set."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self.go = asyncio.Event()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        await self.go.wait()
+        writer.transport.resume_reading()  # type: ignore[attr-defined]
+        await super().talk(reader, writer)
+
+
+def shrink_buffers(node: RunningNode) -> None:
+    """Let connections to servers take little, and those of clients take the whole rest of a body."""
+
+    async def establish_with_small_buffer(sock: socket.socket, address: tuple[str, int]) -> None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
+        await establish(sock, address)
+
+    node.dispatcher.pools.establish = establish_with_small_buffer
+    assert node.clients.listener is not None
+    node.clients.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, LARGE_BUFFER_BYTES)
+    node.clients.streaming_budget.total = 0
+
+
+def encode_upload(chunked: bool, time_left_s: float = TIME_LEFT_S) -> bytes:
+    extra = b"X-Time-Left-Ms: %d\r\n" % round(time_left_s * 1000)
+    data = request("send", body=BODY, extra=extra)
+    if not chunked:
+        return data
+    head, _, body = data.partition(b"\r\n\r\n")
+    head = head.replace(b"Content-Length: %d" % len(BODY), b"Transfer-Encoding: chunked")
+    return b"%s\r\n\r\n%x\r\n%s\r\n0\r\n\r\n" % (head, len(body), body)
+
+
+async def send_whole(node: RunningNode, data: bytes) -> socket.socket:
+    """Send a request until the node's machine has its last byte, of which the node has read only a part."""
+    sock = socket.create_connection(("127.0.0.1", node.port))
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_sendall(sock, data)
+    await node.until(lambda: bool(node.clients.connections))
+    (conn,) = node.clients.connections
+
+    def is_unread() -> bool:
+        size = conn.request.size if conn.request is not None else 0
+        return not conn.reading and size + conn.unread_bytes() >= len(BODY)
+
+    await node.until(is_unread)
+    return sock
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_an_upload_to_a_server_that_reads_nothing_is_refused_when_its_time_is_up(
+    chunked: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against uploads that wait 30 s and more for a server, long after their client's time."""
+    monkeypatch.setattr(pause_limit, "MAX_STALL_S", 0.1)
+
+    async def play() -> None:
+        server = UnreadServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:  # type: ignore[arg-type]
+            shrink_buffers(node)
+            sock = await send_whole(node, encode_upload(chunked))
+            sent_at = time.monotonic()
+            async with asyncio.timeout(TIME_LEFT_S + 5.0):
+                response = await asyncio.get_running_loop().sock_recv(sock, 4096)
+            assert response.startswith(b"HTTP/1.1 503")
+            assert time.monotonic() - sent_at < TIME_LEFT_S + 0.5
+            await node.until(lambda: not node.dispatcher.requests)
+            server.go.set()
+            sock.close()
+            assert b" 200 " in await node.ask(request("send", rid="r-2"))
+            assert server.bodies == [b""]
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_an_upload_that_its_server_takes_in_the_end_is_served(chunked: bool, tmp_path: Path) -> None:
+    """The limit ends no request whose client still has time, or which is read on."""
+
+    async def play() -> None:
+        server = UnreadServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:  # type: ignore[arg-type]
+            shrink_buffers(node)
+            sock = await send_whole(node, encode_upload(chunked, time_left_s=9.0))
+            (conn,) = node.clients.connections
+            assert conn.pause_limit is not None and conn.pause_limit.is_running
+            server.go.set()
+            response = await asyncio.get_running_loop().sock_recv(sock, 4096)
+            assert response.startswith(b"HTTP/1.1 200")
+            assert conn.pause_limit is None
+            sock.close()
+
+    asyncio.run(play())
+
+
+def test_a_client_that_leaves_while_its_upload_is_not_read_is_noticed(tmp_path: Path) -> None:
+    """Its close lies behind unread bytes, and would be read only once the server takes them."""
+
+    async def play() -> None:
+        server = UnreadServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:  # type: ignore[arg-type]
+            shrink_buffers(node)
+            sock = await send_whole(node, encode_upload(chunked=False, time_left_s=9.0))
+            (pending,) = node.dispatcher.requests.values()
+            sock.close()
+            await node.until(lambda: not node.dispatcher.requests and not node.clients.connections)
+            assert time.monotonic_ns() < pending.deadline and not node.dispatcher.request_ids.open
+
+    asyncio.run(play())
