An upload that its server holds up is refused at its client's time at any length

A body that does not fit into the kernel never arrives whole while its server reads nothing, so that its client waited 33 s for a refusal, though it had 3 s left. A server that takes nothing for 1 s now counts as holding the client up, with or without a stated length; an upload that is taken, however slowly, goes on as before.

--- a/hollybay/proxy/downstream/pause_limit.py
+++ b/hollybay/proxy/downstream/pause_limit.py
@@ -13,10 +13,10 @@
 
 # How long (s) before the end of its client's time a paused request is ended.
 MARGIN_S = 0.02
-# Time (s) between two checks of a streamed body of whose end nothing is known, or that is not whole yet.
+# Time (s) between two checks of a streamed body.
 CHECK_INTERVAL_S = 0.25
-# How long (s) a server takes nothing of a chunked body, whose end the kernel cannot tell, before its client
-# counts as waiting for the response.
+# How long (s) a server takes nothing of a body before its client counts as waiting for the response, whether
+# or not the rest of the body has arrived.
 MAX_STALL_S = 1.0
 
 
@@ -66,7 +66,7 @@
     That time counts from the last byte of the request, which may lie unread in the kernel: until it is read,
     no other deadline runs. A request whose body waits for memory may be ended early, as nothing of it has
     been sent on. A streamed body is ended only if its rest has arrived, as the client's time does not begin
-    before that.
+    before that, or if its server takes nothing of it.
 
     Parameters
     ----------
@@ -110,21 +110,21 @@
         body = connection.streaming_body
         if body is None:
             self._end_or_check_after(left)
-        elif self._has_arrived(body):
+        elif self._is_client_waiting(body):
             self._end_or_check_after(min(left, CHECK_INTERVAL_S))
         else:
             self._check_after(CHECK_INTERVAL_S)
 
-    def _has_arrived(self, body: StreamingBody) -> bool:
-        """Whether the rest of a streamed body has arrived, or seems to, where its length is not known."""
+    def _is_client_waiting(self, body: StreamingBody) -> bool:
+        """Whether the rest of a streamed body has arrived, or its server takes nothing of it."""
         now = self._loop.time()
         if body.bytes_pulled != self._bytes_pulled:
             self._bytes_pulled = body.bytes_pulled
             self._progress_at = now
+        if now - self._progress_at >= MAX_STALL_S:
+            return True
         remaining = self._connection.remaining_body_bytes()
-        if remaining is None:
-            return now - self._progress_at >= MAX_STALL_S
-        return self._connection.unread_bytes() >= remaining
+        return remaining is not None and self._connection.unread_bytes() >= remaining
 
     def _end_or_check_after(self, delay: float) -> None:
         if delay > 0.0:
--- a/tests/test_pause_limit.py
+++ b/tests/test_pause_limit.py
@@ -140,3 +140,25 @@
             assert time.monotonic_ns() < pending.deadline and not node.dispatcher.request_ids.open
 
     asyncio.run(play())
+
+
+def test_an_upload_whose_client_is_held_up_by_its_server_is_refused_too(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its rest does not fit into the kernel, so that its last byte never arrives."""
+    monkeypatch.setattr(pause_limit, "MAX_STALL_S", 0.1)
+
+    async def play() -> None:
+        server = UnreadServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:  # type: ignore[arg-type]
+            shrink_buffers(node)
+            reader, writer = await node.connect()
+            data = encode_upload(chunked=False)
+            writer.write(data.replace(b"Content-Length: %d" % len(BODY), b"Content-Length: 30000000") + BODY)
+            async with asyncio.timeout(TIME_LEFT_S + 5.0):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+            await node.until(lambda: not node.dispatcher.requests)
+            writer.transport.abort()
+            server.go.set()
+
+    asyncio.run(play())
