A request whose client is found gone while it is being taken ends at once

It stayed in the dispatcher, counted as unfinished and with its id in use, until its deadline; nothing was sent for it, as each attempt looks at its client.

Cost: a dict access for a request that is answered within submit.

--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -446,8 +446,10 @@
         event.limited_before = self.clients.take_limited_requests()
         claimed_id, request.claimed_id = request.claimed_id, NOT_CLAIMED
         request_id = self.clients.dispatcher.submit(self, message, event, claimed_id)
-        if self.request_id:  # the response was not written within `submit`
+        if self.request_id:
             self.request_id = request_id
+        else:  # it was answered within `submit`, or its client was found to have disconnected
+            self.clients.dispatcher.disconnect(request_id)
 
     # Responses
 
--- a/tests/test_connection_opening.py
+++ b/tests/test_connection_opening.py
@@ -194,6 +194,32 @@
     asyncio.run(play())
 
 
+def test_a_client_that_is_found_gone_while_its_request_is_taken_ends_it_at_once(tmp_path: Path) -> None:
+    """The connection does not know the request's number yet, and cannot end the request by it."""
+
+    async def play() -> None:
+        server = ScriptedServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:
+            pools, attempts = node.dispatcher.pools, []
+            send = pools.send
+
+            def leave_and_send(attempt: UpstreamAttempt) -> None:
+                attempts.append(attempt)
+                leave(node, attempt)
+                send(attempt)
+
+            pools.send = leave_and_send  # type: ignore[method-assign]
+            sock = call(node, request("send", rid="r-1"))
+            await node.until(lambda: bool(attempts))
+            assert not node.dispatcher.requests and not node.dispatcher.unfinished_requests
+            assert not node.dispatcher.request_ids.open
+            await node.until(lambda: not node.clients.connections and not pools.opening)
+            assert not server.heads
+            sock.close()
+
+    asyncio.run(play())
+
+
 def test_clients_that_leave_in_a_row_do_not_use_up_the_limit_of_connections(tmp_path: Path) -> None:
     """As in an incident: each client leaves when its connection to a server has just been made."""
 
