Simulation: a connect goes on after connection_made, and open ids are compared at rest

Now the caller goes on in a later iteration, up to a delay of the link later, and one that is cancelled meanwhile has its connection closed without connection_lost, as under uvloop. Open ids are among the resources that are zero at rest.

--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -43,6 +43,7 @@
 CONNECTION = "hollybay/proxy/downstream/connection.py"
 REQUEST = "hollybay/proxy/downstream/request.py"
 REQUEST_VALIDATION = "hollybay/proxy/downstream/request_validation.py"
+REQUEST_IDS = "hollybay/proxy/request_ids.py"
 BODY_BUDGET = "hollybay/proxy/downstream/body_budget.py"
 LISTENER = "hollybay/proxy/downstream/listener.py"
 STREAMING_BODY = "hollybay/proxy/streaming_body.py"
@@ -255,6 +256,18 @@
         "        except BaseException:\n            sock.close()",
         "        except BaseException:\n            pass",
     ),
+    Defect(
+        "cancelled-connect-counted",
+        POOLS,
+        "            attempt.connecting = None\n"
+        "            await self.loop.create_connection(lambda: connection, sock=sock)\n"
+        "        except BaseException:\n"
+        "            sock.close()\n"
+        "            self.connection_closed(connection)\n",
+        "            await self.loop.create_connection(lambda: connection, sock=sock)\n"
+        "        except BaseException:\n"
+        "            sock.close()\n",
+    ),
     Defect(
         "old-address-kept", POOLS, "if endpoint is not None and endpoint.address != address:", "if False:"
     ),
@@ -277,6 +290,18 @@
         "if request.claimed_id == NOT_CLAIMED:",
         "if request.claimed_id != NOT_CLAIMED:",
     ),
+    Defect(
+        "open-ids-forgotten",
+        REQUEST_IDS,
+        "if number in self.open or number in self.current",
+        "if number in self.current",
+    ),
+    Defect(
+        "ids-never-released",
+        REQUEST_DISPATCHER,
+        "self.request_ids.retire(request.claimed_id, self.loop.time())",
+        "pass",
+    ),
     Defect("two-lengths-asked", REQUEST_VALIDATION, "if names.count(name) > 1:", "if names.count(name) > 2:"),
     Defect(
         "long-bodies-taken",
--- a/hollybay/simulation/network.py
+++ b/hollybay/simulation/network.py
@@ -119,6 +119,11 @@
         if self.lost:
             self.loop.call_soon(protocol.connection_lost, self.error)
 
+    def discard(self) -> None:
+        """Close the connection at once without notifying its protocol."""
+        self._protocol = None
+        self.abort()
+
     # The methods of asyncio.Transport
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
@@ -404,12 +409,22 @@
         local: str = "client",
         **_: Any,
     ) -> tuple[SimTransport, asyncio.BaseProtocol]:
-        """Connect and attach a protocol; sock: a connected socket to use instead."""
+        """Connect and attach a protocol; sock: a connected socket to use instead.
+
+        As in uvloop, the caller goes on in a later iteration of the loop than `connection_made`, and if it is
+        cancelled in between, the connection is closed without `connection_lost`.
+        """
         end = sock.end if sock is not None else await self.connect(local, (str(host), int(port or 0)))
         if sock is not None:
             sock.attached()
         protocol = factory()
         end.attach(protocol)
+        if sock is not None:
+            try:
+                await asyncio.sleep(self.link.delay * self.loop.random.random())
+            except asyncio.CancelledError:
+                end.discard()
+                raise
         return end, protocol
 
     def heal(self, one: str, other: str) -> None:
--- a/hollybay/simulation/nodes.py
+++ b/hollybay/simulation/nodes.py
@@ -183,6 +183,7 @@
         held = {
             "requests": len(dispatcher.requests),
             "unfinished requests": dispatcher.unfinished_requests,
+            "ids of open requests": len(dispatcher.request_ids.open),
             "requests tracked by the balancer": len(balancer.requests),
             "attempts in flight at the balancer": sum(s.in_flight for s in balancer.servers.values()),
             "client connections": len(clients.connections),
