--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -1,4 +1,4 @@
-"""Client connection: reads requests, submits them to the request dispatcher, and writes their responses.
+"""Client connection: reads requests and submits them; its base class writes their responses.
 
 The states of a connection and their transitions are in `states`.
 """
@@ -15,21 +15,18 @@
 from hollybay.units import MS
 
 from .. import system
-from ..flow_control import BodySource
-from ..http_messages import ForwardedResponse, Headers
 from ..http_parsers import new_request_parser
 from ..interfaces import ClientPresence
 from ..message_limits import MAX_HELD_BODY_BYTES, SMALL_BODY_BYTES
 from ..request_ids import NOT_CLAIMED
 from ..streaming_body import StreamingBody
-from ..tcp_connection import TcpConnection
 from .client_context import ClientContext
 from .pause_limit import PauseLimit
 from .request import MIN_BODY_BYTES_PER_S, ClientRequest
 from .request_admission import admit_request, release_request
 from .request_validation import HEALTH_PATHS, RequestProblem
-from .responses import REJECTED_BODY, health_response, rejection_events, response_bytes, retry_after_header
-from .service_state import CLOSING_STATES
+from .response_writer import NO_REQUEST, ResponseWriter
+from .responses import REJECTED_BODY, health_response, rejection_events, retry_after_header
 from .states import (
     LINGERING_STATES,
     READING_STATES,
@@ -41,9 +38,6 @@
 
 __all__ = ["HIDDEN_CLOSE_BYTES", "ClientConnection"]
 
-# Size of the kernel's send buffer for a streamed response. With a larger one, a client that reads slowly
-# would appear not to read at all for seconds.
-SEND_BUFFER_BYTES = 64 << 10
 # Limits of time and bytes for which a lingering connection goes on reading. A close with unread bytes resets
 # the connection, which could destroy the response in transit.
 LINGER_S = 1.0
@@ -56,8 +50,7 @@
 # half of which it offers as window.
 HIDDEN_CLOSE_BYTES = 32 << 10
 
-# Values of `ClientConnection.request_id` that are no request number.
-NO_REQUEST = 0
+# Value of `ClientConnection.request_id` while the dispatcher has not returned the number yet.
 BEING_SUBMITTED = -1
 
 # Members used for each request, as names of this module: the look-up on the enum class costs 0.2 µs.
@@ -69,7 +62,7 @@
 _RESPONSE_FLUSHED = ConnectionEvent.RESPONSE_FLUSHED
 
 
-class ClientConnection(TcpConnection):
+class ClientConnection(ResponseWriter):
     """A connection from a client, which carries one request at a time.
 
     Parameters
@@ -81,25 +74,14 @@
 
     Attributes
     ----------
-    state
-        State of the connection.
     phase
         Phase of the connection table that lists the connection.
-    request
-        The current request, from its head to the end of its response.
-    request_id
-        Number of the request that the dispatcher is working on; `BEING_SUBMITTED` until it is known,
-        `NO_REQUEST` if there is none.
-    http
-        Parser of the current request.
     bytes_ahead
         Number of bytes read beyond the current request.
     lingering_bytes
         Number of bytes read and discarded while lingering.
     streaming_body
         Body of the current request, if it is streamed.
-    body_source
-        Source of the body of a streamed response.
     linger_timer
         Closes the connection if its client does not; None while it is not lingering.
     pause_limit
@@ -107,17 +89,11 @@
     """
 
     def __init__(self, clients: ClientContext[ClientConnection], sock: socket.socket) -> None:
-        super().__init__(sock)
-        self.clients = clients
-        self.http = new_request_parser()
-        self.state = ConnectionState.READING
+        super().__init__(clients, sock)
         self.phase: OrderedDict[ClientConnection, float] | None = None
-        self.request: ClientRequest | None = None
-        self.request_id = NO_REQUEST
         self.bytes_ahead = 0
         self.lingering_bytes = 0
         self.streaming_body: StreamingBody | None = None
-        self.body_source: BodySource | None = None
         self.linger_timer: asyncio.TimerHandle | None = None
         self.pause_limit: PauseLimit | None = None
 
@@ -451,73 +427,7 @@
         else:  # it was answered within `submit`, or its client was found to have disconnected
             self.clients.dispatcher.disconnect(request_id)
 
-    # Responses
-
-    def respond(self, response: ForwardedResponse) -> None:
-        """Write a complete response."""
-        self._respond(response.status, response.headers, response.body or ())
-
-    def reject(self, retry_after: int) -> None:
-        """Respond with 503, after which a retry is harmless, and Retry-After (ns; none if 0)."""
-        self._respond(503, retry_after_header(retry_after), (REJECTED_BODY,))
-
-    def fail(self, status: int) -> None:
-        """Respond with an error status."""
-        self._respond(status, [], (b"failed\n",))
-
-    def start_response(self, response: ForwardedResponse, body_source: BodySource) -> None:
-        """Begin to write a streamed response, after which the request is not sent to a server again."""
-        self._release_body()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        headers = response.headers
-        if response.length is not None:
-            headers = [*headers, (b"content-length", b"%d" % response.length)]
-        self._write(h11.Response(status_code=response.status, headers=self._closing_headers(headers)))
-        self.body_source = body_source
-        self.clients.move(self, self.clients.writing)
-
-    def write(self, data: bytes) -> None:
-        """Write a part of a streamed response; its source is paused while the client reads nothing."""
-        self._write(h11.Data(data=data))
-        if not self.is_write_buffered:
-            self.clients.touch(self)
-        elif self.body_source is not None:
-            self.body_source.set_reading(False)
-
-    def finish_response(self) -> None:
-        """End a streamed response."""
-        self._write(h11.EndOfMessage())
-        self._response_completed()
-
-    def abort_response(self) -> None:
-        """Abort a streamed response by closing the connection, which the client detects with any framing."""
-        self.request_id = NO_REQUEST
-        self.body_source = None
-        if self.request is not None:
-            release_request(self.clients.admission, self.request)
-        self.transport.abort()
-
-    def _write(self, *events: h11.Event) -> None:
-        data = b"".join(self.http.send(event) or b"" for event in events)
-        if data and not self.transport.is_closing():
-            self.transport.write(data)
-
-    def _respond(self, status: int, headers: Headers, body: Sequence[bytes]) -> None:
-        """Write a complete response, without its body if the request is HEAD."""
-        content = b"".join(body)
-        headers = self._closing_headers([*headers, (b"content-length", b"%d" % len(content))])
-        if self.request is not None and self.request.is_head:
-            content = b""
-        if not self.transport.is_closing():
-            self.transport.write(response_bytes(status, headers, content))
-        self._response_completed()
-
-    def _closing_headers(self, headers: Headers) -> Headers:
-        """Return the headers of a response, with `Connection: close` if the connection ends with it."""
-        if self.clients.service_state in CLOSING_STATES or self.http.their_state is not h11.DONE:
-            self.state = next_state(self.state, ConnectionEvent.LAST_RESPONSE_BEGUN)
-            return [*headers, (b"connection", b"close")]
-        return headers
+    # Ends of requests
 
     def _reject_and_close(self, problem: RequestProblem, headers: Sequence[tuple[bytes, bytes]] = ()) -> None:
         """Respond to a request that is not read to its end, and close the connection."""
