A long answer is not cut off while its server pauses

Cause: ClientListener._sweep closes a connection whose response has made no progress for 3 s, and only writing counted as progress, also where the client has read everything and the server is what is waited for.

Change: the limit counts only while the kernel has not accepted all bytes for the client, and from then on (pause_writing). A server that is silent in an answer has its own limit, 8 s as before (STREAM_STALL_S). The client's limit is 8 s, too, in place of 3 s: the kernel announces the free part of a large buffer only when a sixteenth of it is free, 375 kB of 6 MB, which a client that reads 64 kB a second needs 5.9 s for.

Cost: a comparison where a client's buffer fills up. A client that never reads holds its connection for 8 s.

Both new tests failed before.

--- a/hollybay/proxy/downstream/client_context.py
+++ b/hollybay/proxy/downstream/client_context.py
@@ -47,14 +47,15 @@
     idle_when_crowded
         The same, while there are more connections than `max_kept_connections`.
     writing
-        Time for which the client reads nothing of its response.
+        Time for which the client reads nothing of its response while there are bytes for it. A client that
+        reads slowly may have a large buffer, whose free part the kernel announces only now and then.
     """
 
     silent: float = 2.0
     unfinished: float = 2.4
     idle: float = 2.0
     idle_when_crowded: float = 0.1
-    writing: float = 3.0
+    writing: float = 8.0
 
 
 class ClosableConnection(TrackedConnection, Protocol):
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -192,6 +192,12 @@
         else:
             self.clients.dispatcher.expire(self.request_id)
 
+    def pause_writing(self) -> None:
+        """Begin to wait for the client, which does not read as fast as its response comes."""
+        super().pause_writing()
+        if self.phase is self.clients.writing:
+            self.clients.touch(self)
+
     def resume_writing(self) -> None:
         """Continue with the response: the kernel has accepted everything that was written."""
         super().resume_writing()
--- a/hollybay/proxy/downstream/listener.py
+++ b/hollybay/proxy/downstream/listener.py
@@ -176,4 +176,6 @@
         for conn in self.overdue(self.idle, now - self.phase_timeouts.idle):
             conn.close_if_idle()
         for conn in self.overdue(self.writing, now - self.phase_timeouts.writing):
-            conn.abort()
+            # Otherwise the client has read everything, and the server is waited for, which has its own limit.
+            if conn.is_write_buffered:
+                conn.abort()
--- a/tests/test_upstream_responses.py
+++ b/tests/test_upstream_responses.py
@@ -268,3 +268,61 @@
             assert not node.dispatcher.requests and not node.dispatcher.balancer.requests
 
     asyncio.run(play())
+
+
+class PausingServer(ScriptedServer):
+    """Server that pauses in the middle of a long response until `go` is set."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name, self._answer)
+        self.go = asyncio.Event()
+
+    async def _answer(self, _head: bytes, writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (2 * len(LONG)) + LONG)
+        await self.go.wait()
+        writer.write(LONG)
+
+
+def test_a_long_response_is_not_cut_off_while_its_server_pauses(tmp_path: Path) -> None:
+    """Guards against a client that has read everything, and is taken for one that reads nothing."""
+
+    async def play() -> None:
+        server = PausingServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request())
+                await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(len(LONG)) == LONG
+                (conn,) = node.clients.connections
+                await node.until(lambda: not conn.is_write_buffered)
+                node.clients.phase_timeouts.writing = 0.0
+                node.clients._sweep()
+                server.go.set()
+                assert await reader.readexactly(len(LONG)) == LONG
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_client_that_reads_nothing_is_cut_off_from_when_there_are_bytes_for_it(tmp_path: Path) -> None:
+    """Its time counts from the first byte that the kernel does not accept, not from before a pause."""
+
+    async def play() -> None:
+        server = PausingServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:
+            reader, writer = await asyncio.open_connection("127.0.0.1", node.port, limit=16 << 10)
+            async with asyncio.timeout(LIMIT):
+                writer.write(request())
+                await reader.readuntil(b"\r\n\r\n")
+                (conn,) = node.clients.connections
+                node.clients.writing[conn] -= LIMIT  # the server has paused for long
+                conn.pause_writing()
+                node.clients._sweep()
+                assert not conn.transport.is_closing()
+                node.clients.phase_timeouts.writing = 0.0
+                node.clients._sweep()
+                assert conn.transport.is_closing()
+            writer.transport.abort()
+
+    asyncio.run(play())
