An id that is open at the old process of a node is not served by the new one

A bad client that used the id of an unsafe request whose answer the old process was still writing was served by the new one, and the id ran twice.

Change: each process keeps a table of its open ids in a file of the shared folder (SharedRequestIds, a memory map; 8 bytes a descriptor), and looks ids up in the tables of the others: the new process from its start, the old one from SIGTERM on. A table whose process has died, by its lock, is dropped. Nodes without an admin address or a folder share nothing and import nothing of it.

Ruled out: a file that is read at each request (system calls on the way of a request), messages between the processes (late, and lost with either).

--- a/hollybay/proxy/assembly.py
+++ b/hollybay/proxy/assembly.py
@@ -75,9 +75,10 @@
     consensus_member: ConsensusMember | None
 
     def close(self) -> None:
-        """Stop consensus and the admin service."""
+        """Stop consensus, the sharing of ids, and the admin service."""
         if self.consensus_member is not None:
             self.consensus_member.close()
+        self.listener_group.close()
         self.service.close()
 
 
--- a/hollybay/proxy/handover.py
+++ b/hollybay/proxy/handover.py
@@ -21,6 +21,9 @@
 import struct
 from pathlib import Path
 
+from .request_ids import RequestIds
+from .shared_request_ids import SharedRequestIds
+
 __all__ = ["ListenerGroup"]
 
 log = logging.getLogger("hollybay.proxy")
@@ -30,6 +33,7 @@
 BPF_RETURN = 0x06
 
 FILE_MODE = 0o600
+IDS_SUFFIX = ".ids"
 MEMBER_ID_BYTES = 8
 
 
@@ -49,6 +53,39 @@
         self.name = name
         self._lock: int | None = None  # file descriptor
         self._path: Path | None = None
+        self._request_ids: RequestIds | None = None
+
+    def share_ids(self, request_ids: RequestIds, capacity: int) -> None:
+        """Share the ids of open requests with the other processes, until `close`.
+
+        Parameters
+        ----------
+        request_ids
+            Ids of this process; none may be open yet.
+        capacity
+            Maximum number of ids that are shared at a time.
+        """
+        if self.folder is None:
+            return
+        path = self.folder / f"{self.name}.{secrets.token_hex(MEMBER_ID_BYTES)}{IDS_SUFFIX}"
+        try:
+            request_ids.shared = SharedRequestIds(path, capacity)
+        except OSError as error:
+            log.warning("hand-over: ids of open requests cannot be shared: %s", error)
+        self._request_ids = request_ids
+        self.look_up_ids()
+
+    def look_up_ids(self) -> None:
+        """Look up ids of requests at the processes that share theirs by now, too."""
+        shared = self._request_ids.shared if self._request_ids is not None else None
+        if self.folder is not None and shared is not None:
+            shared.open_others(self.folder.glob(f"{self.name}.*{IDS_SUFFIX}"))
+
+    def close(self) -> None:
+        """Stop sharing ids, as the process ends."""
+        if self._request_ids is not None and self._request_ids.shared is not None:
+            self._request_ids.shared.close()
+            self._request_ids.shared = None
 
     def join(self) -> None:
         """Register as a listening process, until `leave` or the end of the process."""
--- a/hollybay/proxy/life_cycle.py
+++ b/hollybay/proxy/life_cycle.py
@@ -104,12 +104,13 @@
 
     async def _listen(self, port: int | None, listener_group: ListenerGroup | None) -> int:
         """Listen once discovery has responded, and take over from the other processes of this node."""
-        clients, _, discovery = self.parts
+        clients, dispatcher, discovery = self.parts
         predecessors = listener_group.count_others() if listener_group is not None else 0
         discovery.start()
         await self._wait_for_discovery(predecessors)
         port = await clients.listen(port)
         if listener_group is not None:
+            listener_group.share_ids(dispatcher.request_ids, self.config.sockets)
             listener_group.join()
             if predecessors and clients.listener is not None:
                 listener_group.take_new_connections(clients.listener, predecessors)
--- a/hollybay/proxy/shutdown.py
+++ b/hollybay/proxy/shutdown.py
@@ -60,6 +60,8 @@
         after its next response.
     """
     has_successor = listener_group is not None and listener_group.count_others() > 0
+    if listener_group is not None:
+        listener_group.look_up_ids()
     loop = asyncio.get_running_loop()
     started_at = loop.time()
     end = started_at + _longest_deadline_s(dispatcher) + KILL_DELAY_S - KILL_MARGIN_S
