A soak run doesn't crash when its node ends while its waiting time is read

The folder is now listed inside a try.

The soak's defect tests now print the exit status and the output of a run that found nothing.

--- a/hollybay/mutation/soak_defects.py
+++ b/hollybay/mutation/soak_defects.py
@@ -8,11 +8,13 @@
 
 import sys
 from collections.abc import Sequence
+from pathlib import Path
+from typing import NamedTuple
 
 from .planted import LISTENER, Defect
 from .tree import mutated_copy, run_in
 
-__all__ = ["SOAK_DEFECTS", "is_found_by", "seeds_that_find"]
+__all__ = ["SOAK_DEFECTS", "DefectRun", "run_with_defect", "seeds_that_find"]
 
 SHUTDOWN = "hollybay/proxy/shutdown.py"
 SEEDS = range(10)
@@ -53,20 +55,44 @@
 )
 
 
-def seeds_that_find(defect: Defect, seeds: Sequence[int]) -> list[int]:
-    """Return the seeds of the soak test that violate a rule on a copy of the code with a defect."""
-    found = []
+class DefectRun(NamedTuple):
+    """A run of the soak test on a copy of the code with a defect.
+
+    Attributes
+    ----------
+    seed
+        The seed that was played.
+    status
+        The exit status, None if the run timed out.
+    output
+        What it printed.
+    """
+
+    seed: int
+    status: int | None
+    output: str
+
+    @property
+    def found(self) -> bool:
+        """Whether a rule was violated; a run that crashed or failed to start has found nothing."""
+        return BROKEN in self.output
+
+
+def _run(tree: Path, seed: int) -> DefectRun:
+    status, output = run_in(tree, ["-m", "hollybay.testbed.soak", str(seed)], SEED_TIMEOUT_S)
+    return DefectRun(seed, status, output)
+
+
+def run_with_defect(defect: Defect, seed: int) -> DefectRun:
+    """Run a seed of the soak test on a copy of the code with a defect."""
     with mutated_copy(defect.path, defect.old, defect.new) as tree:
-        for seed in seeds:
-            _, output = run_in(tree, ["-m", "hollybay.testbed.soak", str(seed)], SEED_TIMEOUT_S)
-            if BROKEN in output:  # a run that failed to start has found nothing
-                found.append(seed)
-    return found
+        return _run(tree, seed)
 
 
-def is_found_by(defect: Defect, seed: int) -> bool:
-    """Whether a seed of the soak test finds a defect."""
-    return seeds_that_find(defect, [seed]) == [seed]
+def seeds_that_find(defect: Defect, seeds: Sequence[int]) -> list[int]:
+    """Return the seeds of the soak test that violate a rule on a copy of the code with a defect."""
+    with mutated_copy(defect.path, defect.old, defect.new) as tree:
+        return [seed for seed in seeds if _run(tree, seed).found]
 
 
 def main() -> int:
--- a/hollybay/testbed/cpu_wait.py
+++ b/hollybay/testbed/cpu_wait.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from pathlib import Path
 
 __all__ = ["cpu_wait_ns"]
@@ -18,10 +19,17 @@
     process
         The process id; None for this process.
     """
-    total = 0
-    for path in Path(f"/proc/{process or 'self'}/task").glob("*/schedstat"):
-        try:
-            total += int(path.read_text().split()[1])
-        except (OSError, IndexError, ValueError):  # the thread has ended
-            continue
-    return total
+    tasks = Path(f"/proc/{process or 'self'}/task")
+    try:
+        threads = os.listdir(tasks)
+    except OSError:  # the process has ended
+        return 0
+    return sum(_thread_wait_ns(tasks / thread) for thread in threads)
+
+
+def _thread_wait_ns(task: Path) -> int:
+    """Time that a thread was runnable without a core; 0 if it has ended."""
+    try:
+        return int((task / "schedstat").read_text().split()[1])
+    except (OSError, IndexError, ValueError):
+        return 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hollybay.mutation.soak_defects import SOAK_DEFECTS, is_found_by
+from hollybay.mutation.soak_defects import SOAK_DEFECTS, DefectRun, run_with_defect
 from hollybay.testbed.soak.__main__ import play_seeds
 from hollybay.testbed.soak.plan import Condition, draw
 
@@ -39,12 +39,12 @@
 
 
 @pytest.fixture(scope="module")
-def found() -> Iterator[dict[str, bool]]:
+def runs() -> Iterator[dict[str, DefectRun]]:
     with ThreadPoolExecutor(JOBS) as pool:
-        verdicts = pool.map(lambda defect: is_found_by(defect, FOUND_BY[defect.name]), SOAK_DEFECTS)
-        yield {defect.name: verdict for defect, verdict in zip(SOAK_DEFECTS, verdicts, strict=True)}
+        runs = pool.map(lambda defect: run_with_defect(defect, FOUND_BY[defect.name]), SOAK_DEFECTS)
+        yield {defect.name: run for defect, run in zip(SOAK_DEFECTS, runs, strict=True)}
 
 
 @pytest.mark.parametrize("name", sorted(FOUND_BY))
-def test_shutdown_defect_is_found(name: str, found: dict[str, bool]) -> None:
-    assert found[name]
+def test_shutdown_defect_is_found(name: str, runs: dict[str, DefectRun]) -> None:
+    assert runs[name].found, f"exit status {runs[name].status}: {runs[name].output}"
