A request that can't be parsed in its client's time is refused in time

Related path of the turns: bytes that wait for their turn to be parsed have stopped the reading like a pause, with no limit on the request's time but the one of unfinished requests. PauseLimit now runs for them, too: a request is ended when nothing has arrived for all of its client's time and bytes of it wait for a turn.

--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -159,7 +159,7 @@
             self._reject_and_close(RequestProblem(408, "the request is not whole in time"))
 
     def reject_waiting(self) -> None:
-        """Reject a request whose body waits for memory, which is not read to its end."""
+        """Reject a request whose body waits for memory or to be parsed, which is not read to its end."""
         request = self.request
         assert request is not None
         self.clients.dispatcher.counters.rejected[request.class_index] += 1
@@ -169,7 +169,7 @@
     def is_paused(self) -> bool:
         """Whether there is a request whose rest is not read at the moment."""
         is_incomplete = self.request is not None and self.state in READING_STATES
-        return is_incomplete and not self.reading
+        return is_incomplete and (self.is_waiting_for_turn or not self.reading)
 
     def client_time_left(self) -> int:
         """Return how long (ns) the client waits from the last byte of its request."""
@@ -183,7 +183,7 @@
 
     def end_paused_request(self) -> None:
         """Respond to a request whose rest is not read, as its client's time is up."""
-        if self.clients.body_budget.is_waiting(self):
+        if self.request_id == NO_REQUEST:
             self.reject_waiting()
         else:
             self.clients.dispatcher.expire(self.request_id)
@@ -287,6 +287,12 @@
         if self.pause_limit is None or not self.pause_limit.is_running:
             self.pause_limit = PauseLimit(self.clients.loop, self)
 
+    def _wait_for_turn(self) -> None:
+        """Read and parse on only after others had their turn, within the client's time."""
+        super()._wait_for_turn()
+        if self.is_paused():
+            self._limit_pause()
+
     def _stop_pause_limit(self) -> None:
         if self.pause_limit is not None:
             self.pause_limit.stop()
--- a/hollybay/proxy/downstream/pause_limit.py
+++ b/hollybay/proxy/downstream/pause_limit.py
@@ -1,4 +1,4 @@
-"""Time limit of a request that is not read to its end, as its connection has paused reading."""
+"""Time limit of a request that is not read to its end: its connection has paused, or waits for its turn."""
 
 from __future__ import annotations
 
@@ -27,9 +27,12 @@
     ----------
     streaming_body
         Body that is forwarded while it is still arriving; None while it is buffered.
+    is_waiting_for_turn
+        Whether bytes that have arrived wait for their turn to be parsed.
     """
 
     streaming_body: StreamingBody | None
+    is_waiting_for_turn: bool
 
     def is_paused(self) -> bool:
         """Whether the connection has a request whose rest it does not read at the moment."""
@@ -66,7 +69,7 @@
     That time counts from the last byte of the request, which may lie unread in the kernel: until it is read,
     no other deadline runs. A request whose body waits for memory may be ended early, as nothing of it has
     been sent on. A streamed body is ended only if its rest has arrived, as the client's time does not begin
-    before that, or if its server takes nothing of it.
+    before that, if its server takes nothing of it, or if nothing has arrived for all of that time.
 
     Parameters
     ----------
@@ -116,7 +119,9 @@
             self._check_after(CHECK_INTERVAL_S)
 
     def _is_client_waiting(self, body: StreamingBody) -> bool:
-        """Whether the rest of a streamed body has arrived, or its server takes nothing of it."""
+        """Whether the rest of a streamed body has arrived, or the node or its server is behind with it."""
+        if self._connection.is_waiting_for_turn:
+            return True
         now = self._loop.time()
         if body.bytes_pulled != self._bytes_pulled:
             self._bytes_pulled = body.bytes_pulled
--- a/tests/test_parse_turns.py
+++ b/tests/test_parse_turns.py
@@ -6,8 +6,10 @@
 import socket
 from pathlib import Path
 
+import pytest
+
 from hollybay.proxy.downstream.connection import ClientConnection
-from hollybay.proxy.downstream.parse_turns import MAX_EVENTS_PER_TURN, ParseTurns
+from hollybay.proxy.downstream.parse_turns import MAX_EVENTS_PER_TURN, ParseTurns, TurnTaker
 from hollybay.testbed.loopback import (
     LIMIT,
     OK,
@@ -134,3 +136,31 @@
                 assert conn.is_waiting_for_turn and not conn.transport.is_reading()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("is_streamed", [False, True])
+def test_a_request_that_cannot_be_parsed_in_its_time_is_refused(
+    is_streamed: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a whole request that lies unread in the kernel of a node that is too busy."""
+    add = ParseTurns.add
+
+    def add_until_stuck(turns: ParseTurns, connection: TurnTaker) -> None:
+        assert isinstance(connection, ClientConnection)
+        if is_streamed and connection.streaming_body is None:
+            add(turns, connection)
+
+    monkeypatch.setattr(ParseTurns, "add", add_until_stuck)
+
+    async def play() -> None:
+        async with running(tmp_path / "c.json", FakeDiscovery(), ScriptedServer("s-1", OK)) as node:
+            reader, writer = await node.connect()
+            data = upload().replace(b"\r\n\r\n", b"\r\nX-Time-Left-Ms: 400\r\n\r\n", 1)
+            writer.write(data + b"0\r\n\r\n")
+            async with asyncio.timeout(LIMIT):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+            assert not node.dispatcher.requests and sum(node.dispatcher.counters.rejected) <= 1
+            assert not node.clients.body_budget.used and not node.clients.streaming_budget.used
+            writer.transport.abort()
+
+    asyncio.run(play())
