--- a/hollybay/proxy/config.py
+++ b/hollybay/proxy/config.py
@@ -27,7 +27,7 @@
 # The budget for request bodies is the remaining memory divided by this; responses and the overhead of the
 # allocator use the rest.
 BODY_MEMORY_DIVISOR = 3
-MIN_BODY_BUDGET_BYTES = 2 << 20
+MIN_BODY_BUDGET_BYTES = 1 << 20
 
 
 class ConfigError(Exception):
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -333,7 +333,8 @@
         self.bytes_ahead = len(self.http.trailing_data[0])
         self.clients.body_budget.stop_waiting(self)
         self._stop_pause_limit()
-        self.set_reading(True)
+        if not self.reading:
+            self.set_reading(True)
         self.clients.move(self, None)
         if request.path in HEALTH_PATHS:
             status, body = health_response(request.path, self.clients.is_healthy)
@@ -446,7 +447,8 @@
         self.clients.close_excess_idle()
         self.bytes_ahead = 0
         self.reads_little = False
-        self.set_reading(True)
+        if not self.reading:
+            self.set_reading(True)
         self._read_events(just_read=False)
 
     def _linger(self) -> None:
--- a/hollybay/proxy/downstream/parse_turns.py
+++ b/hollybay/proxy/downstream/parse_turns.py
@@ -11,12 +11,13 @@
 from collections import OrderedDict
 from typing import Protocol
 
-__all__ = ["MAX_EVENTS_PER_FULL_READ", "MAX_EVENTS_PER_TURN", "ParseTurns", "TurnTaker"]
+__all__ = ["MAX_EVENTS_PER_LONG_READ", "MAX_EVENTS_PER_TURN", "ParseTurns", "TurnTaker"]
 
 # Number of parser events after which a connection waits for its next turn.
 MAX_EVENTS_PER_TURN = 64
-# Number of parser events of a full read from which on a connection waits for its turn to read on.
-MAX_EVENTS_PER_FULL_READ = 8
+# Number of parser events of a read of `SMALL_READ_SIZE_BYTES` or more, above which a connection waits for its
+# turn to read on.
+MAX_EVENTS_PER_LONG_READ = 8
 
 
 class TurnTaker(Protocol):
--- a/hollybay/proxy/downstream/request_reader.py
+++ b/hollybay/proxy/downstream/request_reader.py
@@ -8,9 +8,9 @@
 
 import h11
 
-from ..message_limits import SMALL_BODY_BYTES
+from ..message_limits import SMALL_BODY_BYTES, SMALL_READ_SIZE_BYTES
 from .client_context import ClientContext
-from .parse_turns import MAX_EVENTS_PER_FULL_READ, MAX_EVENTS_PER_TURN
+from .parse_turns import MAX_EVENTS_PER_LONG_READ, MAX_EVENTS_PER_TURN
 from .request_validation import RequestProblem
 from .response_writer import ResponseWriter
 from .states import LINGERING_STATES, READING_STATES, RESPONDING_STATES, ConnectionState
@@ -88,9 +88,8 @@
             if self.bytes_ahead > SMALL_BODY_BYTES:
                 self.set_reading(False)
             return
-        is_full = len(data) == len(self.get_buffer(len(data)))
         events = self._read_events(just_read=True)
-        if is_full and events > MAX_EVENTS_PER_FULL_READ and not self.is_waiting_for_turn:
+        if events > MAX_EVENTS_PER_LONG_READ and len(data) >= SMALL_READ_SIZE_BYTES:
             self._wait_for_turn()  # there is probably more in the kernel
 
     def _read_events(self, just_read: bool) -> int:
@@ -145,7 +144,7 @@
 
     def _wait_for_turn(self) -> None:
         """Parse on only after others had their turn, and read nothing until then."""
-        if self.state not in READING_STATES:
+        if self.state not in READING_STATES or self.is_waiting_for_turn:
             return
         self._mark_unfinished()
         if self.reading:
