The end of a shutdown refuses requests that wait to be parsed; the soak sends small chunks

New in the soak: a condition in which clients send long bodies in chunks of 1, 5, 64 or 1,000 bytes (it is drawn last, so that the plans of before are as they were). Such requests are now refused with those that end unfinished, and one that comes later at its first wait.

--- a/hollybay/proxy/downstream/client_context.py
+++ b/hollybay/proxy/downstream/client_context.py
@@ -70,6 +70,10 @@
         """Close the connection at once."""
         ...
 
+    def reject_unread(self) -> None:
+        """Reject a request of which bytes have arrived that were not read or parsed."""
+        ...
+
 
 C = TypeVar("C", bound=ClosableConnection)
 
@@ -194,6 +198,11 @@
             for conn in self.overdue(self.idle, before)[:excess]:
                 conn.close_if_idle()
 
+    def reject_unread(self) -> None:
+        """Reject all requests of which bytes have arrived that were not read or parsed."""
+        for conn in list(self.unfinished):
+            conn.reject_unread()
+
     def close_idle(self) -> None:
         """Close all connections that have no request in progress."""
         for phase in (self.idle, self.silent):
--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -166,6 +166,12 @@
         retry_after = retry_after_header(self.clients.config.settings.max_retry_after)
         self._reject_and_close(RequestProblem(503, "refused"), retry_after)
 
+    def reject_unread(self) -> None:
+        """Reject a request of which bytes have arrived that were not read or parsed, as the process ends."""
+        is_incomplete = self.request is not None and self.state in READING_STATES
+        if is_incomplete and self.request_id == NO_REQUEST and (self.is_paused() or self.unread_bytes()):
+            self.reject_waiting()
+
     def is_paused(self) -> bool:
         """Whether there is a request whose rest is not read at the moment."""
         is_incomplete = self.request is not None and self.state in READING_STATES
@@ -292,6 +298,8 @@
         super()._wait_for_turn()
         if self.is_paused():
             self._limit_pause()
+        if self.clients.forwarding_stopped:
+            self.reject_unread()
 
     def _stop_pause_limit(self) -> None:
         if self.pause_limit is not None:
--- a/hollybay/proxy/shutdown.py
+++ b/hollybay/proxy/shutdown.py
@@ -84,6 +84,7 @@
     await _close_connections(clients, until=end - LAST_RESPONSES_S)
     clients.forwarding_stopped = True  # requests that are complete only now are rejected
     dispatcher.end_all_requests()
+    clients.reject_unread()
     await asyncio.sleep(LAST_RESPONSES_S if clients.has_connections() else 0)
     log.info("drained in %.2f s, %d connections left", loop.time() - started_at, len(clients.connections))
 
--- a/hollybay/testbed/client_request.py
+++ b/hollybay/testbed/client_request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -12,11 +13,13 @@
 
 from .ledger import RequestEntry
 
-__all__ = ["ClientRequest", "RequestMix", "encode_request"]
+__all__ = ["ClientRequest", "RequestMix", "encode_request", "in_chunks"]
 
 # Value of X-Time-Left-Ms in an encoded request: filled in when the request is sent.
 TIME_LEFT_PLACEHOLDER = b"%d"
 UNSAFE_BODY = b"{}"
+END_OF_HEAD = b"\r\n\r\n"
+CONTENT_LENGTH = re.compile(rb"Content-Length: \d+")
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,3 +122,12 @@
     lines.append(b"X-Time-Left-Ms: ")
     head = b"\r\n".join(lines).replace(b"%", b"%%") + TIME_LEFT_PLACEHOLDER + b"\r\n\r\n"
     return head if is_safe else head + body
+
+
+def in_chunks(request: bytes, size: int) -> bytes:
+    """Return a request whose body comes in chunks of a size (bytes), in place of one with a length."""
+    head, _, body = request.partition(END_OF_HEAD)
+    head = CONTENT_LENGTH.sub(b"Transfer-Encoding: chunked", head)
+    chunks = (body[start : start + size] for start in range(0, len(body), size))
+    encoded = b"".join(b"%x\r\n%s\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return head + END_OF_HEAD + encoded + b"0\r\n\r\n"
--- a/hollybay/testbed/fake_server_connection.py
+++ b/hollybay/testbed/fake_server_connection.py
@@ -86,6 +86,7 @@
     def __init__(self, owner: ConnectionOwner) -> None:
         self.owner = owner
         self.buffer = b""
+        self.parsed_bytes = 0  # of a request with a chunked body: up to the last complete chunk
         self.job: Job | None = None
         self.is_new = True  # no request has been received on it yet
         self.transport: asyncio.Transport
@@ -117,12 +118,28 @@
         if end < 0 or self.job is not None:
             return
         request_line, headers = _parse_head(self.buffer[:end])
-        request_length = end + len(END_OF_HEAD) + int(headers.get(b"content-length", b"0"))
-        if len(self.buffer) < request_length:
+        request_length = self._request_length(end + len(END_OF_HEAD), headers)
+        if request_length is None or len(self.buffer) < request_length:
             return
         self.buffer = self.buffer[request_length:]
+        self.parsed_bytes = 0
         self.owner.request(self, request_line.split(b" ", 2)[1], headers)
 
+    def _request_length(self, body_start: int, headers: dict[bytes, bytes]) -> int | None:
+        """Return the length of the request with its body; None while the end of a chunked one is missing."""
+        if headers.get(b"transfer-encoding") != b"chunked":
+            return body_start + int(headers.get(b"content-length", b"0"))
+        position = max(body_start, self.parsed_bytes)
+        while (line_end := self.buffer.find(b"\r\n", position)) >= 0:
+            size = int(self.buffer[position:line_end], 16)
+            position = line_end + 2 + size + 2
+            if position > len(self.buffer):
+                return None
+            self.parsed_bytes = position
+            if size == 0:
+                return position
+        return None
+
     def write(self, response: ScriptedAnswer, body: bytes, load_report: bytes = b"") -> None:
         """Write a response with Content-Length."""
         lines = [b"HTTP/1.1 %d x" % response.status, b"Content-Length: %d" % len(body)]
--- a/hollybay/testbed/soak/clients.py
+++ b/hollybay/testbed/soak/clients.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from hollybay.testbed.client_connection import parse_response
-from hollybay.testbed.client_request import UNSAFE_BODY, RequestMix, encode_request
+from hollybay.testbed.client_request import UNSAFE_BODY, RequestMix, encode_request, in_chunks
 from hollybay.testbed.ledger import FinalOutcome, RequestEntry
 from hollybay.testbed.listener import read_message
 from hollybay.testbed.load_generator import final_outcome
@@ -27,11 +27,12 @@
 # How long a client waits beyond the time at which a response counts as lost.
 RESPONSE_GRACE_S = 1.0
 DISCONNECT_SHARE = 0.05  # of the requests, with Condition.LEAVING_CLIENTS
-UPLOAD_SHARE = 0.2  # of the requests, with Condition.UPLOADS
+UPLOAD_SHARE = 0.2  # of the requests, with Condition.UPLOADS or Condition.SMALL_CHUNKS
 NEW_CLIENT_INTERVAL_S = 0.02
 PIPELINED_REQUESTS = (2, 4)
 UPLOAD_BYTES = (70 << 10, 200 << 10)
 UPLOAD_PIECES = 20
+CHUNK_BYTES = (1, 5, 64, 1000)  # sizes of the chunks of an upload, with Condition.SMALL_CHUNKS
 MAX_UPLOAD_TIME_S = 1.0
 # Added to the deadline of an upload until it is complete: the node has not accepted it yet.
 INCOMPLETE_GRACE_NS = 60 * SECOND
@@ -145,7 +146,9 @@
         """Send one or more requests and read the responses; returns whether the connection can be reused."""
         if reader.at_eof():
             return False
-        if self.group.plan.has(Condition.UPLOADS) and self.rng.random() < UPLOAD_SHARE:
+        plan = self.group.plan
+        has_uploads = plan.has(Condition.UPLOADS) or plan.has(Condition.SMALL_CHUNKS)
+        if has_uploads and self.rng.random() < UPLOAD_SHARE:
             return await self._upload(reader, writer)
         count = self.rng.randint(*PIPELINED_REQUESTS) if self.group.plan.has(Condition.PIPELINED) else 1
         entries = []
@@ -171,6 +174,8 @@
         """Send a request with a long body in pieces; the response may come before the end of the body."""
         mix = next(mix for mix in self.group.mixes if mix.cls)  # the first class is safe and has no body
         entry, data = self._ask(mix, bytes(self.rng.randint(*UPLOAD_BYTES)))
+        if self.group.plan.has(Condition.SMALL_CHUNKS):
+            data = in_chunks(data, self.rng.choice(CHUNK_BYTES))
         # The node accepts the request only with its last byte.
         deadline, entry.deadline = entry.deadline - entry.at, entry.deadline + INCOMPLETE_GRACE_NS
         response = asyncio.ensure_future(read_message(reader))
--- a/hollybay/testbed/soak/plan.py
+++ b/hollybay/testbed/soak/plan.py
@@ -43,6 +43,7 @@
     SUCCESSOR = "a new process of the node takes over"
     NO_LIST = "the node has no server list yet"
     RELOAD = "each SIGHUP reloads an operator file that takes long to compile"
+    SMALL_CHUNKS = "clients send long bodies in chunks of some bytes"
 
 
 # Pairs of conditions that cannot be combined; the second one is dropped.
--- a/tests/test_parse_turns.py
+++ b/tests/test_parse_turns.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from hollybay.proxy import shutdown
 from hollybay.proxy.downstream.connection import ClientConnection
 from hollybay.proxy.downstream.parse_turns import MAX_EVENTS_PER_TURN, ParseTurns, TurnTaker
+from hollybay.proxy.shutdown import shut_down_gracefully
 from hollybay.testbed.loopback import (
     LIMIT,
     OK,
@@ -138,6 +140,29 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("comes_late", [False, True])
+def test_the_end_of_a_shutdown_refuses_requests_that_wait_for_their_turn(
+    comes_late: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a process that ends while a whole request waits to be parsed."""
+    monkeypatch.setattr(shutdown, "MAX_DEADLINE_S", 0.2)
+    monkeypatch.setattr(ParseTurns, "add", lambda *_: None)
+
+    async def play() -> None:
+        async with running(tmp_path / "c.json", FakeDiscovery(), ScriptedServer("s-1", OK)) as node:
+            reader, writer = await node.connect()
+            node.clients.forwarding_stopped = comes_late
+            writer.write(upload(4_000) + b"0\r\n\r\n")
+            if not comes_late:
+                await node.until(lambda: any(conn.is_waiting_for_turn for conn in node.clients.connections))
+                await shut_down_gracefully(node.clients, node.dispatcher, accept_period_s=0.0)
+            async with asyncio.timeout(LIMIT):
+                assert (await reader.readline()).startswith(b"HTTP/1.1 503")
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("is_streamed", [False, True])
 def test_a_request_that_cannot_be_parsed_in_its_time_is_refused(
     is_streamed: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 from hollybay.testbed.soak.plan import Condition, draw
 
 # Together these have every condition, and deadlines below and above those that a node's shutdown allows for.
-SEEDS = (0, 2, 3, 8, 10, 17, 19, 24)
+SEEDS = (0, 2, 3, 8, 10, 17, 19, 24, 26, 31)
 JOBS = 4
 # For each defect a seed that finds it, from python -m hollybay.mutation.soak_defects
 FOUND_BY = {
