KNOWN-RED.txt has one entry a line, of two kinds, whose form is checked

As the issue asks: a test whose failure does not fail the suite, or a script for what a command shows; the file states its limit at its top. A line in another form, a test that does not exist, one listed twice, or one too many stops the suite.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,9 @@
 
 Tests run on uvloop, as the node does. Hypothesis is derandomized, so that every run gives the same verdict.
 
-The tests listed in KNOWN-RED.txt at the root (test -- cause -- issue; at most three) are run, but their
-failures do not fail the suite. Each is printed at the end of the run: as red, or, if it passed, as one to
-remove from the list.
+The tests listed in KNOWN-RED.txt at the root (see `known_red`) are run, but their failures do not fail the
+suite. Each is printed at the end of the run: as red, or, if it passed, as one to remove from the list. Listed
+scripts are printed, too.
 """
 
 import asyncio
@@ -15,19 +15,15 @@
 from _pytest.terminal import TerminalReporter
 from hypothesis import settings
 
+from . import known_red
 from .groups import LONG, PURE, group_of, start_order
 
 asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
 settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 settings.load_profile("ci")
 
-KNOWN_RED_FILE = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
-KNOWN_RED = {
-    line.split(" -- ")[0].strip(): line
-    for line in (KNOWN_RED_FILE.read_text().splitlines() if KNOWN_RED_FILE.exists() else ())
-    if line.strip()
-}
-assert len(KNOWN_RED) <= 3, f"KNOWN-RED.txt lists {len(KNOWN_RED)} tests; at most three are allowed"
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = known_red.load(ROOT / "KNOWN-RED.txt", ROOT)
 
 
 def module_name(item: pytest.Item) -> str:
@@ -38,7 +34,7 @@
 def plain_node_id(report: pytest.TestReport) -> str:
     """Return a test's node ID; of a known-red test, without the group that pytest-xdist appends."""
     name, _, _ = report.nodeid.rpartition("@")
-    return name if name in KNOWN_RED else report.nodeid
+    return name if name in KNOWN_RED.tests else report.nodeid
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -56,8 +52,8 @@
             item.add_marker(pytest.mark.pure)
         if item.nodeid.split("::", 1)[-1].split("[")[0] in LONG:
             item.add_marker(pytest.mark.long)
-        if item.nodeid in KNOWN_RED:
-            item.add_marker(pytest.mark.xfail(reason=KNOWN_RED[item.nodeid], strict=False))
+        if item.nodeid in KNOWN_RED.tests:
+            item.add_marker(pytest.mark.xfail(reason=KNOWN_RED.tests[item.nodeid], strict=False))
     # Workers are given the groups in this order.
     items.sort(key=lambda item: start_order(module_name(item)))
 
@@ -65,5 +61,7 @@
 def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
     for name, word in (("xfailed", "red"), ("xpassed", "passed; remove it from the list")):
         for report in terminalreporter.getreports(name):
-            if plain_node_id(report) in KNOWN_RED:
-                terminalreporter.write_line(f"KNOWN-RED, {word}: {KNOWN_RED[plain_node_id(report)]}")
+            if plain_node_id(report) in KNOWN_RED.tests:
+                terminalreporter.write_line(f"KNOWN-RED, {word}: {KNOWN_RED.tests[plain_node_id(report)]}")
+    for line in KNOWN_RED.scripts:
+        terminalreporter.write_line(f"KNOWN-RED, not run by the suite: {line}")
