--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,8 +1,8 @@
 """Known failures: KNOWN-RED.txt at the root, which lists one a line.
 
-The first line is a comment that states the largest number of entries. An entry is `SUBJECT -- COMMAND, SEED: SEEN
--- issue NUMBER`. Its subject is a pytest node ID, whose failure does not fail the suite, or `script` for a fault
-that a command shows and no test does. Its seed is `seed N` or `no seed`.
+The first line is a comment that states the largest number of entries. An entry is
+`SUBJECT -- COMMAND, SEED: SEEN -- issue NUMBER`. Its subject is a pytest node ID, whose failure does not fail
+the suite, or `script` for a fault that a command shows and no test. Its seed is `seed N` or `no seed`.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 SCRIPT = "script"
 _LIMIT = re.compile(r"# At most (\d+) entries\b")
 _ENTRY = re.compile(
-    r"(?P<subject>\S+) -- (?P<command>[^:]+?), (?P<seed>seed \d+|no seed): (?P<seen>.+) -- issue (?P<issue>\d+)"
+    r"(?P<subject>\S+) -- (?P<command>[^:]+?), (?P<seed>seed \d+|no seed): (?P<seen>.+) -- issue \d+"
 )
 
 
