A table of shared ids that fails leaves no id, no file and no descriptor behind

Related path of the ids of open requests (an exception that leaves a set wrong): an error of flock other than 'locked' left the id in the table of a process that does not have the request, and the request's connection was closed; the id is now taken for open, and its place freed. A table that cannot be made left its file and a descriptor, one that cannot be mapped a descriptor.

--- a/hollybay/proxy/shared_request_ids.py
+++ b/hollybay/proxy/shared_request_ids.py
@@ -31,10 +31,10 @@
     digests: mmap.mmap
 
     def is_alive(self) -> bool:
-        """Whether the process of the table lives, by its lock."""
+        """Whether the process of the table lives, by its lock; also if the kernel cannot tell."""
         try:
             fcntl.flock(self.file, fcntl.LOCK_SH | fcntl.LOCK_NB)
-        except BlockingIOError:
+        except OSError:
             return True
         return False
 
@@ -43,6 +43,13 @@
         os.close(self.file)
 
 
+def _new_table(file: int, capacity: int) -> mmap.mmap:
+    """Lock a file, and return an empty table in it."""
+    fcntl.flock(file, fcntl.LOCK_EX)
+    os.ftruncate(file, capacity * DIGEST_BYTES)
+    return mmap.mmap(file, capacity * DIGEST_BYTES)
+
+
 class SharedRequestIds:
     """Table of the open ids of this process, and the tables of the other processes of the node.
 
@@ -63,11 +70,14 @@
         self._path = path
         new_path = path.with_suffix(".new")
         self._file = os.open(new_path, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, FILE_MODE)
-        fcntl.flock(self._file, fcntl.LOCK_EX)
-        os.ftruncate(self._file, capacity * DIGEST_BYTES)
-        self._digests = mmap.mmap(self._file, capacity * DIGEST_BYTES)
-        # Renamed last, as a file without a lock is taken for that of a dead process.
-        new_path.rename(path)
+        try:
+            self._digests = _new_table(self._file, capacity)
+            # Renamed last, as a file without a lock is taken for that of a dead process.
+            new_path.rename(path)
+        except OSError:
+            os.close(self._file)
+            new_path.unlink(missing_ok=True)
+            raise
         self._free_slots = list(range(0, capacity * DIGEST_BYTES, DIGEST_BYTES))
         self._slots: dict[int, int] = {}
         self._others: dict[Path, _OtherTable] = {}
@@ -105,7 +115,12 @@
 
     def _open_other(self, path: Path) -> None:
         file = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-        other = _OtherTable(file, mmap.mmap(file, 0, prot=mmap.PROT_READ))
+        try:
+            digests = mmap.mmap(file, 0, prot=mmap.PROT_READ)
+        except OSError:
+            os.close(file)
+            raise
+        other = _OtherTable(file, digests)
         if other.is_alive():
             self._others[path] = other
         else:
--- a/tests/test_shared_request_ids.py
+++ b/tests/test_shared_request_ids.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import fcntl
 import os
 from dataclasses import replace
 from pathlib import Path
 
+import pytest
+
 from hollybay.proxy.config import Config
 from hollybay.proxy.handover import ListenerGroup
 from hollybay.proxy.request_ids import NOT_CLAIMED, RequestIds
+from hollybay.proxy.shared_request_ids import SharedRequestIds
 from hollybay.testbed.loopback import FakeDiscovery, RunningNode, StalledServer, request, running
 
 CAPACITY = 4
 
 
+def fail_with_no_locks(*_args: object, **_options: object) -> None:
+    raise OSError(errno.ENOLCK, "no locks")
+
+
 def join(folder: Path, name: str = "node") -> tuple[ListenerGroup, RequestIds]:
     """Begin to share the ids of one process."""
     group, ids = ListenerGroup(folder, name), RequestIds()
@@ -101,3 +110,39 @@
                 assert not any(b"r-1" in head for head in second.heads)
 
     asyncio.run(play())
+
+
+def test_an_id_is_taken_for_open_where_the_kernel_cannot_tell_and_its_place_is_freed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an error that leaves an id in the table of a process that does not have the request."""
+    (_, old), (_, new) = join(tmp_path), join(tmp_path)
+    number = old.claim(b"a", 0.0)
+    with monkeypatch.context() as patch:
+        patch.setattr(fcntl, "flock", fail_with_no_locks)
+        assert new.claim(b"a", 0.0) == NOT_CLAIMED
+    old.retire(number, 0.0)
+    assert new.shared is not None and len(new.shared._free_slots) == CAPACITY
+    assert new.claim(b"a", 0.0) != NOT_CLAIMED
+
+
+@pytest.mark.parametrize("function", ["fcntl.flock", "os.ftruncate", "mmap.mmap", "pathlib.Path.rename"])
+def test_a_table_that_cannot_be_made_leaves_no_file_and_no_descriptor(
+    function: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(function, fail_with_no_locks)
+    before = len(os.listdir("/proc/self/fd"))
+    with pytest.raises(OSError, match="no locks"):
+        SharedRequestIds(tmp_path / "ids", CAPACITY)
+    assert len(os.listdir("/proc/self/fd")) == before and not list(tmp_path.iterdir())
+
+
+def test_a_table_that_cannot_be_read_leaves_no_descriptor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    table = SharedRequestIds(tmp_path / "ids", CAPACITY)
+    join(tmp_path)
+    before = len(os.listdir("/proc/self/fd"))
+    monkeypatch.setattr("mmap.mmap", fail_with_no_locks)
+    table.open_others(tmp_path.iterdir())
+    assert len(os.listdir("/proc/self/fd")) == before
