--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -457,7 +457,8 @@
         self.reads_little = False
         if not self.reading:
             self.set_reading(True)
-        self._read_events(just_read=False)
+        if rest:
+            self._read_events(just_read=False)
 
     def _linger(self) -> None:
         """Close gracefully: shut down sending now, and close when the client does or after a timeout."""
