--- a/hollybay/proxy/downstream/connection.py
+++ b/hollybay/proxy/downstream/connection.py
@@ -449,8 +449,6 @@
         # Each request gets a new parser, as most responses are not written through it.
         rest, _ = self.http.trailing_data
         self.http = new_request_parser()
-        if rest:
-            self.http.receive_data(rest)
         self.clients.move(self, self.clients.idle)
         self.clients.close_excess_idle()
         self.bytes_ahead = 0
@@ -458,6 +456,7 @@
         if not self.reading:
             self.set_reading(True)
         if rest:
+            self.http.receive_data(rest)
             self._read_events(just_read=False)
 
     def _linger(self) -> None:
