A change proposed twice in a batch: the property test compares by place, not by equality

The test was wrong: it expected 'proposed, and not among those that fit' by equality, so that the second of two equal proposals, which the batch rightly refuses, was not expected as refused. It now keeps the refused ones as it goes, which also checks their number.

--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -95,7 +95,7 @@
     for _ in range(count):
         proposed = []
         expected = dict(state.resources.items())
-        fits = []
+        fits, refused = [], []
         for _ in range(data.draw(st.integers(0, 4))):
             number += 1
             change = data.draw(changes(state, number))
@@ -107,10 +107,12 @@
                 taken_ids.add(change.id)
                 expected = after
                 fits.append(change)
+            else:
+                refused.append(change)
         before = (state.digest, dict(state.resources.items()))
         found = assemble(state, proposed)
         assert list(found.batch.changes) == fits
-        assert [change for change, _ in found.rejected] == [c for c in proposed if c not in fits]
+        assert [change for change, _ in found.rejected] == refused
         assert all(error.problems and error.problems[0].reason for _, error in found.rejected)
         assert dict(found.state.resources.items()) == expected
         assert (state.digest, dict(state.resources.items())) == before
@@ -121,6 +123,13 @@
     assert decode_snapshot(encode_snapshot(state), state.digest) == state
 
 
+def test_a_change_that_is_proposed_twice_in_a_batch_is_refused_once() -> None:
+    change = Change(b"%016d" % 1, 0, "why", "who", (Upsert(Kind.ROUTE, "a", 0, b""),))
+    found = assemble(EMPTY, [change, change])
+    assert found.batch.changes == (change,) and [rejected for rejected, _ in found.rejected] == [change]
+    assert found.state.revision_of(change.id) == found.state.revision
+
+
 @settings(max_examples=100)
 @given(st.data())
 def test_a_change_and_its_inverse_restore_the_resources(data: st.DataObject) -> None:
