--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -23,7 +23,8 @@
 settings.load_profile("ci")
 
 ROOT = Path(__file__).resolve().parent.parent
-KNOWN_RED = known_red.load(ROOT / "KNOWN-RED.txt", ROOT)
+KNOWN_FAILURES = known_red.load(ROOT / "KNOWN-RED.txt", ROOT)
+KNOWN_RED = KNOWN_FAILURES.tests
 
 
 def module_name(item: pytest.Item) -> str:
@@ -34,7 +35,7 @@
 def plain_node_id(report: pytest.TestReport) -> str:
     """Return a test's node ID; of a known-red test, without the group that pytest-xdist appends."""
     name, _, _ = report.nodeid.rpartition("@")
-    return name if name in KNOWN_RED.tests else report.nodeid
+    return name if name in KNOWN_RED else report.nodeid
 
 
 def pytest_configure(config: pytest.Config) -> None:
@@ -52,8 +53,8 @@
             item.add_marker(pytest.mark.pure)
         if item.nodeid.split("::", 1)[-1].split("[")[0] in LONG:
             item.add_marker(pytest.mark.long)
-        if item.nodeid in KNOWN_RED.tests:
-            item.add_marker(pytest.mark.xfail(reason=KNOWN_RED.tests[item.nodeid], strict=False))
+        if item.nodeid in KNOWN_RED:
+            item.add_marker(pytest.mark.xfail(reason=KNOWN_RED[item.nodeid], strict=False))
     # Workers are given the groups in this order.
     items.sort(key=lambda item: start_order(module_name(item)))
 
@@ -61,7 +62,7 @@
 def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
     for name, word in (("xfailed", "red"), ("xpassed", "passed; remove it from the list")):
         for report in terminalreporter.getreports(name):
-            if plain_node_id(report) in KNOWN_RED.tests:
-                terminalreporter.write_line(f"KNOWN-RED, {word}: {KNOWN_RED.tests[plain_node_id(report)]}")
-    for line in KNOWN_RED.scripts:
+            if plain_node_id(report) in KNOWN_RED:
+                terminalreporter.write_line(f"KNOWN-RED, {word}: {KNOWN_RED[plain_node_id(report)]}")
+    for line in KNOWN_FAILURES.scripts:
         terminalreporter.write_line(f"KNOWN-RED, not run by the suite: {line}")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from .conftest import KNOWN_RED
+from .conftest import KNOWN_FAILURES, KNOWN_RED
 from .known_red import KnownRedError, load
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -49,4 +49,5 @@
 
 
 def test_the_suite_reads_the_list_at_the_root() -> None:
-    assert load(ROOT / "KNOWN-RED.txt", ROOT) == KNOWN_RED
+    assert load(ROOT / "KNOWN-RED.txt", ROOT) == KNOWN_FAILURES
+    assert KNOWN_RED == KNOWN_FAILURES.tests
