Cluster runs: changes can wait for restarts, and restarted nodes don't import anew

Cause: the plan proposes its second change 1.5 s after the killed voters are forked again, by the clock.

The test asserts as much as before, and a new scenario in it has its change due while all voters are down: red with the wait taken out.

--- a/hollybay/cluster/fork_server.py
+++ b/hollybay/cluster/fork_server.py
@@ -11,6 +11,7 @@
 import contextlib
 import ctypes
 import gc
+import importlib
 import os
 import select
 import signal
@@ -133,9 +134,12 @@
 
 
 def main() -> int:
-    """Import the modules that all processes need, then serve fork commands."""
+    """Import the modules that all processes need and those named as arguments, then serve fork commands."""
     from . import processes
 
+    for module in sys.argv[1:]:
+        importlib.import_module(module)
+
     gc.collect()
     gc.freeze()  # a collection in a child would otherwise copy the shared pages
     return _ForkServer().run()
--- a/hollybay/cluster/harness.py
+++ b/hollybay/cluster/harness.py
@@ -43,6 +43,16 @@
 STATUS_INTERVAL = 0.25
 # Time between readiness of the last node and the first request (s).
 START_DELAY = 0.4
+# What a node and an operator import on their own if there is a consensus group.
+CONSENSUS_MODULES = (
+    "hollybay.consensus.messages",
+    "hollybay.proxy.admin_client",
+    "hollybay.proxy.admin_service",
+    "hollybay.proxy.consensus_setup",
+    "hollybay.proxy.load_reports",
+    "hollybay.proxy.operator_file",
+    "hollybay.proxy.shared_request_ids",
+)
 # Delay before the list reports a server that crashed or restarted (s).
 LIST_DELAY = 0.6
 # Period of the stop and continue cycle of a starved process (s).
@@ -99,8 +109,11 @@
 class _ForkServer:
     """The harness's interface to the fork server process."""
 
-    def __init__(self, folder: Path, ended: Callable[[str, int, int], None]) -> None:
+    def __init__(
+        self, folder: Path, modules: tuple[str, ...], ended: Callable[[str, int, int], None]
+    ) -> None:
         self.folder = folder
+        self.modules = modules  # imported before the first fork, besides those that all processes need
         self.ended = ended
         self.pids: dict[str, int] = {}
         self.changed = asyncio.Event()
@@ -114,6 +127,7 @@
                 sys.executable,
                 "-m",
                 "hollybay.cluster.fork_server",
+                *self.modules,
                 stdin=asyncio.subprocess.PIPE,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
@@ -173,7 +187,9 @@
         self.defect = defect
         self.loop = asyncio.get_running_loop()
         self.control = ControlServer(folder / CONTROL, self._on_message)
-        self.fork_server = _ForkServer(folder, self._process_ended)
+        self.fork_server = _ForkServer(
+            folder, CONSENSUS_MODULES if plan.run.keepers else (), self._process_ended
+        )
         self.nodes_with_list: set[str] = set()
         self.events: list[Event] = []
         self.excuses: list[Excuse] = []
@@ -200,6 +216,8 @@
         self.policy_addresses: list[str] = []
         self.deaths = {plan.nodes[death.node]: death for death in plan.deaths}
         self.change_results: list[list[Any]] = []  # the result of each change of the plan
+        # Faults that kill nodes and have not brought them back yet.
+        self.unfinished_restarts = [f for f in plan.faults if f.kind == "kill" and f.until > f.at]
         self.status: dict[str, Any] = {}  # each node's status at the end, by admin address
         self.workers = [
             "registry",
@@ -332,6 +350,8 @@
         """Propose one policy change of the plan at its time, and record its result."""
         change = self.plan.changes[n]
         await self._sleep_until(change.at)
+        if change.after_restarts:
+            await self._until(lambda: not self._restarts_due(change.at), "the killed nodes to be ready again")
         words = msgspec.to_builtins(change)
         if change.keepers is not None:
             words["keepers"] = [self.policy_addresses[number] for number in change.keepers]
@@ -342,6 +362,10 @@
         )
         self.change_results[n] = found
 
+    def _restarts_due(self, moment: int) -> list[Fault]:
+        """Return the faults before a moment of the run whose killed nodes are not all ready again."""
+        return [fault for fault in self.unfinished_restarts if fault.at <= moment]
+
     def rate(self) -> float:
         """Return the requests a second of the plan's load."""
         return self.run.load * sum(kind.capacity for kind in self._kinds()) / MEAN_WORK
@@ -532,6 +556,8 @@
             for name in fault.nodes:
                 self._fork_node(name)
             await self._wait_until_ready(fault.nodes)
+            self.unfinished_restarts.remove(fault)
+            self.control.notify()
 
     async def _restart(self, fault: Fault, now: int, end: int) -> None:
         """Send SIGTERM to one node after another over the fault's time; each restarts once it has exited."""
--- a/hollybay/cluster/plan.py
+++ b/hollybay/cluster/plan.py
@@ -124,6 +124,7 @@
     all_or_nothing = True
 
     at: Moment
+    after_restarts: bool = False  # also wait until the nodes killed before `at` are ready again
     file: Annotated[str, msgspec.Meta(max_length=100_000)] | None = None
     out: list[str] | None = None
     keepers: list[int] | None = None  # the voters, by node number
--- a/tests/test_cluster_consensus.py
+++ b/tests/test_cluster_consensus.py
@@ -27,7 +27,8 @@
 
 def change(at: str, file: str | None = FILE, **more: object) -> str:
     lines = f'[[change]]\nat = "{at}"\n' + (f'file = "{file}"\n' if file is not None else "")
-    return lines + "".join(f"{k} = {v!r}\n" for k, v in more.items())
+    values = {key: str(value).lower() if value is True else repr(value) for key, value in more.items()}
+    return lines + "".join(f"{key} = {value}\n" for key, value in values.items())
 
 
 def death(node: int, event: str, stage: str = "", back: str = "1s") -> str:
@@ -136,7 +137,12 @@
         + keepers
         + fault("kill", "1500ms", "3s", on="keepers")
         + change("2s")
-        + change("6s"),
+        + change("6s", after_restarts=True),
+        # The change is due while all voters are down, and is proposed once they are back, however late.
+        awaited=run_of(6, 8.0)
+        + keepers
+        + fault("kill", "1500ms", "2s", on="keepers")
+        + change("2s", after_restarts=True),
         narrow=narrow + fault("kill", "1500ms", "3s", on="keepers"),
         both=run_of() + change("1500ms") + odd.replace("[[change]]", "[[change]]\nto = 1"),
         dropped=run_of() + change("1500ms", drop="10ms") + change("4s", None, out=["s-001"]),
@@ -146,6 +152,7 @@
     # With all voters down a change is impossible, and the operator is told so.
     assert found["keepers"].changes[0][0] == 3, found["keepers"].changes
     check_in_force_everywhere("keepers", found["keepers"], 1)
+    check_in_force_everywhere("awaited", found["awaited"])
     for label in ("narrow", "both", "dropped", "old"):
         check_rules(label, found[label])
     # Without voters a node stops serving when its lease expires, until they return, unless narrow_for is set.
