Metric of streamed responses cut off, by the side that was silent

The node writes no access log, so there is no record to carry the reason.

Cost: one addition when a transfer is cut off; two integers a node. The golden texts of the metrics gain the four lines of the metric. Tests: test_upstream_responses.py, one for each side.

--- a/hollybay/admin/metrics.py
+++ b/hollybay/admin/metrics.py
@@ -28,6 +28,8 @@
         Requests by their final response.
     attempts
         Attempts that were completely written to a server.
+    stalled_clients, stalled_servers
+        Streamed responses that were ended as their client read nothing, or their server sent nothing.
     in_flight
         Accepted requests that have no final response yet.
     servers_known
@@ -45,6 +47,8 @@
     rejected: Sequence[int]
     failed: Sequence[int]
     attempts: int
+    stalled_clients: int
+    stalled_servers: int
     in_flight: int
     servers_known: int
     servers_excluded: int
@@ -89,6 +93,13 @@
             "refusal_causes", "Requests refused at once, by cause.", "cause", [*causes], [*causes.values()]
         )
         yield _counter("attempts", "Attempts written whole to servers.", metrics.attempts)
+        yield _labelled_counter(
+            "stalled_responses",
+            "Streamed responses cut off, by the side that was silent.",
+            "side",
+            ["client", "server"],
+            [metrics.stalled_clients, metrics.stalled_servers],
+        )
         yield _counter("reloads_ok", "Configurations taken over while running.", metrics.reloads_ok)
         yield _counter("reloads_failed", "Configurations that did not hold.", metrics.reloads_failed)
         yield _gauge("in_flight", "Requests taken and not yet ended.", metrics.in_flight)
--- a/hollybay/proxy/admin_service.py
+++ b/hollybay/proxy/admin_service.py
@@ -186,6 +186,8 @@
             rejected=counters.rejected,
             failed=counters.failed,
             attempts=self.dispatcher.pools.attempts_written,
+            stalled_clients=counters.stalled_clients,
+            stalled_servers=self.dispatcher.pools.stalled_streams,
             in_flight=self.dispatcher.unfinished_requests,
             servers_known=len(self.server_drains.drains.discovered),
             servers_excluded=self.server_drains.drains.count_excluded(self.dispatcher.balancer.avoids),
--- a/hollybay/proxy/downstream/listener.py
+++ b/hollybay/proxy/downstream/listener.py
@@ -178,4 +178,5 @@
         for conn in self.overdue(self.writing, now - self.phase_timeouts.writing):
             # Otherwise the client has read everything, and the server is waited for, which has its own limit.
             if conn.is_write_buffered:
+                self.dispatcher.counters.stalled_clients += 1
                 conn.abort()
--- a/hollybay/proxy/request_counters.py
+++ b/hollybay/proxy/request_counters.py
@@ -23,15 +23,18 @@
         Requests that were rejected, so that a retry is harmless.
     failed
         Requests that got an error response although a server may have run them.
+    stalled_clients
+        Streamed responses that were aborted as their client read nothing.
     reloads_ok, reloads_failed
         Configuration reloads that were applied, and those that failed as the configuration was invalid.
     """
 
-    __slots__ = ("failed", "rejected", "reloads_failed", "reloads_ok", "served")
+    __slots__ = ("failed", "rejected", "reloads_failed", "reloads_ok", "served", "stalled_clients")
 
     def __init__(self, class_count: int) -> None:
         self.served = [0] * class_count
         self.rejected = [0] * class_count
         self.failed = [0] * class_count
+        self.stalled_clients = 0
         self.reloads_ok = 0
         self.reloads_failed = 0
--- a/hollybay/proxy/upstream/connection.py
+++ b/hollybay/proxy/upstream/connection.py
@@ -53,6 +53,7 @@
     headers_not_forwarded: frozenset[bytes]
     connections: set[ServerConnection]
     opening: set[UpstreamAttempt]
+    stalled_streams: int
 
     def connection_closed(self, connection: ServerConnection) -> None:
         """Remove a connection that is closed."""
@@ -279,6 +280,7 @@
             and self.reading
             and now - self.last_received_at >= response_limits.STREAM_STALL_S
         ):
+            self.owner.stalled_streams += 1
             self._fail()
             return
         if not self.reading:
--- a/hollybay/proxy/upstream/pools.py
+++ b/hollybay/proxy/upstream/pools.py
@@ -51,6 +51,7 @@
     def __init__(self, settings: api.Settings, names: NameTable, limit: int) -> None:
         self.settings = settings
         self.attempts_written = 0  # number of attempts whose request was completely written, since the start
+        self.stalled_streams = 0  # number of streamed responses whose server sent nothing for too long
         self.names = names
         self.limit = limit
         self.load_report_header = b"x-backend-load"
--- a/tests/golden/build.py
+++ b/tests/golden/build.py
@@ -1141,6 +1141,8 @@
         rejected=(3, 4),
         failed=(5, 6),
         attempts=7,
+        stalled_clients=15,
+        stalled_servers=16,
         in_flight=8,
         servers_known=9,
         servers_excluded=10,
@@ -1157,6 +1159,8 @@
         counters.served[:], counters.rejected[:], counters.failed[:] = [1, 2], [3, 4], [5, 6]
         counters.reloads_ok, counters.reloads_failed = 11, 12
         endpoint.dispatcher.pools.attempts_written = 7
+        counters.stalled_clients = 15
+        endpoint.dispatcher.pools.stalled_streams = 16
         endpoint.dispatcher.unfinished_requests = 8
         return await _roundtrip(endpoint, _request_bytes("GET /-/metrics"))
 
--- a/tests/test_upstream_responses.py
+++ b/tests/test_upstream_responses.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hollybay.proxy.upstream import response_limits
 from hollybay.testbed.loopback import (
     LIMIT,
     OK,
@@ -323,6 +324,30 @@
                 node.clients.phase_timeouts.writing = 0.0
                 node.clients._sweep()
                 assert conn.transport.is_closing()
+            assert node.dispatcher.counters.stalled_clients == 1
+            assert node.dispatcher.pools.stalled_streams == 0
+            writer.transport.abort()
+
+    asyncio.run(play())
+
+
+def test_a_server_that_is_silent_within_a_response_is_counted_as_the_stalled_side(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        server = PausingServer("s-1")
+        async with running(tmp_path / "c.json", FakeDiscovery(), server) as node:
+            reader, writer = await node.connect()
+            async with asyncio.timeout(LIMIT):
+                writer.write(request())
+                await reader.readuntil(b"\r\n\r\n")
+                assert await reader.readexactly(len(LONG)) == LONG
+                (server_connection,) = node.dispatcher.pools.connections
+                monkeypatch.setattr(response_limits, "STREAM_STALL_S", 0.0)
+                server_connection._check_stall()
+                assert await reader.read() == b""
+            assert node.dispatcher.pools.stalled_streams == 1
+            assert node.dispatcher.counters.stalled_clients == 0
             writer.transport.abort()
 
     asyncio.run(play())
