Discovery: an error while a list is applied fails its request, and the watch goes on

The node then kept its old list until its process ended, and nothing in the log said so. Now the request fails as with an invalid response, the stack trace is logged once for errors in a row, and the complete list is requested next, as the failed one may be applied in part.

Test: the node fails twice at a list; red before (the old list is still there after 20 s), green after.

--- a/hollybay/proxy/discovery.py
+++ b/hollybay/proxy/discovery.py
@@ -91,6 +91,7 @@
         self.list_available = asyncio.Event()
         self.answered = asyncio.Event()
         self._idle_connection: DiscoveryConnection | None = None
+        self._last_apply_failed = False  # the stack trace is logged once for errors in a row
         self._watch_task: asyncio.Task[None] | None = None
         self._tasks: dict[asyncio.Task[None], None] = {}
 
@@ -250,7 +251,8 @@
         Raises
         ------
         DiscoveryError
-            The response is late or invalid, or the address of discovery has changed meanwhile.
+            The response is late or invalid, could not be applied, or the address of discovery has changed
+            meanwhile.
         """
         connection = self._take_connection() if shared else DiscoveryConnection(self.address)
         held_version = self.version
@@ -259,7 +261,7 @@
             update, reusable = await self._get_update(connection, path, timeout_s)
             if connection.address != self.address:
                 raise DiscoveryError(f"{path}: response ignored, as the address of discovery has changed")
-            self._apply(update, held_version)
+            self._apply_or_fail(update, held_version)
             if reusable and shared:
                 self._idle_connection = connection
                 is_idle = True
@@ -288,6 +290,23 @@
             # exception.
             raise DiscoveryError(f"{path}: {type(error).__name__} {error}") from None
 
+    def _apply_or_fail(self, update: DiscoveryUpdate, held_version: int) -> None:
+        """Apply a list; an error of this node in doing so fails only the request, and the watch continues.
+
+        Raises
+        ------
+        DiscoveryError
+            The list is applied in part at most, so the complete list is requested next.
+        """
+        try:
+            self._apply(update, held_version)
+        except Exception as error:
+            log.error("discovery: list not applied", exc_info=not self._last_apply_failed)
+            self._last_apply_failed = True
+            self.version = NO_VERSION
+            raise DiscoveryError(f"list not applied: {error!r}") from error
+        self._last_apply_failed = False
+
     def _apply(self, update: DiscoveryUpdate, held_version: int) -> None:
         """Apply the response to a request; `held_version` is the node's version when it was sent."""
         servers = update.servers
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,6 +9,7 @@
 import pytest
 
 from hollybay.proxy.discovery import NO_CHANGE_PAUSE_S
+from hollybay.proxy.discovery_list import DiscoveryUpdate
 from hollybay.testbed.loopback import FakeDiscovery, ScriptedServer, read_message, request, running, settings
 
 
@@ -96,3 +97,28 @@
             assert b" 200 " in await node.ask(request())
 
     asyncio.run(play())
+
+
+def test_an_error_while_a_list_is_applied_does_not_end_the_watch(tmp_path: Path) -> None:
+    """Guards against a node that keeps its old list for ever, as the task of its watch has ended."""
+
+    async def play() -> None:
+        fake_discovery, first, second = FakeDiscovery(), ScriptedServer("s-1"), ScriptedServer("s-2")
+        async with running(tmp_path / "c.json", fake_discovery, first, second) as node:
+            await node.until(lambda: "s-2" in node.dispatcher.balancer.servers)
+            apply, failures = node.dispatcher.apply_update, 0
+
+            def fail_twice(update: DiscoveryUpdate) -> None:
+                nonlocal failures
+                failures += 1
+                if failures <= 2:
+                    raise LookupError("an error of the node")
+                apply(update)
+
+            node.dispatcher.apply_update = fail_twice  # type: ignore[method-assign]
+            fake_discovery.tell(first)
+            await node.until(lambda: list(node.dispatcher.balancer.servers) == ["s-1"])
+            assert failures >= 3
+            assert b" 200 " in await node.ask(request())
+
+    asyncio.run(play())
