Accounts: a typed list of the node's counts, compared with what each must equal

A difference names the account, both values and up to five entries.

A node with an admin address compares every 5 s and logs each difference once; edge_balancer_account{account,value} shows both values. Nothing on a request's way. The golden texts of the metrics gain these lines.

--- a/hollybay/admin/metrics.py
+++ b/hollybay/admin/metrics.py
@@ -40,6 +40,8 @@
         Configuration reloads by their result.
     rejection_causes
         Requests that the balancer rejected immediately, by cause.
+    accounts
+        What the node counts, by name: the count, and what it must equal.
     """
 
     classes: Sequence[str]
@@ -55,6 +57,7 @@
     reloads_ok: int
     reloads_failed: int
     rejection_causes: Mapping[str, int]
+    accounts: Mapping[str, tuple[int, int]]
 
 
 class MetricsCollector(Collector):
@@ -109,6 +112,7 @@
             "Servers on the list that are not used, by hand or by choice.",
             metrics.servers_excluded,
         )
+        yield _accounts(metrics.accounts)
 
 
 def _class_counter(
@@ -126,6 +130,18 @@
     return family
 
 
+def _accounts(accounts: Mapping[str, tuple[int, int]]) -> GaugeMetricFamily:
+    family = GaugeMetricFamily(
+        PREFIX + "account",
+        "What the node counts, and what the count must equal.",
+        labels=("account", "value"),
+    )
+    for account, (counted, expected) in accounts.items():
+        family.add_metric((account, "counted"), counted)
+        family.add_metric((account, "expected"), expected)
+    return family
+
+
 def _counter(name: str, documentation: str, value: int) -> CounterMetricFamily:
     return CounterMetricFamily(PREFIX + name, documentation, value=value)
 
--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -268,6 +268,18 @@
         "        except BaseException:\n"
         "            sock.close()\n",
     ),
+    Defect(
+        "failed-connects-counted",
+        POOLS,
+        "attempt.connecting.add_done_callback(lambda _: self.opening.discard(attempt))",
+        "pass",
+    ),
+    Defect(
+        "room-of-dropped-bytes-kept",
+        STREAMING_BODY,
+        "            self._budget.used -= pulled\n            self._reserved -= pulled",
+        "            self._reserved -= pulled",
+    ),
     Defect(
         "old-address-kept", POOLS, "if endpoint is not None and endpoint.address != address:", "if False:"
     ),
@@ -302,6 +314,19 @@
         "self.request_ids.retire(request.claimed_id, self.loop.time())",
         "pass",
     ),
+    Defect(
+        "open-ids-forgotten-by-time",
+        REQUEST_IDS,
+        "            self.previous, self.current, self.started_at = self.current, set(), now",
+        "            self.previous, self.current, self.started_at = self.current, set(), now\n"
+        "            self.open = set()",
+    ),
+    Defect(
+        "ids-of-incomplete-requests-kept",
+        CONNECTION,
+        "self.clients.dispatcher.request_ids.forget(self.request.claimed_id)",
+        "pass",
+    ),
     Defect("two-lengths-asked", REQUEST_VALIDATION, "if names.count(name) > 1:", "if names.count(name) > 2:"),
     Defect(
         "long-bodies-taken",
@@ -321,6 +346,14 @@
         "self.used -= self.charged.pop(reader, 0)",
         "self.charged.pop(reader, 0)",
     ),
+    Defect("turn-of-a-closed-connection-kept", CONNECTION, "self.clients.parse_turns.remove(self)", "pass"),
+    Defect(
+        "limit-of-a-client-that-left-kept",
+        CONNECTION,
+        "            release_request(self.clients.admission, self.request)\n"
+        "        request_id, self.request_id = self.request_id, NO_REQUEST",
+        "        request_id, self.request_id = self.request_id, NO_REQUEST",
+    ),
     Defect(
         "client-left-unnoticed",
         CONNECTION,
--- a/hollybay/proxy/admin_service.py
+++ b/hollybay/proxy/admin_service.py
@@ -19,6 +19,7 @@
 from hollybay.balancing.interface import ServerId
 from hollybay.proxy.downstream.listener import ClientListener
 
+from .accounts import DiscrepancyTracker, balances
 from .admin_server import AdminServer
 from .config import Config
 from .drain_file import DrainFile
@@ -34,6 +35,9 @@
 # Interval at which the drain file, which other processes of the node may write, is checked for changes.
 DRAIN_FILE_POLL_INTERVAL_S = 0.2
 NODE_TAG_BYTES = 6
+# Interval at which the accounts of the node are checked, and how long an entry may be wrong before it is logged.
+ACCOUNT_CHECK_INTERVAL_S = 5.0
+ACCOUNT_TOLERANCE_S = 10.0
 
 
 class AdminService:
@@ -71,6 +75,8 @@
         self.folder = Path(config.scratch_folder) if config.scratch_folder else None
         self.server_drains = ServerDrains(dispatcher, DrainFile(self.folder, self.name))
         self._poll_timer: asyncio.TimerHandle | None = None
+        self._account_tracker = DiscrepancyTracker(ACCOUNT_TOLERANCE_S)
+        self._account_timer: asyncio.TimerHandle | None = None
         self._handlers: dict[
             AdminOperation, Callable[[AdminRequest], AdminResponse | Awaitable[AdminResponse]]
         ] = {
@@ -97,6 +103,7 @@
         """
         assert self.config.admin is not None
         self._poll_drain_file()
+        self._check_accounts()
         host, port = self.config.admin
         port = await self.server.open(host, port)
         log.info("admin server: address=%s:%d", host, port)
@@ -106,8 +113,9 @@
         """Close the admin server and stop all timers."""
         self.server.close()
         self.node_drain.close()
-        if self._poll_timer is not None:
-            self._poll_timer.cancel()
+        for timer in (self._poll_timer, self._account_timer):
+            if timer is not None:
+                timer.cancel()
 
     # Admin requests
 
@@ -176,6 +184,12 @@
 
     # Metrics
 
+    def _check_accounts(self) -> None:
+        """Log each count of the node that differs from what it stands for, once for as long as it does."""
+        self._account_timer = self.loop.call_later(ACCOUNT_CHECK_INTERVAL_S, self._check_accounts)
+        for discrepancy in self._account_tracker.check(self, self.loop.time()):
+            log.error("account %s", discrepancy)
+
     def collect_metrics(self) -> NodeMetrics:
         """Return a snapshot of the node's metrics."""
         counters = self.dispatcher.counters
@@ -194,6 +208,10 @@
             reloads_ok=counters.reloads_ok,
             reloads_failed=counters.reloads_failed,
             rejection_causes={cause.value: count for cause, count in rejections.items()},
+            accounts={
+                account.name: (balance.counted, balance.expected)
+                for account, balance in balances(self).items()
+            },
         )
 
 
--- a/hollybay/proxy/pending_request.py
+++ b/hollybay/proxy/pending_request.py
@@ -109,6 +109,9 @@
     request_written: bool
     """Whether the last byte was handed to the kernel: from then on the server may have run the request."""
 
+    result: api.Result | None
+    """Its result; None while it is in flight."""
+
     def cancel(self) -> None:
         """Cancel the attempt and close its connection."""
 
--- a/hollybay/proxy/streaming_body.py
+++ b/hollybay/proxy/streaming_body.py
@@ -123,6 +123,11 @@
         """Whether no other attempt can send the body: one is sending it, or bytes were dropped."""
         return self.has_dropped_bytes or self.sink is not None
 
+    @property
+    def reserved_bytes(self) -> int:
+        """Number of bytes that are reserved in the budget."""
+        return self._reserved
+
     @property
     def is_accounted(self) -> bool:
         """Whether the retention budget or the window bounds the memory of the bytes that wait."""
--- a/hollybay/simulation/nodes.py
+++ b/hollybay/simulation/nodes.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+from hollybay.proxy.accounts import DiscrepancyTracker
 from hollybay.proxy.assembly import NodeParts
 from hollybay.proxy.config import ConfigError, load
 from hollybay.proxy.downstream.listener import ClientListener as NodeClients
@@ -22,6 +23,11 @@
 
 CONFIG, OPERATOR = "/node/config.json", "/node/operator.toml"
 SIGTERM = 15
+# Time between two comparisons of the accounts. A count that has gone wrong stays wrong, and comparing takes
+# longer than a step.
+ACCOUNT_INTERVAL_S = 0.02
+# For how long the transports of the simulation may take to report the end of a connection.
+ACCOUNT_TOLERANCE_S = 0.05
 
 
 class NodeProcess:
@@ -33,6 +39,8 @@
         self.host = f"n{number}"
         self.process: Process | None = None
         self.sim_host: SimHost
+        self.accounts = DiscrepancyTracker(ACCOUNT_TOLERANCE_S)
+        self._accounts_due_at = 0.0  # loop time (s)
         self.parts: NodeParts | None = None  # set once it is assembled
         self.ended = asyncio.Event()
         self.terminating = False  # it has been sent SIGTERM
@@ -63,6 +71,7 @@
             self.files = {CONFIG: self.configuration()}
             if world.plan.operator:
                 self.files[OPERATOR] = operator_file(world.plan)
+        self.accounts = DiscrepancyTracker(ACCOUNT_TOLERANCE_S)
         self.sim_host.files = dict(self.files)
         self.parts = None
         self.terminating = False
@@ -161,12 +170,22 @@
             }
         )
         self.world.ledger.report("budget", self.host, reason)
+        self._check_accounts(self.parts)
         while self.sim_host.connect_durations:
             duration = self.sim_host.connect_durations.pop()
             self.world.ledger.report(
                 "connect", self.host, connect_violation(duration, self.world.plan.connect / 1000)
             )
 
+    def _check_accounts(self, parts: NodeParts) -> None:
+        """Compare the counts of the node with what they stand for, if that is due."""
+        now = self.world.loop.now
+        if now < self._accounts_due_at:
+            return
+        self._accounts_due_at = now + ACCOUNT_INTERVAL_S
+        for discrepancy in self.accounts.check(parts, now):
+            self.world.ledger.report("accounts", self.host, str(discrepancy))
+
     def active_policy(self) -> object:
         """Return the policy of its operator file, None if it has none."""
         if self.parts is None or self.parts[0].admission is None:
--- a/hollybay/simulation/oracles.py
+++ b/hollybay/simulation/oracles.py
@@ -52,6 +52,7 @@
     "config": "an operator file in force that violates a rule",
     "budget": "a budget, a count or the descriptors exceed their limits",
     "records": "servers, idle index and attempts of the balancer are inconsistent after an event",
+    "accounts": "a count of the node differs from what it stands for",
     "rest": "resources still in use when idle, or after the end",
     "live": "no request of a class is served at a node after the faults have ended",
     "process": "an unhandled exception, or a node that ended without a signal",
@@ -172,6 +173,7 @@
         self.disconnected_at: dict[str, int] = {}
         self._deadlines: list[tuple[int, str]] = []
         self._windows: dict[int, rules.ColdWindow] = {}
+        self._told_ready_at: dict[tuple[str, str], int] = {}  # by node and server: when it was last told
 
     def report(self, rule: str, subject: str, reason: str | None) -> None:
         """Record the violation that an oracle returned, if any."""
@@ -210,8 +212,17 @@
         self.found += self.violations[known:]
 
     def arrived(
-        self, rid: str, start: ServerStart, at: int, zone: int, cell: int, work: int, runs: bool
+        self,
+        rid: str,
+        start: ServerStart,
+        at: int,
+        zone: int,
+        cell: int,
+        work: int,
+        runs: bool,
+        node: str = "",
     ) -> None:
+        """Record a request that a server has received completely; node: the one that sent it."""
         self.write_trace(f"> {rid} at {start.server}{'' if runs else ', turned away'}")
         known = len(self.violations)
         super().arrived(rid, start, at, zone, cell, work, runs)
@@ -226,11 +237,14 @@
             window = self._windows.get(id(start))
             if window is None:
                 window = self._windows[id(start)] = self.cold_window(start)
-            self.report("cold", start.server, window.add(at - start.at, work))
+            told = self._told_ready_at.get((node, start.server), 0) >= start.at
+            self.report("cold", start.server, window.add(at - start.at, work, told))
 
     def told(self, server: str, ready: bool, at: int, node: str = "") -> None:
         self.write_trace(f"@ {node} told that {server} {'serves' if ready else 'drains or is gone'}")
         super().told(server, ready, at, node)
+        if ready:
+            self._told_ready_at[node, server] = at
 
     def started(self, server: str, at: int, capacity: float, cold: bool = True) -> ServerStart:
         self.write_trace(f"* {server} starts {'cold' if cold else 'warm'}")
--- a/hollybay/simulation/servers.py
+++ b/hollybay/simulation/servers.py
@@ -288,7 +288,16 @@
         runs = not (full or rejects)
         mean = world.plan.classes[planned.cls].work / 1000 if planned is not None else 0.01
         work = mean * rng.uniform(0.5, 1.5)
-        world.ledger.arrived(rid, self.start, now, self.plan.zone, self.plan.cell, int(work * SECOND), runs)
+        world.ledger.arrived(
+            rid,
+            self.start,
+            now,
+            self.plan.zone,
+            self.plan.cell,
+            int(work * SECOND),
+            runs,
+            connection.node,
+        )
         self._load_window[0] += 1
         if planned is not None:
             self._check(rid, message, connection.first_at)
--- a/hollybay/testbed/rules.py
+++ b/hollybay/testbed/rules.py
@@ -116,26 +116,35 @@
 class ColdWindow:
     """Sliding window over the work sent to a starting server.
 
-    The work of any span must not exceed multiple x present capacity x span by more than one request.
-    After the warm-up nothing is counted. Times in ns, capacity in seconds of work per second.
+    The work of any span must not exceed multiple x present capacity x span by more than one request, unless a
+    third of it or more came from nodes that had not been told of the start. After the warm-up nothing is
+    counted. Times in ns, capacity in seconds of work per second.
     """
 
     def __init__(self, capacity: float, cold_share: float, warm_up: int, multiple: float, span: int) -> None:
         self.capacity, self.cold_share, self.warm_up = capacity, cold_share, warm_up
         self.multiple, self.span = multiple, span
-        self._came: deque[tuple[int, int]] = deque()
+        self._came: deque[tuple[int, int, int]] = deque()  # age, work, and work of nodes that were told
         self._total = 0
+        self._total_told = 0
 
-    def add(self, age: int, work: int) -> str | None:
-        """Add a request, in order of age; returns why it overloads the server, or None."""
+    def add(self, age: int, work: int, told: bool = True) -> str | None:
+        """Add a request, in order of age; returns why it overloads the server, or None.
+
+        told: whether the node that sent it had been told of the start.
+        """
         if age >= self.warm_up:
             return None
-        self._came.append((age, work))
+        work_told = work if told else 0
+        self._came.append((age, work, work_told))
         self._total += work
+        self._total_told += work_told
         while self._came[0][0] <= age - self.span:
-            self._total -= self._came.popleft()[1]
+            _, past_work, past_work_told = self._came.popleft()
+            self._total -= past_work
+            self._total_told -= past_work_told
         allowed = cold_allowance(self.capacity, age, self.cold_share, self.warm_up, self.multiple, self.span)
-        if self._total <= allowed + work:
+        if self._total <= allowed + work or 3 * self._total_told <= 2 * self._total:
             return None
         return (
             f"{self._total / SECOND:.2f} s of work within {self.span / SECOND:.1f} s at age "
--- a/tests/golden/build.py
+++ b/tests/golden/build.py
@@ -1149,6 +1149,7 @@
         reloads_ok=11,
         reloads_failed=12,
         rejection_causes={"node_late": 13, "queue_limit": 14},
+        accounts={"requests": (17, 18)},
     )
     return f"{METRICS_TYPE}\n".encode() + MetricsCollector(lambda: snapshot).render()
 
