--- a/hollybay/mutation/planted.py
+++ b/hollybay/mutation/planted.py
@@ -274,6 +274,18 @@
         "attempt.connecting.add_done_callback(lambda _: self.opening.discard(attempt))",
         "pass",
     ),
+    Defect(
+        "attempts-of-ended-requests-kept",
+        REQUEST_DISPATCHER,
+        "        request.in_flight -= 1\n",
+        "        request.in_flight -= request.state is not FINISHED\n",
+    ),
+    Defect(
+        "closed-connections-listed-as-idle",
+        POOLS,
+        "        self.remove_idle(connection)\n        self.connections.discard(connection)\n",
+        "        self.connections.discard(connection)\n",
+    ),
     Defect(
         "room-of-dropped-bytes-kept",
         STREAMING_BODY,
--- a/hollybay/proxy/admin_service.py
+++ b/hollybay/proxy/admin_service.py
@@ -35,7 +35,7 @@
 # Interval at which the drain file, which other processes of the node may write, is checked for changes.
 DRAIN_FILE_POLL_INTERVAL_S = 0.2
 NODE_TAG_BYTES = 6
-# Interval at which the accounts of the node are checked, and how long an entry may be wrong before it is logged.
+# Interval of the check of the accounts of the node, and how long an entry may be wrong before it is logged.
 ACCOUNT_CHECK_INTERVAL_S = 5.0
 ACCOUNT_TOLERANCE_S = 10.0
 
--- a/hollybay/testbed/soak/run.py
+++ b/hollybay/testbed/soak/run.py
@@ -20,6 +20,7 @@
 from hollybay.testbed.reserved_port import reserved_port
 from hollybay.units import MS, SECOND
 
+from .account_check import AccountCheck
 from .clients import ClientGroup
 from .idle_clients import IdleClients
 from .ledger import SoakLedger
@@ -136,6 +137,7 @@
         self.successor: NodeProcess | None = None
         self.node_end: asyncio.Future[int]
         self.waited_ns: dict[int, int] = {}  # by process
+        self.account_tasks: list[asyncio.Task[None]] = []
         self.term_at: float | None = None
         self.ended_after_s = 0.0
         self.before = _Sample(0, 0.0)
@@ -172,6 +174,8 @@
         self.node_end = asyncio.ensure_future(self.node.wait())
         if not self.plan.has(Condition.NO_LIST):
             await self._wait_until_ready()
+        if self.plan.has(Condition.SUCCESSOR):
+            self._watch_accounts("node", self.admin_ports[0])
         self.clients.start()
         await asyncio.sleep(self.plan.traffic_s)
         self.before = self._sample()
@@ -182,6 +186,12 @@
             successor = self._node_process("successor.log", self.admin_ports[1])
             await successor.start()
             self.successor = successor
+            self._watch_accounts("successor", self.admin_ports[1])
+
+    def _watch_accounts(self, subject: str, admin_port: int) -> None:
+        """Compare the accounts of a process with an admin server until the end of the run."""
+        check = AccountCheck(admin_port, lambda reason: self._report("accounts", reason, subject))
+        self.account_tasks.append(asyncio.get_running_loop().create_task(check.run()))
 
     def _node_process(self, log_name: str, admin_port: int) -> NodeProcess:
         config = self.environment.config()
@@ -284,6 +294,11 @@
 
     async def stop(self) -> None:
         """Stop clients, servers and the successor."""
+        for task in self.account_tasks:
+            task.cancel()
+        for outcome in await asyncio.gather(*self.account_tasks, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                self._report("accounts", f"check failed: {outcome!r}")
         await self.idle_clients.stop()
         await self.clients.finish()
         if self.node.exit_status is None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -23,6 +23,7 @@
     request,
     running,
 )
+from hollybay.testbed.soak.account_check import AccountCheck
 
 TOLERANCE_S = 3.0
 
@@ -175,3 +176,31 @@
         asyncio.run(play())
     assert "account streamed_body_bytes: counted 7, expected 0" in caplog.text
     assert caplog.text.count("streamed_body_bytes") == 1
+
+
+def test_the_soak_reads_accounts_from_the_metrics_and_reports_each_difference_once(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with running(tmp_path / "c.json", FakeDiscovery(), ScriptedServer("s-1")) as node:
+            service = AdminService(
+                replace(node.clients.config, admin=("127.0.0.1", 0)), node.clients, node.dispatcher
+            )
+            await service.open()
+            reported: list[str] = []
+            check = AccountCheck(service.server.port, reported.append)
+            task = asyncio.ensure_future(check.run())
+            await node.until(lambda: check.samples > 0)
+            assert not reported
+            _reserve(node)
+            await node.until(lambda: bool(reported))
+            task.cancel()
+            service.close()
+        # An account that lags may differ for a while.
+        check.check({"server_connections": (2, 1)}, 10.0)
+        check.check({"server_connections": (1, 1)}, 10.9)
+        check.check({"server_connections": (2, 1)}, 11.0)
+        assert reported == ["streamed_body_bytes: counted 7, expected 0"]
+        check.check({"server_connections": (2, 1)}, 12.0)
+        check.check({"server_connections": (2, 1)}, 13.0)
+        assert reported[1:] == ["server_connections: counted 2, expected 1"]
+
+    asyncio.run(play())
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -164,6 +164,17 @@
     assert rules.cold_violation(heavy, 1.0, 0.5, 8 * SECOND, 4.0, 2 * SECOND) is None
 
 
+@pytest.mark.parametrize(("told", "broken"), [(0, False), (20, False), (21, True), (30, True)])
+def test_a_cold_server_counts_as_overloaded_by_nodes_that_were_told_of_its_start(
+    told: int, broken: bool
+) -> None:
+    """The rule is broken if over two thirds of the work came from nodes that had been told."""
+    window = rules.ColdWindow(1.0, 0.5, 8 * SECOND, 4.0, 2 * SECOND)
+    for n in range(29):
+        window.add(n, SECOND, told=n < told)
+    assert (window.add(29, SECOND, told=told > 29) is not None) == broken
+
+
 def test_violations_on_sockets_are_found() -> None:
     """Run an unsafe request twice on a fake server, and send to it after a drain."""
 
