--- a/hollybay/cluster/harness.py
+++ b/hollybay/cluster/harness.py
@@ -122,7 +122,7 @@
         self.ready = False
 
     async def start(self) -> None:
-        with (self.folder / "zygote.log").open("ab") as log:
+        with (self.folder / "fork_server.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -227,7 +227,7 @@
             *(("switch",) if plan.run.talk and pairs(plan) else ()),
             # The relay is one process, so hundreds of nodes use it only in plans with faults between nodes.
             *(("relay",) if plan.run.keepers and pairs(plan) else ()),
-            *(("governors",) if plan.run.keepers else ()),
+            *(("policy_operators",) if plan.run.keepers else ()),
         ]
 
     # Messages and process exits
@@ -315,7 +315,7 @@
         if run.keepers:
             voters = self.policy_addresses[: run.keepers]
             await self._until(lambda: all(name in self.control.processes for name in plan.nodes), "the nodes")
-            await self.worker("governors").call("found", addresses=voters, file="")
+            await self.worker("policy_operators").call("bootstrap", addresses=voters, file="")
         await self._wait_until_ready(plan.nodes)
         if run.keepers:
             await self._wait_until_serving()
@@ -336,7 +336,7 @@
         """Poll the status of all nodes until a condition on their policies holds, or for limit seconds."""
         until = self.loop.time() + limit
         while True:
-            self.status = await self.worker("governors").call("status", addresses=self.admin_addresses)
+            self.status = await self.worker("policy_operators").call("status", addresses=self.admin_addresses)
             under = {tuple(one.get("serves", ())) for one in self.status.values()}
             if condition(under) or self.loop.time() > until:
                 return
@@ -357,7 +357,7 @@
             words["keepers"] = [self.policy_addresses[number] for number in change.keepers]
         voters = self.policy_addresses[: self.run.keepers]
         limit = change.limit / SECOND + 60.0
-        found = await self.worker("governors").call(
+        found = await self.worker("policy_operators").call(
             "change", limit, addresses=voters, to=change.to, change=words
         )
         self.change_results[n] = found
@@ -472,7 +472,7 @@
         self.events.append(NodeEnded(now, name, True))
         self.excuses.append(Excuse(name, now - SECOND // 2, now, "killed"))
         self.nodes_with_list.discard(name)
-        await self.worker("registry").call("anew", names=[name])
+        await self.worker("registry").call("forget", names=[name])
         await asyncio.sleep(self.planned_crashes.pop(name) / SECOND)
         self._fork_node(name)
         await self._wait_until_ready((name,))
@@ -550,7 +550,7 @@
         self.events += [NodeEnded(over, name, True) for name in fault.nodes]
         self.excuses += [Excuse(name, now, over, "killed") for name in fault.nodes]
         self.nodes_with_list -= set(fault.nodes)
-        await self.worker("registry").call("anew", names=fault.nodes)
+        await self.worker("registry").call("forget", names=fault.nodes)
         if fault.until > fault.at:
             await self._sleep_until(fault.until)
             for name in fault.nodes:
@@ -573,7 +573,7 @@
             )
             self.events.append(NodeEnded(time.monotonic_ns(), name, False))
             self.nodes_with_list.discard(name)
-            await self.worker("registry").call("anew", names=[name])
+            await self.worker("registry").call("forget", names=[name])
             self._fork_node(name)
             await self._wait_until_ready((name,))
 
--- a/hollybay/cluster/processes.py
+++ b/hollybay/cluster/processes.py
@@ -432,7 +432,7 @@
     async def do_publish(self, lines: dict[str, dict[str, Any]]) -> None:
         self.registry.publish(lines)
 
-    async def do_anew(self, names: list[str]) -> None:
+    async def do_forget(self, names: list[str]) -> None:
         """Forget the state sent to nodes that have exited."""
         for name in names:
             self.nodes_with_list.discard(name)
@@ -797,7 +797,7 @@
 
         return await call_policy(address, path, body, 2.0)
 
-    async def do_found(self, addresses: list[str], file: str) -> None:
+    async def do_bootstrap(self, addresses: list[str], file: str) -> None:
         """Bootstrap the consensus group."""
         from hollybay.consensus import messages
         from hollybay.consensus.requests import CallFailedError
@@ -871,5 +871,5 @@
     "operators": _ReadinessPollers,
     "switch": _DatagramSwitch,
     "relay": _AdminRelay,
-    "governors": _PolicyOperators,
+    "policy_operators": _PolicyOperators,
 }
