--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,9 +11,9 @@
 import rig
 
 SERVERS = 3
-PIECE_BYTES = 16 << 10
-PIECES = 12  # 192 KiB
-PAUSE_S = 0.3  # 55 kB a second
+PIECE_BYTES = 32 << 10
+PIECES = 6  # 192 KiB
+PAUSE_S = 0.4  # 82 kB a second
 REQUESTS = 4  # of each class
 TIME_LEFT_MS = {rig.VIEW: 500, rig.SEND: 5000, rig.BOOK: 6000}
 LIMIT_S = 30.0
--- a/review/rig.py
+++ b/review/rig.py
@@ -212,7 +212,7 @@
         """
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         self.write_config()
-        scratch = self.folder / "scratch"
+        scratch = self.folder / f"{self.config['name']}.scratch"
         scratch.mkdir(exist_ok=True)
         environ = {
             **os.environ,
