--- a/review/9/case.py
+++ b/review/9/case.py
@@ -22,7 +22,7 @@
 PIECE_INTERVAL_S = 0.5  # 64 kB a second
 TIME_LEFT_MS = 5000
 LOSS_AFTER_S = 3.2
-ROUNDS = 5  # each with new nodes
+ROUNDS = 10  # each with new nodes
 LIMIT_S = 20.0
 
 
@@ -161,7 +161,7 @@
         answers = dict(zip(uploads, await asyncio.gather(*answering), strict=True))
     finally:
         for node in nodes:
-            node.stop()
+            node.kill()
     for name, found in answers.items():
         record.add(f"client: {name} got {found}")
     record.add(f"round {number}: {dict(Counter(tuple(found) for found in answers.values()))}")
--- a/review/rig.py
+++ b/review/rig.py
@@ -259,6 +259,12 @@
             return 0.0
         return sum(int(line.split()[1]) for line in lines if line.startswith("Pss:")) / 1024
 
+    def kill(self) -> None:
+        """Kill the process, if it runs."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
     def stop(self) -> None:
         """End the process, if it runs."""
         if self.process is None or self.process.poll() is not None:
@@ -267,8 +273,7 @@
         try:
             self.process.wait(STOP_LIMIT_S)
         except subprocess.TimeoutExpired:
-            self.process.kill()
-            self.process.wait()
+            self.kill()
 
 
 # The platform
