Review: no node outlives its case, and an error of a script is no verdict

A node that was not ready in time was left running, and an unexpected exception of a script ended it with 1, which means a broken rule; it is 2 now.

--- a/review/rig.py
+++ b/review/rig.py
@@ -43,6 +43,9 @@
 _WAIT_MS = re.compile(rb"[?&]wait=(\d+)")
 
 
+_nodes: list[Node] = []  # all nodes of the case, none of which outlives it
+
+
 class CaseError(Exception):
     """The case could not run, for a reason that is not the node's."""
 
@@ -184,6 +187,7 @@
         self.path = folder / f"{process_name}.json"
         self.log_path = folder / f"{process_name}.log"
         self.process: subprocess.Popen[bytes] | None = None
+        _nodes.append(self)
 
     @property
     def port(self) -> int:
@@ -447,8 +451,11 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             status = HELD if asyncio.run(timed()) else BROKEN
-        except (CaseError, OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+        except Exception as error:  # whatever it is, it says nothing of the rule
             reason = f": {type(error).__name__} {error}"
+        finally:
+            for node in _nodes:
+                node.kill()
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[
         status
     ]
